--- /dev/null
+++ b/birchlever/controllers/control_controller.cpp
@@ -0,0 +1,144 @@
+#include "birchlever/controllers/control_controller.h"
+
+#include <algorithm>
+
+#include "birchlever/controllers/daemon_context.h"
+#include "birchlever/controllers/fleet_view.h"
+#include "birchlever/coordination/versioned_configuration.h"
+#include "birchlever/policy/policy_book.h"
+#include "birchlever/telemetry/log.h"
+#include "birchlever/telemetry/metrics.h"
+#include "birchlever/upstream/upstream_table.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto control_prefix = "control/";
+constexpr auto most_control_rows = 2048;
+constexpr auto rebalance_after_looks = 3;
+
+}  // namespace
+
+control_controller::control_controller(caf::actor_config& config, std::shared_ptr<daemon_context> context,
+                                       std::vector<caf::actor> shards)
+    : caf::event_based_actor{config},
+      context_{std::move(context)},
+      shards_{std::move(shards)},
+      better_owner_since_(shards_.size(), 0) {}
+
+auto control_controller::make_behavior() -> caf::behavior {
+  send(this, tick_atom::value);
+  return {
+      [this](tick_atom) {
+        look_at_vms();
+        look();
+        delayed_send(this, std::chrono::milliseconds{context_->settings_.poll_ms_}, tick_atom::value);
+      },
+      [this](look_atom) { look(); },
+      [this](hand_over_atom) { hand_over_all(); },
+      [this](stop_atom) { quit(); },
+  };
+}
+
+auto control_controller::look_at_vms() -> void {
+  auto entries = context_->vm_list_->fetch();
+  if (!ok(entries)) {
+    context_->metrics_->count("vm_list_failures_total");
+    return;
+  }
+  context_->fleet_->set_vms(std::move(value(entries)));
+  auto configuration = context_->fleet_->configuration();
+  context_->upstreams_->set_upstreams(*context_->fleet_->vms(), configuration->drained_upstreams_,
+                                      configuration->drained_halls_);
+}
+
+auto control_controller::look() -> void {
+  auto began = context_->clock_->now();
+  auto rows = context_->store_->scan(control_prefix, "", most_control_rows);
+  if (!ok(rows)) {
+    context_->metrics_->count("control_look_failures_total");
+    log_failure(log_level::warning, "control_look_failed", failure(rows));
+    return;
+  }
+  auto by_key = std::map<std::string, table_row>{};
+  for (auto& row : value(rows)) {
+    by_key[row.key_] = std::move(row);
+  }
+  auto find = [&by_key](const std::string& key) -> std::optional<table_row> {
+    auto found = by_key.find(key);
+    return found == by_key.end() ? std::nullopt : std::optional{found->second};
+  };
+  take_configuration(find(versioned_configuration::row_key()), began);
+  for (auto shard = 0; shard < static_cast<int>(shards_.size()); ++shard) {
+    tell_shard(shard, find(lease::row_key(shard)));
+  }
+}
+
+auto control_controller::take_configuration(const std::optional<table_row>& row, milliseconds began) -> void {
+  context_->configuration_->observe(row, began);
+  if (context_->configuration_->generation() != loaded_generation_) {
+    load_configuration();
+  }
+}
+
+auto control_controller::load_configuration() -> void {
+  auto current = context_->configuration_->current();
+  loaded_generation_ = current.generation_;
+  auto parsed = fleet_configuration::parse(current.text_);
+  if (!ok(parsed)) {
+    log_failure(log_level::error, "configuration_unreadable", failure(parsed));
+    return;
+  }
+  auto policies = std::map<std::string, policy_settings>{};
+  auto shadows = std::vector<std::string>{};
+  for (const auto& [name, policy] : value(parsed).policies_) {
+    policies[name] = policy.settings_;
+    if (policy.state_ == policy_state::shadow) {
+      shadows.push_back(name);
+    }
+  }
+  context_->policies_->load(policies, shadows);
+  context_->upstreams_->set_upstreams(*context_->fleet_->vms(), value(parsed).drained_upstreams_,
+                                      value(parsed).drained_halls_);
+  context_->fleet_->set_configuration(std::move(value(parsed)));
+  context_->metrics_->gauge("configuration_generation", static_cast<double>(current.generation_));
+  log_event(log_level::info, "configuration_in_force",
+            {{"generation", current.generation_}, {"author", current.author_}});
+}
+
+auto control_controller::tell_shard(int shard, const std::optional<table_row>& row) -> void {
+  auto ranking = context_->fleet_->preferred_owners(shard);
+  auto place = std::find(ranking.begin(), ranking.end(), context_->daemon_id_);
+  auto observed = std::make_shared<observed_message>();
+  observed->row_ = row;
+  observed->rank_ = place == ranking.end() ? static_cast<int>(ranking.size())
+                                           : static_cast<int>(place - ranking.begin());
+  auto index = static_cast<std::size_t>(shard);
+  auto now = context_->clock_->now();
+  if (ranking.empty() || place == ranking.begin()) {
+    better_owner_since_[index] = 0;
+  } else if (better_owner_since_[index] == 0) {
+    better_owner_since_[index] = now;
+  }
+  auto since = better_owner_since_[index];
+  auto settled = since != 0 && now - since >= rebalance_after_looks * context_->settings_.poll_ms_;
+  if (settled) {
+    observed->successor_ = ranking.front();
+  }
+  anon_send(shards_[index], observed_atom::value, shared<observed_message>{observed});
+}
+
+auto control_controller::hand_over_all() -> void {
+  for (auto shard = 0; shard < static_cast<int>(shards_.size()); ++shard) {
+    auto successor = std::string{};
+    for (const auto& id : context_->fleet_->preferred_owners(shard)) {
+      if (id != context_->daemon_id_) {
+        successor = id;
+        break;
+      }
+    }
+    anon_send(shards_[static_cast<std::size_t>(shard)], hand_over_atom::value, successor);
+  }
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/controllers/control_controller.h
@@ -0,0 +1,37 @@
+/// Looks at the platform: one scan of the control rows for leases and configuration, and the VM list.
+#pragma once
+
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "birchlever/controllers/actor_messages.h"
+
+namespace birchlever {
+
+struct daemon_context;
+
+/// A detached actor. One scan a look tells this daemon everything about leases and configuration, so the
+/// store sees one read a look from each daemon, however many shards there are.
+class control_controller final : public caf::event_based_actor {
+ public:
+  control_controller(caf::actor_config& config, std::shared_ptr<daemon_context> context,
+                     std::vector<caf::actor> shards);
+
+  auto make_behavior() -> caf::behavior override;
+
+ private:
+  auto look() -> void;
+  auto look_at_vms() -> void;
+  auto take_configuration(const std::optional<table_row>& row, milliseconds began) -> void;
+  auto tell_shard(int shard, const std::optional<table_row>& row) -> void;
+  auto load_configuration() -> void;
+  auto hand_over_all() -> void;
+
+  std::shared_ptr<daemon_context> context_;
+  std::vector<caf::actor> shards_;
+  std::int64_t loaded_generation_ = -1;
+  std::vector<milliseconds> better_owner_since_;  ///< Per shard; zero when this daemon is the best owner.
+};
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/controllers/shard_controller.cpp
@@ -0,0 +1,403 @@
+#include "birchlever/controllers/shard_controller.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "birchlever/controllers/daemon_context.h"
+#include "birchlever/controllers/fleet_view.h"
+#include "birchlever/controllers/shard_placement.h"
+#include "birchlever/controllers/shard_writer.h"
+#include "birchlever/core/test_switches.h"
+#include "birchlever/telemetry/log.h"
+#include "birchlever/telemetry/metrics.h"
+#include "birchlever/upstream/upstream_table.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto tick_gap = std::chrono::milliseconds{50};
+constexpr auto probe_margin_ms = milliseconds{250};  // Past the time in which a ticket may still be used.
+constexpr auto ticket_memory_periods = 4;
+constexpr auto owner_retry_ms = std::int64_t{300};
+
+auto program_key(const std::string& account, const std::string& program) -> std::string {
+  return account + "/" + program;
+}
+
+auto make_open_reply(open_reply reply) -> shared<open_reply> {
+  return std::make_shared<open_reply>(std::move(reply));
+}
+
+}  // namespace
+
+shard_controller::shard_controller(caf::actor_config& config, std::shared_ptr<daemon_context> context, int shard,
+                                   caf::actor upstream_worker)
+    : caf::event_based_actor{config},
+      context_{std::move(context)},
+      shard_{shard},
+      upstream_worker_{std::move(upstream_worker)},
+      validity_{std::make_shared<lease_validity>()} {}
+
+auto shard_controller::make_behavior() -> caf::behavior {
+  writer_ = spawn<shard_writer, caf::detached>(context_, shard_, validity_, caf::actor_cast<caf::actor>(this));
+  delayed_send(this, tick_gap, tick_atom::value);
+  return {
+      [this](open_atom, const shared<open_request>& request) {
+        auto promise = make_response_promise<shared<open_reply>>();
+        open(request, promise);
+        return promise;
+      },
+      [this](settle_atom, const shared<settle_request>& request) {
+        auto promise = make_response_promise<shared<settle_reply>>();
+        settle(request, promise);
+        return promise;
+      },
+      [this](accepted_atom, const shared<accepted_report>& report) { accepted(*report); },
+      [this](create_atom, const shared<program_request>& request) {
+        auto promise = make_response_promise<std::string>();
+        create_program(*request, promise);
+        return promise;
+      },
+      [this](end_atom, const shared<program_request>& request, const std::string& reason) {
+        auto promise = make_response_promise<std::string>();
+        end_program(*request, reason, promise);
+        return promise;
+      },
+      [this](history_atom, const shared<program_request>& request) {
+        auto promise = make_response_promise<std::string>();
+        history(*request, promise);
+        return promise;
+      },
+      [this](rows_atom, const std::string& kind) { return rows(kind); },
+      [this](recovered_atom, const shared<recovered_message>& message) { recovered(*message); },
+      [this](committed_atom, const shared<committed_message>& message) { committed(*message); },
+      [this](snapshot_atom, const shared<journal_snapshot>& snapshot) {
+        snapshotting_ = false;
+        if (ledger_) {
+          ledger_->complete_snapshot(*snapshot);
+        }
+      },
+      [this](lost_atom) { lost(); },
+      [this](observed_atom, const shared<observed_message>& observed) {
+        if (!observed->successor_.empty() && ledger_ && !handing_over_) {
+          handing_over_ = true;
+          send(writer_, hand_over_atom::value, observed->successor_);
+        }
+        send(writer_, observed_atom::value, observed);
+      },
+      [this](hand_over_atom, const std::string& successor) {
+        handing_over_ = true;
+        send(writer_, hand_over_atom::value, successor);
+      },
+      [this](probe_atom, const shared<probe_message>& answer) { probed(*answer); },
+      [this](tick_atom) {
+        tick();
+        delayed_send(this, tick_gap, tick_atom::value);
+      },
+      [this](stop_atom) {
+        send(writer_, stop_atom::value);
+        quit();
+      },
+  };
+}
+
+auto shard_controller::may_act() const -> bool {
+  auto in_time = validity_->held_ && context_->clock_->now() < validity_->until_;
+  auto checked = test_switches::instance().mechanism_on("lease_check");
+  return ledger_ && !handing_over_ && (in_time || !checked);
+}
+
+auto shard_controller::probe_gap() const -> milliseconds {
+  return context_->settings_.send_within_ms_ + probe_margin_ms;
+}
+
+auto shard_controller::not_owner() const -> error {
+  return {error_code::not_owner, "this daemon does not own shard " + std::to_string(shard_), ran_state::not_run,
+          owner_retry_ms};
+}
+
+auto shard_controller::open(const shared<open_request>& request, open_promise promise) -> void {
+  if (!may_act()) {
+    promise.deliver(make_open_reply(not_owner()));
+    return;
+  }
+  auto known = tickets_.find(request->request_id_);
+  if (known != tickets_.end()) {
+    give_ticket(request, promise, known->second.ticket_);  // The first answer was lost on its way.
+    return;
+  }
+  const auto& order = request->order_;
+  auto policy = context_->fleet_->configuration()->policy_for(order.account_, order.program_);
+  auto decision = ledger_->open(order, policy, context_->clock_->now());
+  if (auto* ready = std::get_if<open_proceed>(&decision)) {
+    proceed(request, promise, std::move(*ready));
+  } else if (const auto* answered = std::get_if<open_replay>(&decision)) {
+    replay(promise, answered->answer_, answered->location_);
+  } else if (const auto* pause = std::get_if<open_wait>(&decision)) {
+    wait(request, promise, pause->for_own_answer_);
+  } else if (const auto* question = std::get_if<open_resolve>(&decision)) {
+    resolve(request, promise, *question);
+  } else {
+    context_->metrics_->count("owner_refusals_total");
+    promise.deliver(make_open_reply(std::get<error>(decision)));
+  }
+}
+
+auto shard_controller::place(const open_request& request) -> result<dispatch_ticket> {
+  const auto* owner = ledger_->find(request.order_.account_, request.order_.program_);
+  auto placed = place_call(*context_, request, *owner);
+  if (!ok(placed)) {
+    return failure(placed);
+  }
+  if (request.service_.empty()) {
+    explanations_[program_key(owner->account_, owner->id_)] = std::move(value(placed).choice_);
+  }
+  return std::move(value(placed).ticket_);
+}
+
+auto shard_controller::proceed(const shared<open_request>& request, open_promise promise, open_proceed ready)
+    -> void {
+  const auto& order = request->order_;
+  auto placed = place(*request);
+  if (!ok(placed)) {
+    (void)ledger_->cancel(order.account_, order.program_, order.number_);
+    promise.deliver(make_open_reply(failure(placed)));
+    return;
+  }
+  auto ticket = std::move(value(placed));
+  auto [permission, intent] = ledger_->dispatch(order, ticket.upstream_, context_->clock_->now());
+  ticket.call_ = permission;
+  if (intent) {
+    ready.records_.push_back(*intent);
+  }
+  if (!ready.must_commit_) {
+    give_ticket(request, promise, ticket);
+    return;
+  }
+  commit(std::move(ready.records_), [this, request, promise, ticket](bool durable) mutable {
+    if (!durable) {
+      promise.deliver(make_open_reply(not_owner()));
+      return;
+    }
+    give_ticket(request, promise, ticket);
+  });
+}
+
+auto shard_controller::give_ticket(const shared<open_request>& request, open_promise promise,
+                                   const dispatch_ticket& ticket) -> void {
+  const auto& order = request->order_;
+  if (!may_act()) {
+    if (ledger_) {
+      auto records = ledger_->cancel(order.account_, order.program_, order.number_);
+      if (!records.empty()) {
+        commit(std::move(records), [](bool) {});
+      }
+    }
+    promise.deliver(make_open_reply(not_owner()));
+    return;
+  }
+  auto forget_at = context_->clock_->now() + ticket_memory_periods * context_->settings_.send_within_ms_;
+  tickets_[request->request_id_] = {ticket, forget_at};
+  promise.deliver(make_open_reply(ticket));
+}
+
+auto shard_controller::replay(open_promise promise, const std::string& answer, const answer_location& location)
+    -> void {
+  auto text = read_answer(*context_, answer, location);
+  if (!ok(text)) {
+    promise.deliver(make_open_reply(failure(text)));
+    return;
+  }
+  context_->metrics_->count("replays_total");
+  promise.deliver(make_open_reply(replayed_answer{value(text)}));
+}
+
+auto shard_controller::wait(const shared<open_request>& request, open_promise promise, bool own_answer) -> void {
+  if (waiting_.size() >= static_cast<std::size_t>(context_->settings_.max_waiting_)) {
+    promise.deliver(make_open_reply(error{error_code::overloaded, "too many calls wait for their turn", ran_state::not_run, 1000}));
+    return;
+  }
+  auto now = context_->clock_->now();
+  auto limit = own_answer ? request->order_.deadline_ : context_->settings_.order_wait_ms_;
+  waiting_.emplace(program_key(request->order_.account_, request->order_.program_),
+                   waiting_call{request, promise, now + limit, now + probe_gap(), own_answer});
+}
+
+auto shard_controller::wake(const std::string& account, const std::string& program) -> void {
+  auto range = waiting_.equal_range(program_key(account, program));
+  auto woken = std::vector<waiting_call>{};
+  for (auto next = range.first; next != range.second; ++next) {
+    woken.push_back(next->second);
+  }
+  waiting_.erase(range.first, range.second);
+  std::sort(woken.begin(), woken.end(), [](const waiting_call& left, const waiting_call& right) {
+    return left.request_->order_.number_ < right.request_->order_.number_;
+  });
+  for (auto& one : woken) {
+    open(one.request_, one.promise_);
+  }
+}
+
+auto shard_controller::give_up_waiting() -> void {
+  auto now = context_->clock_->now();
+  for (auto next = waiting_.begin(); next != waiting_.end();) {
+    auto& one = next->second;
+    const auto& order = one.request_->order_;
+    if (one.own_answer_ && now >= one.probe_at_) {
+      one.probe_at_ = now + probe_gap();
+      const auto* owner = ledger_->find(order.account_, order.program_);
+      auto call = owner == nullptr ? decltype(owner->calls_.end()){} : owner->calls_.find(order.number_);
+      if (owner != nullptr && call != owner->calls_.end() && !call->second.upstream_.empty()) {
+        auto question = std::make_shared<probe_message>();
+        *question = {order.account_, order.program_, order.number_, call->second.upstream_, call->second.key_,
+                     call->second.sequence_, !one.request_->service_.empty()};
+        send(upstream_worker_, probe_atom::value, shared<probe_message>{question});
+      }
+    }
+    if (now < one.give_up_at_) {
+      ++next;
+      continue;
+    }
+    auto code = one.own_answer_ ? error_code::call_in_progress : error_code::call_out_of_order;
+    auto state = one.own_answer_ ? ran_state::outcome_unknown : ran_state::not_run;
+    one.promise_.deliver(make_open_reply(error{code, "call " + std::to_string(order.number_) + " waited too long for its turn", state, owner_retry_ms}));
+    next = waiting_.erase(next);
+  }
+}
+
+auto shard_controller::resolve(const shared<open_request>& request, open_promise promise,
+                               const open_resolve& question) -> void {
+  auto& asking = resolving_[question.key_];
+  asking.push_back(promise);
+  if (asking.size() > 1) {
+    return;
+  }
+  auto message = std::make_shared<probe_message>();
+  *message = {request->order_.account_, request->order_.program_, request->order_.number_, question.upstream_,
+              question.key_, 0, true};
+  send(upstream_worker_, probe_atom::value, shared<probe_message>{message});
+}
+
+auto shard_controller::accepted(const accepted_report& report) -> void {
+  if (!ledger_) {
+    return;
+  }
+  auto now = context_->clock_->now();
+  auto known = ledger_->accepted(report.account_, report.program_, report.number_, report.sequence_);
+  if (!known && report.epoch_ < epoch_) {
+    auto under_way = call_settlement{report.account_, report.program_, report.number_, report.epoch_,
+                                     report.sequence_};
+    under_way.max_tokens_ = report.max_tokens_;
+    under_way.digest_ = report.digest_;
+    under_way.repeatable_ = report.repeatable_;
+    under_way.upstream_ = report.upstream_;
+    known = ledger_->adopt(under_way, now);
+    context_->metrics_->count("calls_adopted_total", known ? 1 : 0);
+  }
+  if (known) {
+    wake(report.account_, report.program_);
+  }
+}
+
+auto shard_controller::commit(std::vector<journal_record> records, continuation then) -> void {
+  auto message = std::make_shared<append_message>();
+  message->batch_ = ++last_batch_;
+  message->records_ = records;
+  batches_.push_back({last_batch_, std::move(records), std::move(then)});
+  send(writer_, append_atom::value, shared<append_message>{message});
+}
+
+auto shard_controller::committed(const committed_message& message) -> void {
+  if (!ledger_) {
+    return;
+  }
+  journal_sequence_ = message.sequence_;
+  while (!batches_.empty() && batches_.front().number_ <= message.batch_) {
+    auto batch = std::move(batches_.front());
+    batches_.pop_front();
+    for (const auto& record : batch.records_) {
+      apply(record);
+    }
+    batch.then_(true);
+  }
+  auto due = journal_sequence_ - snapshot_sequence_ >= context_->settings_.snapshot_rows_;
+  if (due && !snapshotting_ && batches_.empty()) {
+    snapshotting_ = true;
+    snapshot_sequence_ = journal_sequence_;
+    auto snapshot = std::make_shared<journal_snapshot>(ledger_->prepare_snapshot(shard_, journal_sequence_));
+    send(writer_, snapshot_atom::value, shared<journal_snapshot>{snapshot});
+  }
+}
+
+auto shard_controller::recovered(const recovered_message& message) -> void {
+  auto settings = ledger_settings_of(context_->settings_);
+  auto made = program_ledger::create(settings, message.epoch_);
+  if (!ok(made)) {
+    log_failure(log_level::error, "ledger_refused", failure(made));
+    return;
+  }
+  ledger_.emplace(std::move(value(made)));
+  auto loaded = ledger_->recover(message.found_, context_->clock_->now());
+  if (!ok(loaded)) {
+    log_failure(log_level::error, "recovery_failed", failure(loaded));
+    ledger_.reset();
+    return;
+  }
+  epoch_ = message.epoch_;
+  handing_over_ = false;
+  batches_.clear();
+  last_batch_ = 0;
+  journal_sequence_ = 0;
+  snapshot_sequence_ = 0;
+  snapshotting_ = false;
+  sweep_now_ = true;
+  context_->metrics_->observe("takeover_ms", static_cast<double>(message.took_ms_));
+}
+
+auto shard_controller::lost() -> void {
+  ledger_.reset();
+  handing_over_ = false;
+  tickets_.clear();
+  explanations_.clear();
+  for (auto& batch : std::exchange(batches_, {})) {
+    batch.then_(false);
+  }
+  for (auto& [key, one] : std::exchange(waiting_, {})) {
+    one.promise_.deliver(make_open_reply(not_owner()));
+  }
+  for (auto& [key, promises] : std::exchange(resolving_, {})) {
+    for (auto& promise : promises) {
+      promise.deliver(make_open_reply(not_owner()));
+    }
+  }
+}
+
+auto shard_controller::tick() -> void {
+  if (!ledger_) {
+    return;
+  }
+  auto now = context_->clock_->now();
+  give_up_waiting();
+  for (auto next = tickets_.begin(); next != tickets_.end();) {
+    next = now >= next->second.forget_at_ ? tickets_.erase(next) : std::next(next);
+  }
+  auto records = ledger_->expire(now);
+  if (!records.empty()) {
+    commit(std::move(records), [](bool) {});
+  }
+  ledger_->forget(now);
+  if (sweep_now_ || now - swept_at_ >= context_->settings_.sweep_ms_) {
+    sweep_now_ = false;
+    swept_at_ = now;
+    auto message = std::make_shared<sweep_message>();
+    message->shard_ = shard_;
+    ledger_->each([&](const program& one) {
+      if (!one.ended_) {
+        message->live_sessions_.push_back(program_key(one.account_, one.id_));
+      }
+    });
+    send(upstream_worker_, sweep_atom::value, shared<sweep_message>{message});
+  }
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/controllers/shard_placement.cpp
@@ -0,0 +1,122 @@
+#include "birchlever/controllers/shard_placement.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "birchlever/controllers/daemon_context.h"
+#include "birchlever/platform/table_store_interface.h"
+#include "birchlever/policy/policy_book.h"
+#include "birchlever/telemetry/policy_comparison.h"
+#include "birchlever/upstream/upstream_table.h"
+
+namespace birchlever {
+namespace {
+
+using nlohmann::json;
+
+auto wish_of(const open_request& request, const program& owner) -> placement {
+  auto wish = placement{};
+  auto& call = wish.call_;
+  call.program_ = owner.id_;
+  call.model_ = request.model_;
+  call.data_hall_ = request.data_hall_;
+  call.prompt_tokens_ = request.order_.prompt_tokens_;
+  call.max_tokens_ = request.order_.max_tokens_;
+  call.attained_tokens_ = owner.attained_tokens_;
+  call.budget_remaining_ = owner.budget_.remaining();
+  call.deadline_ms_ = request.order_.deadline_;
+  call.account_share_ = request.account_share_;
+  call.avoid_ = request.avoid_;
+  wish.service_ = request.service_;
+  wish.prefix_hashes_ = request.prefix_hashes_;
+  wish.last_upstream_ = owner.last_upstream_;
+  wish.last_prefix_tokens_ = owner.prompt_tokens_;
+  return wish;
+}
+
+auto ask_shadows(daemon_context& context, const placement& wish, const std::string& chosen, milliseconds now)
+    -> void {
+  for (const auto& [name, policy] : context.policies_->shadows()) {
+    auto shadow = context.upstreams_->choose(*policy, wish, now);
+    auto agrees = ok(shadow) && value(shadow).upstream_.id_ == chosen;
+    context.comparison_->update(name, [agrees](policy_record& record) {
+      ++record.shadow_decisions_;
+      record.shadow_agreements_ += agrees ? 1 : 0;
+    });
+  }
+}
+
+}  // namespace
+
+auto place_call(daemon_context& context, const open_request& request, const program& owner)
+    -> result<placed_call> {
+  auto now = context.clock_->now();
+  auto wish = wish_of(request, owner);
+  auto policy = context.policies_->find(owner.policy_);
+  auto choice = context.upstreams_->choose(*policy, wish, now);
+  if (!ok(choice)) {
+    context.comparison_->update(owner.policy_, [](policy_record& record) { ++record.refusals_; });
+    return failure(choice);
+  }
+  auto& chosen = value(choice);
+  auto made = placed_call{};
+  made.ticket_.upstream_ = chosen.upstream_.id_;
+  made.ticket_.address_ = chosen.upstream_.address_;
+  made.ticket_.priority_ = chosen.priority_;
+  made.ticket_.send_within_ = context.settings_.send_within_ms_;
+  made.ticket_.policy_ = owner.policy_;
+  if (request.service_.empty()) {
+    ask_shadows(context, wish, chosen.upstream_.id_, now);
+    context.upstreams_->sent(chosen.upstream_.id_, request.prefix_hashes_, now);
+  }
+  made.choice_ = std::move(chosen);
+  return made;
+}
+
+auto explain(const std::string& policy, const placed& choice) -> std::string {
+  auto rows = json::array();
+  for (const auto& one : choice.explained_) {
+    rows.push_back({{"engine", one.engine_},
+                    {"cost", one.terms_.cost_},
+                    {"wait_ms", one.terms_.wait_ms_},
+                    {"compute_ms", one.terms_.compute_ms_},
+                    {"waste_ms", one.terms_.waste_ms_}});
+  }
+  return json{{"policy", policy},
+              {"choice", choice.upstream_.id_},
+              {"priority", choice.priority_},
+              {"weighed", choice.weighed_},
+              {"candidates", std::move(rows)}}
+      .dump();
+}
+
+auto read_answer(daemon_context& context, const std::string& answer, const answer_location& location)
+    -> result<std::string> {
+  if (location.segment_.empty()) {
+    return answer;
+  }
+  auto segment = context.store_->get_object(location.segment_);
+  if (!ok(segment)) {
+    return failure(segment);
+  }
+  auto complete = value(segment) && value(segment)->size() >= static_cast<std::size_t>(location.offset_ + location.length_);
+  if (!complete) {
+    return error{error_code::store_unavailable, "history segment is missing", ran_state::ran, 1000};
+  }
+  return value(segment)->substr(static_cast<std::size_t>(location.offset_),
+                                static_cast<std::size_t>(location.length_));
+}
+
+auto ledger_settings_of(const daemon_settings& settings) -> ledger_settings {
+  auto made = ledger_settings{};
+  made.budget_slice_ = settings.budget_slice_;
+  made.default_budget_ = settings.default_budget_;
+  made.turn_limit_ = static_cast<int>(settings.turn_limit_);
+  made.loop_limit_ = static_cast<int>(settings.loop_limit_);
+  made.idle_limit_ = settings.idle_limit_ms_;
+  made.ended_retention_ = settings.ended_retention_ms_;
+  made.call_limit_ = settings.call_limit_ms_;
+  return made;
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/coordination/fleet_configuration.h
@@ -0,0 +1,61 @@
+/// The service configuration of the fleet: accounts, policies, splits, drains and limits.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "birchlever/core/result.h"
+#include "birchlever/policy/policy_settings.h"
+
+namespace birchlever {
+
+/// A client account.
+struct client_account {
+  std::string key_digest_;             ///< SHA-256 of its key, in hexadecimal.
+  std::int64_t max_in_flight_ = 256;   ///< Calls it may have under way on one daemon.
+};
+
+/// Where a policy stands.
+enum class policy_state { created, loaded, shadow, retired };
+
+/// A policy with its place in the fleet.
+struct fleet_policy {
+  policy_settings settings_;
+  policy_state state_ = policy_state::created;
+  std::int64_t share_ = 0;  ///< Parts of new programs it gets, relative to the other loaded ones.
+};
+
+/// Everything operators change while the fleet runs.
+struct fleet_configuration {
+  std::map<std::string, client_account> accounts_;
+  std::map<std::string, fleet_policy> policies_;
+  std::set<std::string> drained_upstreams_;
+  std::set<std::string> drained_halls_;
+  std::map<std::int32_t, std::string> pinned_shards_;  ///< Shard to the daemon that should own it.
+
+  /// Reads a document. Failures: malformed_json.
+  static auto parse(const std::string& text) -> result<fleet_configuration>;
+
+  /// The document as stored.
+  [[nodiscard]] auto to_text() const -> std::string;
+
+  /// The account that a key belongs to; empty when none.
+  [[nodiscard]] auto account_of(const std::string& key) const -> std::string;
+
+  /// The policy of a new program, by a hash that stays the same as long as the split does.
+  [[nodiscard]] auto policy_for(const std::string& account, const std::string& program) const -> std::string;
+};
+
+/// Name of the policy in force while no policy is loaded.
+inline constexpr auto default_policy_name = "default";
+
+/// The stable name of a policy state.
+[[nodiscard]] auto name_of(policy_state state) -> std::string_view;
+
+/// SHA-256 of a text, in hexadecimal.
+[[nodiscard]] auto sha256_of(const std::string& text) -> std::string;
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/coordination/versioned_configuration.cpp
@@ -0,0 +1,147 @@
+#include "birchlever/coordination/versioned_configuration.h"
+
+#include <nlohmann/json.hpp>
+
+#include "birchlever/core/hashing.h"
+#include "birchlever/core/test_switches.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto generations_kept = 256;  // More than any lost answer can lag behind.
+
+auto generation_key(std::int64_t generation) -> std::string {
+  return "generation/" + std::to_string(generation);
+}
+
+auto parse_generation(const std::string& text) -> std::optional<configuration_generation> {
+  auto body = nlohmann::json::parse(text, nullptr, false);
+  if (!body.is_object() || !body.contains("generation")) {
+    return std::nullopt;
+  }
+  return configuration_generation{body.value("generation", std::int64_t{0}), body.value("text", ""),
+                                  body.value("author", "")};
+}
+
+}  // namespace
+
+auto versioned_configuration::create(std::shared_ptr<table_store_interface> store,
+                                     std::shared_ptr<clock_interface> clock, milliseconds bound)
+    -> result<std::shared_ptr<versioned_configuration>> {
+  if (bound < 1) {
+    return error{error_code::invalid_setting, "the configuration bound must be at least 1 ms"};
+  }
+  return std::shared_ptr<versioned_configuration>{
+      new versioned_configuration{std::move(store), std::move(clock), bound}};
+}
+
+versioned_configuration::versioned_configuration(std::shared_ptr<table_store_interface> store,
+                                                 std::shared_ptr<clock_interface> clock, milliseconds bound)
+    : store_{std::move(store)}, clock_{std::move(clock)}, bound_{bound} {}
+
+auto versioned_configuration::observe(const std::optional<table_row>& row, milliseconds look_began) -> bool {
+  auto lock = std::lock_guard{mutex_};
+  if (!looked_at_ || look_began > *looked_at_) {
+    looked_at_ = look_began;
+  }
+  auto parsed = row ? parse_generation(row->value_) : std::nullopt;
+  auto newer = parsed && parsed->generation_ > current_.generation_;
+  auto goes_back = parsed && !test_switches::instance().mechanism_on("configuration_order");
+  if (!newer && !goes_back) {
+    return false;
+  }
+  current_ = *parsed;
+  row_version_ = row->version_;
+  return true;
+}
+
+auto versioned_configuration::heard(std::int64_t generation) -> bool {
+  auto lock = std::lock_guard{mutex_};
+  heard_ = std::max(heard_, generation);
+  return heard_ > current_.generation_;
+}
+
+auto versioned_configuration::conflict() -> error {
+  auto row = store_->read(row_key());
+  if (!ok(row)) {
+    return failure(row);
+  }
+  observe(value(row), clock_->now());
+  auto winner = current();
+  return error{error_code::configuration_conflict, "generation " + std::to_string(winner.generation_) +
+                                                       " by " + winner.author_ + " was first"};
+}
+
+auto versioned_configuration::resolve(std::int64_t proposed, const std::string& write_id)
+    -> result<std::int64_t> {
+  auto row = store_->read(generation_key(proposed));
+  if (!ok(row)) {
+    return error{error_code::store_unknown, "the change may be in force; ask for the generation",
+                 ran_state::outcome_unknown, 1000};
+  }
+  if (value(row) && value(row)->write_id_ == write_id) {
+    return value(row)->version_;
+  }
+  if (value(row)) {
+    return conflict();
+  }
+  return error{error_code::store_unknown, "the change is not visible yet and may still take effect",
+               ran_state::outcome_unknown, 1000};
+}
+
+auto versioned_configuration::propose(std::int64_t expected, const std::string& text,
+                                      const std::string& author) -> result<std::int64_t> {
+  auto base_version = std::int64_t{0};
+  {
+    auto lock = std::lock_guard{mutex_};
+    if (!looked_at_) {
+      return error{error_code::not_ready, "the configuration was not read yet", ran_state::not_run, 500};
+    }
+    if (expected != current_.generation_) {
+      return error{error_code::configuration_conflict, "generation " + std::to_string(current_.generation_) +
+                                                           " by " + current_.author_ + " is in force"};
+    }
+    base_version = row_version_;
+  }
+  auto next = configuration_generation{expected + 1, text, author};
+  auto body =
+      nlohmann::json{{"generation", next.generation_}, {"text", next.text_}, {"author", next.author_}}.dump();
+  auto transaction = table_transaction{random_id(), {}, {{row_key(), body}}, {}};
+  if (test_switches::instance().mechanism_on("configuration_compare")) {
+    transaction.conditions_.push_back({row_key(), base_version});
+    transaction.conditions_.push_back({generation_key(next.generation_), 0});
+  }
+  transaction.puts_.push_back({generation_key(next.generation_), body});
+  transaction.deletes_.push_back(generation_key(next.generation_ - generations_kept));
+  auto began = clock_->now();
+  auto outcome = store_->commit(transaction);
+  if (!ok(outcome) && failure(outcome).code_ == error_code::store_conflict) {
+    return conflict();
+  }
+  if (!ok(outcome) && failure(outcome).code_ == error_code::store_unknown) {
+    outcome = resolve(next.generation_, transaction.write_id_);
+  }
+  if (!ok(outcome)) {
+    return failure(outcome);
+  }
+  observe(table_row{row_key(), body, value(outcome), transaction.write_id_}, began);
+  return next.generation_;
+}
+
+auto versioned_configuration::current() const -> configuration_generation {
+  auto lock = std::lock_guard{mutex_};
+  return current_;
+}
+
+auto versioned_configuration::generation() const -> std::int64_t {
+  auto lock = std::lock_guard{mutex_};
+  return current_.generation_;
+}
+
+auto versioned_configuration::fresh() const -> bool {
+  auto lock = std::lock_guard{mutex_};
+  auto in_time = looked_at_ && clock_->now() - *looked_at_ <= bound_;
+  return in_time && (heard_ <= current_.generation_);
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/core/daemon_settings.cpp
@@ -0,0 +1,143 @@
+#include "birchlever/core/daemon_settings.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <sstream>
+
+namespace birchlever {
+namespace {
+
+using text_check = auto (*)(const std::string&) -> const char*;
+
+constexpr auto longest_name = std::size_t{64};
+
+auto ip(const std::string& text) -> const char* {
+  auto parsed = in_addr{};
+  return inet_pton(AF_INET, text.c_str(), &parsed) == 1 ? nullptr : "is not an IPv4 number";
+}
+
+auto name(const std::string& text) -> const char* {
+  if (text.empty()) {
+    return "must be given";
+  }
+  auto fine = [](unsigned char letter) { return std::isalnum(letter) != 0 || letter == '-' || letter == '_'; };
+  auto good = text.size() <= longest_name && std::all_of(text.begin(), text.end(), fine);
+  return good ? nullptr : "may hold up to 64 letters, digits, '-' and '_'";
+}
+
+auto name_or_empty(const std::string& text) -> const char* {
+  return text.empty() ? nullptr : name(text);
+}
+
+auto name_list_or_empty(const std::string& text) -> const char* {
+  for (const auto& entry : split_list(text)) {
+    if (const auto* fault = name(entry)) {
+      return fault;
+    }
+  }
+  return nullptr;
+}
+
+auto address(const std::string& text) -> const char* {
+  auto colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return "is not ip:port";
+  }
+  if (ip(text.substr(0, colon)) != nullptr) {
+    return "does not begin with an IPv4 number";
+  }
+  auto digits = text.substr(colon + 1);
+  auto numeric = !digits.empty() && digits.size() <= 5 && std::all_of(digits.begin(), digits.end(), ::isdigit);
+  return numeric && std::stoi(digits) >= 1 && std::stoi(digits) <= 65535 ? nullptr
+                                                                         : "has no port from 1 to 65535";
+}
+
+auto level(const std::string& text) -> const char* {
+  constexpr auto levels = std::array{"debug", "info", "warning", "error"};
+  auto known = std::find(levels.begin(), levels.end(), text) != levels.end();
+  return known ? nullptr : "is not debug, info, warning or error";
+}
+
+auto check_number(std::vector<setting_fault>& faults, const char* name, std::int64_t value, std::int64_t least,
+                  std::int64_t most, const char* unit) -> void {
+  if (value < least || value > most) {
+    faults.push_back({name, std::to_string(value),
+                      "must be from " + std::to_string(least) + " to " + std::to_string(most) + " " + unit});
+  }
+}
+
+auto check_text(std::vector<setting_fault>& faults, const char* name, const std::string& value,
+                text_check shape) -> void {
+  if (const auto* fault = shape(value)) {
+    faults.push_back({name, value, fault});
+  }
+}
+
+auto check_secret(std::vector<setting_fault>& faults, const char* name, const std::string& value) -> void {
+  if (split_list(value).empty()) {
+    faults.push_back({name, "(hidden)", "must hold at least one key"});
+  }
+}
+
+auto check_relations(std::vector<setting_fault>& faults, const daemon_settings& settings) -> void {
+  if (settings.lease_ms_ <= settings.lease_margin_ms_ + settings.lease_renew_ms_) {
+    faults.push_back({"lease_ms", std::to_string(settings.lease_ms_),
+                      "must be longer than lease_margin_ms and lease_renew_ms together"});
+  }
+  if (settings.configuration_bound_ms_ <= settings.poll_ms_) {
+    faults.push_back({"configuration_bound_ms", std::to_string(settings.configuration_bound_ms_),
+                      "must be longer than poll_ms"});
+  }
+  if (settings.http_port_ == settings.peer_port_) {
+    faults.push_back({"peer_port", std::to_string(settings.peer_port_), "must differ from http_port"});
+  }
+  if (!settings.test_without_.empty() && settings.test_controls_ == 0) {
+    faults.push_back({"test_without", settings.test_without_, "needs test_controls"});
+  }
+}
+
+}  // namespace
+
+auto check_settings(const daemon_settings& settings) -> std::vector<setting_fault> {
+  auto faults = std::vector<setting_fault>{};
+#define NUMBER_SETTING(name, standard, least, most, unit, purpose) \
+  check_number(faults, #name, settings.name##_, least, most, unit);
+#define TEXT_SETTING(name, standard, shape, purpose) check_text(faults, #name, settings.name##_, shape);
+#define SECRET_SETTING(name, purpose) check_secret(faults, #name, settings.name##_);
+#include "birchlever/core/settings.def"
+#undef NUMBER_SETTING
+#undef TEXT_SETTING
+#undef SECRET_SETTING
+  check_relations(faults, settings);
+  return faults;
+}
+
+auto describe_settings() -> std::string {
+  auto text = std::ostringstream{};
+#define NUMBER_SETTING(name, standard, least, most, unit, purpose) \
+  text << "  --" #name " (" unit ", " #least " to " #most ", default " #standard "): " purpose "\n";
+#define TEXT_SETTING(name, standard, shape, purpose) \
+  text << "  --" #name " (text, default '" standard "'): " purpose "\n";
+#define SECRET_SETTING(name, purpose) text << "  --" #name " (secret): " purpose "\n";
+#include "birchlever/core/settings.def"
+#undef NUMBER_SETTING
+#undef TEXT_SETTING
+#undef SECRET_SETTING
+  return text.str();
+}
+
+auto split_list(const std::string& text) -> std::vector<std::string> {
+  auto entries = std::vector<std::string>{};
+  auto stream = std::istringstream{text};
+  for (auto entry = std::string{}; std::getline(stream, entry, ',');) {
+    if (!entry.empty()) {
+      entries.push_back(entry);
+    }
+  }
+  return entries;
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/core/error.h
@@ -0,0 +1,80 @@
+/// Typed failures of the whole system: each has a code, a name, and says whether the request ran.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace birchlever {
+
+/// Whether a failed request may have run on an upstream.
+enum class ran_state { not_run, ran, outcome_unknown };
+
+/// Every failure the system reports. The table in error.cpp gives name, HTTP status and default ran state.
+enum class error_code {
+  malformed_json,
+  body_too_large,
+  wrong_type,
+  missing_field,
+  unknown_route,
+  unauthenticated,
+  forbidden,
+  unknown_program,
+  unknown_service,
+  unknown_model,
+  call_out_of_order,
+  call_in_progress,
+  call_mismatch,
+  program_ended,
+  program_too_long,
+  program_looping,
+  budget_exhausted,
+  budget_mismatch,
+  deadline_exceeded,
+  account_over_limit,
+  overloaded,
+  not_ready,
+  stopping,
+  configuration_stale,
+  configuration_conflict,
+  not_owner,
+  lease_lost,
+  owner_unreachable,
+  store_unavailable,
+  store_conflict,
+  store_unknown,
+  no_upstream,
+  upstream_refused,
+  upstream_failed,
+  upstream_timeout,
+  stale_fence,
+  outcome_unknown,
+  answer_not_recorded,
+  syntax_error,
+  invalid_setting,
+  invalid_command,
+  peer_refused,
+  internal,
+};
+
+/// A failure with the detail a person needs and the time after which asking again is worthwhile.
+struct error {
+  error_code code_ = error_code::internal;
+  std::string detail_;
+  ran_state ran_ = ran_state::not_run;
+  std::int64_t retry_after_ms_ = 0;
+};
+
+/// The stable name of a code, as callers see it.
+[[nodiscard]] auto name_of(error_code code) -> std::string_view;
+
+/// The name of a ran state, as callers see it.
+[[nodiscard]] auto name_of(ran_state state) -> std::string_view;
+
+/// The HTTP status that carries a code to callers.
+[[nodiscard]] auto http_status_of(error_code code) -> int;
+
+/// The error as the JSON body callers receive.
+[[nodiscard]] auto to_json_text(const error& failure) -> std::string;
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/filters/caller_server.cpp
@@ -0,0 +1,396 @@
+#include "birchlever/filters/caller_server.h"
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "birchlever/controllers/daemon_context.h"
+#include "birchlever/controllers/owner_gateway.h"
+#include "birchlever/coordination/versioned_configuration.h"
+#include "birchlever/core/hashing.h"
+#include "birchlever/core/test_switches.h"
+#include "birchlever/filters/admission_filter.h"
+#include "birchlever/filters/authenticate_filter.h"
+#include "birchlever/filters/chat_answer.h"
+#include "birchlever/filters/dispatch_filter.h"
+#include "birchlever/filters/parse_filter.h"
+#include "birchlever/telemetry/log.h"
+#include "birchlever/telemetry/metrics.h"
+#include "birchlever/telemetry/trace.h"
+#include "birchlever/upstream/upstream_exchange.h"
+
+namespace birchlever {
+namespace {
+
+using nlohmann::json;
+
+constexpr auto json_type = "application/json";
+constexpr auto event_type = "text/event-stream";
+constexpr auto keep_alive_requests = std::size_t{100000};
+constexpr auto ms_per_second = std::int64_t{1000};
+
+auto answer_error(httplib::Response& response, const error& failure) -> void {
+  response.status = http_status_of(failure.code_);
+  if (failure.retry_after_ms_ > 0) {
+    auto seconds = (failure.retry_after_ms_ + ms_per_second - 1) / ms_per_second;
+    response.set_header("Retry-After", std::to_string(seconds));
+  }
+  response.set_content(to_json_text(failure), json_type);
+}
+
+auto answer_text(httplib::Response& response, const result<std::string>& text) -> void {
+  if (!ok(text)) {
+    answer_error(response, failure(text));
+    return;
+  }
+  auto body = json::parse(value(text), nullptr, false);
+  auto failed = body.is_object() && body.contains("error");
+  if (failed) {
+    auto type = body["error"].value("type", "");
+    response.status = type == "unknown_program" ? 404 : type == "budget_mismatch" ? 409 : 503;
+  }
+  response.set_content(value(text), json_type);
+}
+
+auto make_context(const httplib::Request& request) -> std::shared_ptr<request_context> {
+  auto context = std::make_shared<request_context>();
+  for (const auto& [name, content] : request.headers) {
+    auto lower = name;
+    std::transform(lower.begin(), lower.end(), lower.begin(), ::tolower);
+    context->headers_[lower] = content;
+  }
+  context->body_ = request.body;
+  context->trace_ = trace_context::from_header(context->header("traceparent"));
+  return context;
+}
+
+auto set_call_headers(httplib::Response& response, const request_context& context) -> void {
+  response.set_header("birchlever-program", context.open_.order_.program_);
+  response.set_header("birchlever-call", std::to_string(context.open_.order_.number_));
+  response.set_header("traceparent", context.trace_.to_header());
+  if (!context.ticket_.upstream_.empty()) {
+    response.set_header("birchlever-upstream", context.ticket_.upstream_);
+    response.set_header("birchlever-policy", context.ticket_.policy_);
+    response.set_header("birchlever-epoch", std::to_string(context.ticket_.call_.epoch_));
+  }
+  if (context.replay_) {
+    response.set_header("birchlever-replayed", "yes");
+  }
+}
+
+auto parse_link_state(const std::string& name) -> link_state {
+  if (name == "cut") {
+    return link_state::cut;
+  }
+  return name == "answers_lost" ? link_state::answers_lost : link_state::healthy;
+}
+
+}  // namespace
+
+struct caller_server::state {
+  std::shared_ptr<daemon_context> context_;
+  std::shared_ptr<owner_gateway> gateway_;
+  operate_handler operate_;
+  std::shared_ptr<dispatch_filter> dispatcher_;
+  std::unique_ptr<filter_chain> chain_;
+  httplib::Server server_;
+  std::thread thread_;
+
+  auto make_filters() -> void;
+  auto routes() -> void;
+  auto program_routes() -> void;
+  auto operator_routes() -> void;
+  auto chat(const httplib::Request& request, httplib::Response& response) -> void;
+  auto service(const httplib::Request& request, httplib::Response& response) -> void;
+  auto stream(httplib::Response& response, std::shared_ptr<request_context> context) -> void;
+  auto failed(httplib::Response& response, const request_context& context) -> void;
+  [[nodiscard]] auto account_of(const httplib::Request& request) const -> result<std::string>;
+  [[nodiscard]] auto is_operator(const httplib::Request& request) const -> bool;
+};
+
+namespace {
+
+/// Lets the shared dispatcher stand in the chain.
+class dispatch_step final : public request_filter {
+ public:
+  explicit dispatch_step(std::shared_ptr<dispatch_filter> dispatcher) : dispatcher_{std::move(dispatcher)} {}
+
+  auto apply(request_context& context) -> filter_verdict override { return dispatcher_->apply(context); }
+
+ private:
+  std::shared_ptr<dispatch_filter> dispatcher_;
+};
+
+}  // namespace
+
+auto caller_server::state::make_filters() -> void {
+  dispatcher_ = std::make_shared<dispatch_filter>(context_, gateway_);
+  auto filters = std::vector<std::unique_ptr<request_filter>>{};
+  filters.push_back(std::make_unique<parse_filter>(context_->settings_));
+  filters.push_back(std::make_unique<authenticate_filter>(context_));
+  filters.push_back(std::make_unique<admission_filter>(context_));
+  filters.push_back(std::make_unique<dispatch_step>(dispatcher_));
+  chain_ = std::make_unique<filter_chain>(std::move(filters));
+}
+
+auto caller_server::state::failed(httplib::Response& response, const request_context& context) -> void {
+  const auto& reason = *context.failure_;
+  context_->metrics_->count("refusals_total{type=\"" + std::string{name_of(reason.code_)} + "\"}");
+  set_call_headers(response, context);
+  answer_error(response, reason);
+}
+
+auto caller_server::state::chat(const httplib::Request& request, httplib::Response& response) -> void {
+  auto began = context_->clock_->now();
+  auto context = make_context(request);
+  auto span = scoped_span{*context_->traces_, context->trace_, "entry.call"};
+  context->trace_ = span.context();
+  auto verdict = chain_->run(*context);
+  if (verdict == filter_verdict::answered && context->failure_) {
+    failed(response, *context);
+    return;
+  }
+  context_->metrics_->observe("call_start_ms", static_cast<double>(context_->clock_->now() - began));
+  set_call_headers(response, *context);
+  if (context->replay_) {
+    auto text = context->stream_ ? chat_answer::replay_as_events(*context->replay_) : *context->replay_;
+    response.set_content(text, context->stream_ ? event_type : json_type);
+    return;
+  }
+  if (context->stream_) {
+    stream(response, std::move(context));
+    return;
+  }
+  auto answer = chat_answer{context_, *dispatcher_, context}.whole();
+  context_->metrics_->observe("call_ms", static_cast<double>(context_->clock_->now() - began));
+  if (ok(answer)) {
+    response.set_content(value(answer), json_type);
+  } else {
+    answer_error(response, failure(answer));
+  }
+}
+
+auto caller_server::state::stream(httplib::Response& response, std::shared_ptr<request_context> context) -> void {
+  auto answer = std::make_shared<chat_answer>(context_, *dispatcher_, std::move(context));
+  response.set_header("Cache-Control", "no-cache");
+  response.set_chunked_content_provider(event_type, [answer](std::size_t, httplib::DataSink& sink) {
+    auto reachable = true;
+    for (auto bytes = answer->next(); bytes; bytes = answer->next()) {
+      reachable = reachable && sink.is_writable() && sink.write(bytes->data(), bytes->size());
+    }
+    sink.done();  // A caller that left early finds the recorded answer when it asks again.
+    return reachable;
+  });
+}
+
+auto caller_server::state::service(const httplib::Request& request, httplib::Response& response) -> void {
+  auto context = make_context(request);
+  auto span = scoped_span{*context_->traces_, context->trace_, "entry.service"};
+  context->trace_ = span.context();
+  context->open_.service_ = request.matches[1];
+  context->service_path_ = request.matches[2];
+  auto verdict = chain_->run(*context);
+  if (verdict == filter_verdict::answered && context->failure_) {
+    failed(response, *context);
+    return;
+  }
+  set_call_headers(response, *context);
+  auto recorded = context->replay_;
+  if (!recorded) {
+    auto patience = std::max<milliseconds>(1, context->deadline_at_ - context_->clock_->now());
+    auto bytes = context->exchange_->read_all(std::min(patience, context_->settings_.upstream_wait_ms_));
+    if (!ok(bytes)) {
+      (void)dispatcher_->settle(*context, call_outcome::failed, 0, 0, "");
+      auto code = context->open_.order_.repeatable_ ? error_code::upstream_failed : error_code::outcome_unknown;
+      answer_error(response, {code, failure(bytes).detail_, ran_state::outcome_unknown});
+      return;
+    }
+    auto status = context->exchange_->wait_status(1);
+    recorded = json{{"status", ok(status) ? value(status) : 502},
+                    {"type", context->exchange_->content_type()},
+                    {"body", value(bytes)}}
+                   .dump(-1, ' ', false, json::error_handler_t::replace);
+    auto settled = dispatcher_->settle(*context, call_outcome::answered, 0, 0, *recorded);
+    if (!ok(settled)) {
+      answer_error(response, failure(settled));
+      return;
+    }
+  }
+  auto body = json::parse(*recorded, nullptr, false);
+  if (!body.is_object() || !body.contains("body")) {
+    response.set_content(*recorded, json_type);  // As the service told it when asked for the outcome.
+    return;
+  }
+  response.status = body.value("status", 200);
+  response.set_content(body.value("body", ""), body.value("type", json_type).c_str());
+}
+
+auto caller_server::state::account_of(const httplib::Request& request) const -> result<std::string> {
+  auto context = request_context{};
+  context.headers_["authorization"] = request.get_header_value("Authorization");
+  auto filter = authenticate_filter{context_};
+  if (filter.apply(context) == filter_verdict::answered) {
+    return *context.failure_;
+  }
+  return context.open_.order_.account_;
+}
+
+auto caller_server::state::is_operator(const httplib::Request& request) const -> bool {
+  auto key = bearer_key(request.get_header_value("Authorization"));
+  auto known = false;
+  for (const auto& one : split_list(context_->settings_.operator_keys_)) {
+    known = (!key.empty() && equal_secrets(one, key)) || known;
+  }
+  return known;
+}
+
+auto caller_server::state::program_routes() -> void {
+  server_.Post("/v1/programs", [this](const httplib::Request& request, httplib::Response& response) {
+    auto account = account_of(request);
+    auto body = json::parse(request.body, nullptr, false);
+    if (!ok(account)) {
+      answer_error(response, failure(account));
+      return;
+    }
+    auto shaped = body.is_object() && (!body.contains("budget") || body["budget"].is_number_integer()) &&
+                  (!body.contains("program") || body["program"].is_string());
+    if (!shaped) {
+      answer_error(response, {error_code::wrong_type, "program must be a string and budget a whole number"});
+      return;
+    }
+    auto program = body.value("program", random_id());
+    answer_text(response, gateway_->create_program({value(account), program, body.value("budget", std::int64_t{0})}));
+  });
+  server_.Delete("/v1/programs/([^/]+)", [this](const httplib::Request& request, httplib::Response& response) {
+    auto account = account_of(request);
+    if (!ok(account)) {
+      answer_error(response, failure(account));
+      return;
+    }
+    answer_text(response, gateway_->end_program({value(account), request.matches[1], 0}));
+  });
+  server_.Get("/v1/programs/([^/]+)", [this](const httplib::Request& request, httplib::Response& response) {
+    auto account = account_of(request);
+    if (!ok(account)) {
+      answer_error(response, failure(account));
+      return;
+    }
+    answer_text(response, gateway_->history({value(account), request.matches[1], 0}));
+  });
+}
+
+auto caller_server::state::operator_routes() -> void {
+  server_.Post("/v1/operate", [this](const httplib::Request& request, httplib::Response& response) {
+    if (!is_operator(request)) {
+      answer_error(response, {error_code::unauthenticated, "the request carries no key of an operator"});
+      return;
+    }
+    auto answer = operate_(request.body);
+    if (ok(answer)) {
+      response.set_content(value(answer), json_type);
+    } else {
+      answer_error(response, failure(answer));
+    }
+  });
+  server_.Get("/traces", [this](const httplib::Request& request, httplib::Response& response) {
+    if (!is_operator(request)) {
+      answer_error(response, {error_code::unauthenticated, "traces are for operators"});
+      return;
+    }
+    response.set_content(context_->traces_->to_zipkin(), json_type);
+  });
+  if (!test_switches::instance().enabled()) {
+    return;
+  }
+  server_.Post("/test/link", [this](const httplib::Request& request, httplib::Response& response) {
+    auto body = json::parse(request.body, nullptr, false);
+    if (!is_operator(request) || !body.is_object()) {
+      answer_error(response, {error_code::forbidden, "test controls need an operator's key"});
+      return;
+    }
+    test_switches::instance().set_link(body.value("target", ""), parse_link_state(body.value("state", "")));
+    response.set_content("{}", json_type);
+  });
+}
+
+auto caller_server::state::routes() -> void {
+  server_.Post("/v1/chat/completions",
+               [this](const httplib::Request& request, httplib::Response& response) { chat(request, response); });
+  server_.Post("/v1/services/([^/]+)/(.*)", [this](const httplib::Request& request, httplib::Response& response) {
+    service(request, response);
+  });
+  program_routes();
+  operator_routes();
+  server_.Get("/healthz", [](const httplib::Request&, httplib::Response& response) {
+    response.set_content("{\"alive\":true}", json_type);
+  });
+  server_.Get("/readyz", [this](const httplib::Request&, httplib::Response& response) {
+    auto ready = !context_->stopping_ && context_->configuration_->fresh();
+    response.status = ready ? 200 : 503;
+    response.set_content(json{{"ready", ready}, {"stopping", context_->stopping_.load()}}.dump(), json_type);
+  });
+  server_.Get("/metrics", [this](const httplib::Request&, httplib::Response& response) {
+    context_->metrics_->gauge("calls_under_way", static_cast<double>(context_->calls_under_way_.load()));
+    response.set_content(context_->metrics_->to_prometheus(), "text/plain; version=0.0.4");
+  });
+  server_.set_error_handler([](const httplib::Request& request, httplib::Response& response) {
+    if (!response.body.empty()) {
+      return;
+    }
+    auto too_long = response.status == 413;
+    auto failure = too_long ? error{error_code::body_too_large, "the body is too long"}
+                            : error{error_code::unknown_route, "there is no " + request.method + " " + request.path};
+    answer_error(response, failure);
+  });
+  server_.set_exception_handler([](const httplib::Request&, httplib::Response& response, std::exception_ptr fault) {
+    auto detail = std::string{"unexpected failure"};
+    try {
+      std::rethrow_exception(std::move(fault));
+    } catch (const std::exception& known) {
+      detail = known.what();
+    } catch (...) {
+      detail = "failure of an unknown kind";
+    }
+    log_event(log_level::error, "request_failed", {{"detail", detail}});
+    answer_error(response, {error_code::internal, detail, ran_state::outcome_unknown});
+  });
+}
+
+caller_server::caller_server(std::unique_ptr<state> made) : state_{std::move(made)} {}
+
+caller_server::~caller_server() {
+  stop();
+}
+
+auto caller_server::create(std::shared_ptr<daemon_context> context, std::shared_ptr<owner_gateway> gateway,
+                           operate_handler operate) -> result<std::unique_ptr<caller_server>> {
+  auto made = std::make_unique<state>();
+  made->context_ = std::move(context);
+  made->gateway_ = std::move(gateway);
+  made->operate_ = std::move(operate);
+  made->make_filters();
+  made->routes();
+  const auto& settings = made->context_->settings_;
+  auto threads = static_cast<std::size_t>(settings.http_threads_);
+  made->server_.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+  made->server_.set_payload_max_length(static_cast<std::size_t>(settings.max_body_bytes_) + 1);
+  made->server_.set_keep_alive_max_count(keep_alive_requests);
+  made->server_.set_tcp_nodelay(true);
+  made->server_.set_write_timeout(std::chrono::milliseconds{settings.upstream_wait_ms_});
+  if (!made->server_.bind_to_port(settings.listen_address_.c_str(), static_cast<int>(settings.http_port_))) {
+    return error{error_code::invalid_setting, "HTTP port " + std::to_string(settings.http_port_) + " cannot be used"};
+  }
+  made->thread_ = std::thread{[server = &made->server_] { server->listen_after_bind(); }};
+  return std::unique_ptr<caller_server>{new caller_server{std::move(made)}};
+}
+
+auto caller_server::stop() -> void {
+  if (state_->thread_.joinable()) {
+    state_->server_.stop();
+    state_->thread_.join();
+  }
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/filters/dispatch_filter.cpp
@@ -0,0 +1,211 @@
+#include "birchlever/filters/dispatch_filter.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "birchlever/controllers/daemon_context.h"
+#include "birchlever/controllers/owner_gateway.h"
+#include "birchlever/core/test_switches.h"
+#include "birchlever/telemetry/log.h"
+#include "birchlever/telemetry/metrics.h"
+#include "birchlever/upstream/upstream_exchange.h"
+
+namespace birchlever {
+namespace {
+
+using nlohmann::json;
+
+constexpr auto accepted_status = 200;
+constexpr auto stale_fence_status = 409;
+constexpr auto refused_status = 503;
+
+/// The body for the upstream, with the ticket's token limit and the text to resume behind.
+auto body_for(const request_context& context, const std::string& known_text) -> std::string {
+  if (!context.open_.service_.empty()) {
+    return context.upstream_body_;
+  }
+  auto body = json::parse(context.upstream_body_);
+  body["max_tokens"] = context.ticket_.call_.max_tokens_;
+  if (!known_text.empty()) {
+    body["resume_text"] = known_text;
+  }
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+auto request_for(const request_context& context, const std::string& known_text) -> upstream_request {
+  auto request = upstream_request{};
+  const auto& ticket = context.ticket_;
+  const auto& order = context.open_.order_;
+  auto service = !context.open_.service_.empty();
+  request.target_ = ticket.address_;
+  request.path_ = service ? "/" + context.service_path_ : "/v1/chat/completions";
+  request.body_ = body_for(context, known_text);
+  request.headers_ = {{"birchlever-key", ticket.call_.key_},
+                      {"birchlever-fence", std::to_string(ticket.call_.sequence_)},
+                      {"birchlever-session", order.account_ + "/" + order.program_},
+                      {"birchlever-priority", std::to_string(ticket.priority_)},
+                      {"birchlever-call", std::to_string(order.number_)},
+                      {"birchlever-repeatable", order.repeatable_ ? "yes" : "no"},
+                      {"traceparent", context.trace_.to_header()}};
+  return request;
+}
+
+}  // namespace
+
+dispatch_filter::dispatch_filter(std::shared_ptr<daemon_context> context, std::shared_ptr<owner_gateway> gateway)
+    : context_{std::move(context)},
+      gateway_{std::move(gateway)},
+      retries_{static_cast<double>(context_->settings_.retry_share_percent_)} {}
+
+auto dispatch_filter::apply(request_context& context) -> filter_verdict {
+  retries_.earn();
+  context.attempts_left_ = static_cast<int>(context_->settings_.attempts_);
+  context.open_.traceparent_ = context.trace_.to_header();
+  while (true) {
+    --context.attempts_left_;
+    switch (attempt(context, "")) {
+      case attempt_end::accepted:
+        return filter_verdict::go_on;
+      case attempt_end::answered:
+        return filter_verdict::answered;
+      case attempt_end::try_again:
+        break;
+    }
+  }
+}
+
+auto dispatch_filter::send_again(request_context& context, const std::string& known_text) -> filter_verdict {
+  context.open_.avoid_.push_back(context.ticket_.upstream_);
+  while (context.attempts_left_ > 0 && retries_.spend()) {
+    --context.attempts_left_;
+    auto end = attempt(context, known_text);
+    if (end == attempt_end::accepted) {
+      return filter_verdict::go_on;
+    }
+    if (end == attempt_end::answered) {
+      return filter_verdict::answered;
+    }
+  }
+  return refuse(context, {error_code::upstream_failed, "the upstream's answer broke off and no retry is left",
+                          ran_state::ran, 1000});
+}
+
+auto dispatch_filter::attempt(request_context& context, const std::string& known_text) -> attempt_end {
+  auto left = context.deadline_at_ - context_->clock_->now();
+  if (left <= 0) {
+    refuse(context, {error_code::deadline_exceeded, "the deadline passed before the call was sent"});
+    return attempt_end::answered;
+  }
+  context.open_.order_.deadline_ = left;
+  auto began = context_->clock_->now();
+  auto span = scoped_span{*context_->traces_, context.trace_, "entry.open"};
+  auto reply = gateway_->open(context.open_);
+  context_->metrics_->observe("owner_open_ms", static_cast<double>(context_->clock_->now() - began));
+  if (!ok(reply)) {
+    context.failure_ = failure(reply);
+    return attempt_end::answered;
+  }
+  if (auto* replayed = std::get_if<replayed_answer>(&value(reply))) {
+    context.replay_ = std::move(replayed->answer_);
+    return attempt_end::answered;
+  }
+  context.ticket_ = std::get<dispatch_ticket>(value(reply));
+  context.ticket_usable_until_ = began + context.ticket_.waited_ + context.ticket_.send_within_;
+  return send(context, known_text);
+}
+
+auto dispatch_filter::send(request_context& context, const std::string& known_text) -> attempt_end {
+  auto span = scoped_span{*context_->traces_, context.trace_, "entry.send"};
+  span.tag("upstream", context.ticket_.upstream_);
+  auto patience = std::min(context_->settings_.upstream_wait_ms_,
+                           std::max<milliseconds>(1, context.deadline_at_ - context_->clock_->now()));
+  auto request = request_for(context, known_text);
+  auto checked = test_switches::instance().mechanism_on("ticket_age");
+  if (checked && context_->clock_->now() > context.ticket_usable_until_) {
+    return refused(context, {error_code::lease_lost, "the ticket is too old to be used"});
+  }
+  context.exchange_ = upstream_exchange::start(context_->stream_pool_, std::move(request));
+  auto status = context.exchange_->wait_status(patience);
+  if (!ok(status)) {
+    auto reason = failure(status);
+    return reason.ran_ == ran_state::not_run ? refused(context, reason) : broken(context, reason);
+  }
+  auto service = !context.open_.service_.empty();
+  if (value(status) == accepted_status) {
+    report_accepted(context);
+    return attempt_end::accepted;
+  }
+  if (value(status) == stale_fence_status) {
+    return refused(context, {error_code::stale_fence, "the upstream has seen a newer fencing number"});
+  }
+  if (value(status) == refused_status) {
+    return refused(context, {error_code::upstream_refused, "the upstream takes no more calls now"});
+  }
+  if (service) {
+    report_accepted(context);
+    return attempt_end::accepted;  // The service's own word, whatever it says, is the answer.
+  }
+  if (value(status) == 404) {
+    (void)settle(context, call_outcome::not_run, 0, 0, "");
+    refuse(context, {error_code::unknown_model, "no engine has the model " + context.open_.model_});
+    return attempt_end::answered;
+  }
+  return broken(context, {error_code::upstream_failed, "the engine answered " + std::to_string(value(status)),
+                          ran_state::outcome_unknown});
+}
+
+auto dispatch_filter::refused(request_context& context, error reason) -> attempt_end {
+  (void)settle(context, call_outcome::not_run, 0, 0, "");
+  context_->metrics_->count("upstream_refusals_total");
+  context.open_.avoid_.push_back(context.ticket_.upstream_);
+  context.open_.request_id_ += "+";
+  if (context.attempts_left_ > 0 && retries_.spend()) {
+    return attempt_end::try_again;  // Surely not run, so even a call that may not be repeated goes on.
+  }
+  reason.ran_ = ran_state::not_run;
+  reason.retry_after_ms_ = 1000;
+  refuse(context, std::move(reason));
+  return attempt_end::answered;
+}
+
+auto dispatch_filter::broken(request_context& context, error reason) -> attempt_end {
+  (void)settle(context, call_outcome::failed, 0, 0, "");
+  context_->metrics_->count("upstream_failures_total");
+  context.open_.avoid_.push_back(context.ticket_.upstream_);
+  context.open_.request_id_ += "+";
+  auto repeatable = context.open_.order_.repeatable_ || !test_switches::instance().mechanism_on("at_most_once");
+  if (repeatable && context.attempts_left_ > 0 && retries_.spend()) {
+    return attempt_end::try_again;
+  }
+  if (!context.open_.order_.repeatable_) {
+    reason.code_ = error_code::outcome_unknown;
+    reason.detail_ += "; the call may not be repeated and is not sent again";
+  }
+  reason.ran_ = ran_state::outcome_unknown;
+  refuse(context, std::move(reason));
+  return attempt_end::answered;
+}
+
+auto dispatch_filter::report_accepted(const request_context& context) -> void {
+  const auto& order = context.open_.order_;
+  const auto& ticket = context.ticket_;
+  gateway_->accepted({order.account_, order.program_, order.number_, ticket.call_.sequence_, ticket.call_.epoch_,
+                      order.digest_, ticket.call_.max_tokens_, order.repeatable_, ticket.upstream_});
+}
+
+auto dispatch_filter::settle(const request_context& context, call_outcome outcome, std::int64_t tokens,
+                             std::int64_t cached_tokens, const std::string& answer) -> settle_reply {
+  auto span = scoped_span{*context_->traces_, context.trace_, "entry.settle"};
+  const auto& order = context.open_.order_;
+  const auto& ticket = context.ticket_;
+  auto request = settle_request{};
+  request.report_ = {order.account_,       order.program_,           order.number_, ticket.call_.epoch_,
+                     ticket.call_.sequence_, outcome,                tokens,        ticket.call_.max_tokens_,
+                     order.digest_,        order.repeatable_,        answer,        ticket.upstream_};
+  request.prompt_tokens_ = order.prompt_tokens_;
+  request.cached_tokens_ = cached_tokens;
+  request.last_ = context.last_ && outcome == call_outcome::answered;
+  return gateway_->settle(request);
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/platform/memory_table_store.h
@@ -0,0 +1,31 @@
+/// A table service and object store in memory: for tests, explorations, hello_world and the stand-in.
+#pragma once
+
+#include <map>
+#include <mutex>
+
+#include "birchlever/platform/table_store_interface.h"
+
+namespace birchlever {
+
+/// Keeps rows and objects in maps; thread safe; never fails but on a condition.
+class memory_table_store final : public table_store_interface {
+ public:
+  auto commit(const table_transaction& transaction) -> result<std::int64_t> override;
+  auto read(const std::string& key) -> result<std::optional<table_row>> override;
+  auto scan(const std::string& prefix, const std::string& after, int limit)
+      -> result<std::vector<table_row>> override;
+  auto put_object(const std::string& key, const std::string& bytes) -> status override;
+  auto get_object(const std::string& key) -> result<std::optional<std::string>> override;
+  auto delete_object(const std::string& key) -> status override;
+
+ private:
+  [[nodiscard]] auto version_of(const std::string& key) const -> std::int64_t;
+
+  std::mutex mutex_;
+  std::map<std::string, table_row> rows_;
+  std::map<std::string, std::string> objects_;
+  std::int64_t last_version_ = 0;
+};
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/policy/baseline_policies.cpp
@@ -0,0 +1,132 @@
+#include "birchlever/policy/baseline_policies.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "birchlever/policy/program_aware_policy.h"
+
+namespace birchlever {
+namespace {
+
+auto no_engine() -> error {
+  return error{error_code::no_upstream, "no engine can take this call now", ran_state::not_run, 1000};
+}
+
+auto load_ratio(const engine_view& engine) -> double {
+  return corrected_load(engine) / std::max(1.0, engine.capacity_);
+}
+
+/// Eligible engines with their load as cost, in order, beginning at a place that the seed gives.
+auto weigh_by_load(const call_view& call, const std::vector<engine_view>& engines) -> std::vector<candidate> {
+  auto candidates = std::vector<candidate>{};
+  for (auto step = std::size_t{0}; step < engines.size(); ++step) {
+    auto index = (call.seed_ + step) % engines.size();
+    if (eligible(engines[index], call)) {
+      candidates.push_back({index, load_ratio(engines[index]), 0, 0, 0});
+    }
+  }
+  return candidates;
+}
+
+auto cheapest(std::vector<candidate> candidates) -> result<decision> {
+  if (candidates.empty()) {
+    return no_engine();
+  }
+  auto by_cost = [](const candidate& left, const candidate& right) { return left.cost_ < right.cost_; };
+  auto best = std::min_element(candidates.begin(), candidates.end(), by_cost);
+  return decision{best->engine_, 0, std::move(candidates)};
+}
+
+}  // namespace
+
+auto eligible(const engine_view& engine, const call_view& call) -> bool {
+  if (!engine.usable_ || engine.role_ == "spare") {
+    return false;
+  }
+  if (std::find(call.avoid_.begin(), call.avoid_.end(), engine.id_) != call.avoid_.end()) {
+    return false;
+  }
+  auto has_model = std::find(engine.models_.begin(), engine.models_.end(), call.model_) != engine.models_.end();
+  return call.model_.empty() || engine.models_.empty() || has_model;
+}
+
+auto corrected_load(const engine_view& engine) -> double {
+  auto reported = engine.running_ + engine.queued_;
+  return std::max(0.0, reported + engine.sent_since_report_ - engine.done_since_report_);
+}
+
+auto round_robin_policy::choose(const call_view& call, const std::vector<engine_view>& engines) const
+    -> result<decision> {
+  auto candidates = weigh_by_load(call, engines);
+  if (candidates.empty()) {
+    return no_engine();
+  }
+  auto first = candidates.front().engine_;
+  return decision{first, 0, std::move(candidates)};
+}
+
+auto least_loaded_policy::choose(const call_view& call, const std::vector<engine_view>& engines) const
+    -> result<decision> {
+  return cheapest(weigh_by_load(call, engines));
+}
+
+auto prefix_affinity_policy::choose(const call_view& call, const std::vector<engine_view>& engines) const
+    -> result<decision> {
+  auto candidates = weigh_by_load(call, engines);
+  auto total = 0.0;
+  for (const auto& one : candidates) {
+    total += one.cost_;
+  }
+  auto mean = candidates.empty() ? 0.0 : total / static_cast<double>(candidates.size());
+  auto limit = std::max(1.0, mean * overload_);
+  auto best = candidates.end();
+  for (auto next = candidates.begin(); next != candidates.end(); ++next) {
+    auto held = call.cached_tokens_[next->engine_];
+    auto fits = held > 0 && next->cost_ <= limit;
+    if (fits && (best == candidates.end() || held > call.cached_tokens_[best->engine_])) {
+      best = next;
+    }
+  }
+  if (best == candidates.end()) {
+    return cheapest(std::move(candidates));
+  }
+  auto chosen = best->engine_;
+  return decision{chosen, 0, std::move(candidates)};
+}
+
+auto least_attained_service_policy::choose(const call_view& call, const std::vector<engine_view>& engines) const
+    -> result<decision> {
+  auto chosen = cheapest(weigh_by_load(call, engines));
+  if (ok(chosen)) {
+    value(chosen).priority_ = static_cast<int>(static_cast<double>(call.attained_tokens_) / step_);
+  }
+  return chosen;
+}
+
+auto make_policy(const policy_settings& settings) -> result<std::unique_ptr<policy_interface>> {
+  auto checked = check_policy(settings);
+  if (!ok(checked)) {
+    return failure(checked);
+  }
+  auto made = std::unique_ptr<policy_interface>{};
+  switch (settings.kind_) {
+    case policy_kind::round_robin:
+      made = std::make_unique<round_robin_policy>();
+      break;
+    case policy_kind::least_loaded:
+      made = std::make_unique<least_loaded_policy>();
+      break;
+    case policy_kind::prefix_affinity:
+      made = std::make_unique<prefix_affinity_policy>(settings.parameter("overload"));
+      break;
+    case policy_kind::least_attained_service:
+      made = std::make_unique<least_attained_service_policy>(settings.parameter("step"));
+      break;
+    case policy_kind::program_aware:
+      made = std::make_unique<program_aware_policy>(settings);
+      break;
+  }
+  return made;
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/telemetry/log.cpp
@@ -0,0 +1,81 @@
+#include "birchlever/telemetry/log.h"
+
+#include <easylogging++.h>
+
+#include <array>
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace birchlever {
+namespace {
+
+constexpr auto level_names = std::array<std::string_view, 4>{"debug", "info", "warning", "error"};
+
+struct log_state {
+  std::string process_name_;
+  log_level lowest_ = log_level::info;
+};
+
+auto state() -> log_state& {
+  static auto current = log_state{};
+  return current;
+}
+
+auto wall_milliseconds() -> std::int64_t {
+  auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
+}
+
+}  // namespace
+
+auto name_of(log_level level) -> std::string_view {
+  return level_names.at(static_cast<std::size_t>(level));
+}
+
+auto start_log(const std::string& process_name, log_level lowest) -> void {
+  state() = {process_name, lowest};
+  auto configuration = el::Configurations{};
+  configuration.setToDefault();
+  configuration.setGlobally(el::ConfigurationType::Format, "%msg");
+  configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  el::Loggers::reconfigureAllLoggers(configuration);
+  el::Loggers::addFlag(el::LoggingFlag::ImmediateFlush);
+}
+
+auto log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields) -> void {
+  if (level < state().lowest_ || state().process_name_.empty()) {
+    return;
+  }
+  auto line = nlohmann::ordered_json{{"time_ms", wall_milliseconds()},
+                                     {"level", name_of(level)},
+                                     {"process", state().process_name_},
+                                     {"event", event}};
+  for (const auto& [name, field] : fields) {
+    std::visit([&line, key = std::string{name}](const auto& content) { line[key] = content; }, field);
+  }
+  auto text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  switch (level) {
+    case log_level::debug:
+    case log_level::info:
+      LOG(INFO) << text;
+      break;
+    case log_level::warning:
+      LOG(WARNING) << text;
+      break;
+    case log_level::error:
+      LOG(ERROR) << text;
+      break;
+  }
+}
+
+auto log_failure(log_level level, std::string_view event, const error& failure) -> void {
+  log_event(level, event,
+            {{"type", std::string{name_of(failure.code_)}},
+             {"detail", failure.detail_},
+             {"ran", std::string{name_of(failure.ran_)}}});
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/telemetry/log.h
@@ -0,0 +1,36 @@
+/// Log lines as JSON: one object a line, with time, level, event and typed fields.
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+#include "birchlever/core/error.h"
+
+namespace birchlever {
+
+/// How much a line matters.
+enum class log_level { debug, info, warning, error };
+
+/// A field's value.
+using log_value = std::variant<std::string, std::int64_t, double, bool>;
+
+/// A named field.
+using log_field = std::pair<std::string_view, log_value>;
+
+/// Prepares logging for this process. Lines go to standard output; the name tells processes apart.
+auto start_log(const std::string& process_name, log_level lowest) -> void;
+
+/// Writes one line. Secrets are never passed as fields.
+auto log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields = {}) -> void;
+
+/// Writes one line about a failure.
+auto log_failure(log_level level, std::string_view event, const error& failure) -> void;
+
+/// The stable name of a level.
+[[nodiscard]] auto name_of(log_level level) -> std::string_view;
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/upstream/upstream_exchange.cpp
@@ -0,0 +1,152 @@
+#include "birchlever/upstream/upstream_exchange.h"
+
+#include <httplib.h>
+
+#include "birchlever/core/test_switches.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto most_pieces = std::size_t{256};
+
+}  // namespace
+
+auto upstream_exchange::start(std::shared_ptr<http_connection_pool> pool, upstream_request request)
+    -> std::unique_ptr<upstream_exchange> {
+  auto made = std::unique_ptr<upstream_exchange>{new upstream_exchange{}};
+  auto* self = made.get();
+  made->thread_ = std::thread{[self, pool = std::move(pool), request = std::move(request)] { self->run(pool, request); }};
+  return made;
+}
+
+upstream_exchange::~upstream_exchange() {
+  cancel();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+auto upstream_exchange::run(const std::shared_ptr<http_connection_pool>& pool, const upstream_request& request)
+    -> void {
+  auto borrowed = pool->borrow(request.target_);
+  if (!ok(borrowed)) {
+    finish(std::make_unique<error>(failure(borrowed)));
+    return;
+  }
+  auto client = std::move(value(borrowed));
+  auto message = httplib::Request{};
+  message.method = request.method_;
+  message.path = request.path_;
+  message.body = request.body_;
+  for (const auto& [name, content] : request.headers_) {
+    message.set_header(name, content);
+  }
+  if (!request.body_.empty()) {
+    message.set_header("Content-Type", request.content_type_);
+  }
+  message.response_handler = [this](const httplib::Response& response) {
+    on_status(response.status, response.get_header_value("Content-Type"));
+    return true;
+  };
+  message.content_receiver = [this](const char* bytes, std::size_t length, std::uint64_t, std::uint64_t) {
+    return on_bytes(bytes, length);
+  };
+  auto outcome = client->send(message);
+  auto lost = test_switches::instance().link(request.target_.text()) == link_state::answers_lost;
+  if (outcome && !lost) {
+    pool->give_back(request.target_, std::move(client));
+    finish(nullptr);
+    return;
+  }
+  auto not_sent = !lost && (outcome.error() == httplib::Error::Connection ||
+                            outcome.error() == httplib::Error::ConnectionTimeout);
+  auto name = request.target_.text();
+  finish(not_sent ? std::make_unique<error>(
+                        error{error_code::upstream_refused, "no connection to " + name, ran_state::not_run})
+                  : std::make_unique<error>(error{error_code::upstream_failed, "answer of " + name + " broke off",
+                                                  ran_state::outcome_unknown}));
+}
+
+auto upstream_exchange::on_status(int status, std::string content_type) -> void {
+  auto lock = std::lock_guard{mutex_};
+  status_ = status;
+  content_type_ = std::move(content_type);
+  changed_.notify_all();
+}
+
+auto upstream_exchange::on_bytes(const char* bytes, std::size_t length) -> bool {
+  auto lock = std::unique_lock{mutex_};
+  changed_.wait(lock, [this] { return pieces_.size() < most_pieces || cancelled_; });
+  if (cancelled_) {
+    return false;
+  }
+  pieces_.emplace_back(bytes, length);
+  changed_.notify_all();
+  return true;
+}
+
+auto upstream_exchange::finish(std::unique_ptr<error> fault) -> void {
+  auto lock = std::lock_guard{mutex_};
+  fault_ = std::move(fault);
+  finished_ = true;
+  changed_.notify_all();
+}
+
+auto upstream_exchange::wait_status(milliseconds patience) -> result<int> {
+  auto lock = std::unique_lock{mutex_};
+  auto known = changed_.wait_for(lock, std::chrono::milliseconds{patience},
+                                 [this] { return status_ != 0 || finished_; });
+  if (!known) {
+    return error{error_code::upstream_timeout, "the upstream gave no answer in time", ran_state::outcome_unknown};
+  }
+  if (status_ == 0) {
+    return fault_ ? *fault_ : error{error_code::upstream_failed, "no answer", ran_state::outcome_unknown};
+  }
+  return status_;
+}
+
+auto upstream_exchange::next(milliseconds patience) -> result<upstream_piece> {
+  auto lock = std::unique_lock{mutex_};
+  auto ready = changed_.wait_for(lock, std::chrono::milliseconds{patience},
+                                 [this] { return !pieces_.empty() || finished_; });
+  if (!ready) {
+    return error{error_code::upstream_timeout, "the upstream fell silent", ran_state::outcome_unknown};
+  }
+  if (!pieces_.empty()) {
+    auto piece = upstream_piece{std::move(pieces_.front()), false};
+    pieces_.pop_front();
+    changed_.notify_all();
+    return piece;
+  }
+  if (fault_) {
+    return *fault_;
+  }
+  return upstream_piece{{}, true};
+}
+
+auto upstream_exchange::read_all(milliseconds patience) -> result<std::string> {
+  auto text = std::string{};
+  while (true) {
+    auto piece = next(patience);
+    if (!ok(piece)) {
+      return failure(piece);
+    }
+    if (value(piece).end_) {
+      return text;
+    }
+    text += value(piece).bytes_;
+  }
+}
+
+auto upstream_exchange::content_type() const -> std::string {
+  auto lock = std::lock_guard{mutex_};
+  return content_type_;
+}
+
+auto upstream_exchange::cancel() -> void {
+  auto lock = std::lock_guard{mutex_};
+  cancelled_ = true;
+  changed_.notify_all();
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever_daemon/main.cpp
@@ -0,0 +1,183 @@
+/// The one binary: `serve`, `query`, `check-config` and `version`.
+#include <gflags/gflags.h>
+#include <signal.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <set>
+
+#include "birchlever/core/daemon_settings.h"
+#include "birchlever/telemetry/log.h"
+#include "birchlever_daemon/daemon.h"
+#include "birchlever_daemon/operator_client.h"
+
+#define NUMBER_SETTING(name, standard, least, most, unit, purpose) DEFINE_int64(name, standard, purpose);
+#define TEXT_SETTING(name, standard, shape, purpose) DEFINE_string(name, standard, purpose);
+#define SECRET_SETTING(name, purpose) DEFINE_string(name, "", purpose);
+#include "birchlever/core/settings.def"
+#undef NUMBER_SETTING
+#undef TEXT_SETTING
+#undef SECRET_SETTING
+
+DEFINE_string(daemon, "127.0.0.1:8080", "HTTP address of any daemon, for query");
+DEFINE_string(format, "table", "answers of query: table or json");
+DEFINE_string(plot, "", "file for a plot of `compare policies` (SVG), for query");
+DEFINE_string(csv, "", "file for the rows as CSV, for query");
+
+namespace {
+
+constexpr auto exit_good = 0;
+constexpr auto exit_failed = 1;
+constexpr auto exit_usage = 2;
+constexpr auto exit_calls_cut = 3;
+
+auto usage() -> std::string {
+  return "birchlever: a scheduler for agent programs\n"
+         "\n"
+         "  birchlever serve [settings]                 run a daemon until SIGTERM or SIGINT\n"
+         "  birchlever check-config [settings]          check the settings and print every fault\n"
+         "  birchlever query --daemon=ip:port [TEXT]    run a statement, or a prompt without TEXT\n"
+         "  birchlever version                          print the version\n"
+         "  birchlever --help                           print this page with all settings\n"
+         "\n"
+         "Exit codes: 0 good, 1 failed, 2 wrong usage or settings, 3 stopped with calls still under way.\n"
+         "Every setting is a flag --name=value or an environment variable BIRCHLEVER_NAME.\n"
+         "\n"
+         "Settings:\n" +
+         birchlever::describe_settings();
+}
+
+/// Sets a flag from its environment variable unless the command line gave it.
+auto take_from_environment(const std::string& name, std::vector<birchlever::setting_fault>& faults) -> void {
+  auto variable = "BIRCHLEVER_" + name;
+  for (auto& letter : variable) {
+    letter = static_cast<char>(std::toupper(static_cast<unsigned char>(letter)));
+  }
+  const auto* content = std::getenv(variable.c_str());
+  auto info = gflags::CommandLineFlagInfo{};
+  auto given = gflags::GetCommandLineFlagInfo(name.c_str(), &info) && !info.is_default;
+  if (content == nullptr || given) {
+    return;
+  }
+  if (gflags::SetCommandLineOption(name.c_str(), content).empty()) {
+    faults.push_back({name, content, "environment variable " + variable + " does not hold a fitting value"});
+  }
+}
+
+auto read_settings(std::vector<birchlever::setting_fault>& faults) -> birchlever::daemon_settings {
+  auto settings = birchlever::daemon_settings{};
+#define NUMBER_SETTING(name, standard, least, most, unit, purpose) \
+  take_from_environment(#name, faults);                            \
+  settings.name##_ = FLAGS_##name;
+#define TEXT_SETTING(name, standard, shape, purpose) \
+  take_from_environment(#name, faults);              \
+  settings.name##_ = FLAGS_##name;
+#define SECRET_SETTING(name, purpose)   \
+  take_from_environment(#name, faults); \
+  settings.name##_ = FLAGS_##name;
+#include "birchlever/core/settings.def"
+#undef NUMBER_SETTING
+#undef TEXT_SETTING
+#undef SECRET_SETTING
+  return settings;
+}
+
+auto report(const std::vector<birchlever::setting_fault>& faults) -> int {
+  for (const auto& fault : faults) {
+    std::cerr << "setting " << fault.name_ << " = '" << fault.value_ << "': " << fault.reason_ << '\n';
+  }
+  return exit_usage;
+}
+
+auto level_of(const std::string& name) -> birchlever::log_level {
+  for (auto level : {birchlever::log_level::debug, birchlever::log_level::info, birchlever::log_level::warning}) {
+    if (birchlever::name_of(level) == name) {
+      return level;
+    }
+  }
+  return birchlever::log_level::error;
+}
+
+auto serve() -> int {
+  auto signals = sigset_t{};
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  auto faults = std::vector<birchlever::setting_fault>{};
+  auto settings = read_settings(faults);
+  auto more = birchlever::check_settings(settings);
+  faults.insert(faults.end(), more.begin(), more.end());
+  if (!faults.empty()) {
+    return report(faults);
+  }
+  birchlever::start_log(settings.vm_id_.empty() ? "birchlever" : settings.vm_id_, level_of(settings.log_level_));
+  auto running = birchlever::daemon::create(settings);
+  if (!birchlever::ok(running)) {
+    birchlever::log_failure(birchlever::log_level::error, "daemon_not_started", birchlever::failure(running));
+    return exit_usage;
+  }
+  auto received = 0;
+  sigwait(&signals, &received);
+  return birchlever::value(running)->stop() ? exit_good : exit_calls_cut;
+}
+
+auto check_config() -> int {
+  auto faults = std::vector<birchlever::setting_fault>{};
+  auto more = birchlever::check_settings(read_settings(faults));
+  faults.insert(faults.end(), more.begin(), more.end());
+  if (!faults.empty()) {
+    return report(faults);
+  }
+  std::cout << "settings are good\n";
+  return exit_good;
+}
+
+auto query(const std::string& text) -> int {
+  auto faults = std::vector<birchlever::setting_fault>{};
+  auto settings = read_settings(faults);
+  auto keys = birchlever::split_list(settings.operator_keys_);
+  if (keys.empty()) {
+    std::cerr << "setting operator_keys: query needs an operator's key\n";
+    return exit_usage;
+  }
+  auto client = birchlever::operator_client{FLAGS_daemon, keys.front(), FLAGS_format, FLAGS_plot, FLAGS_csv};
+  if (text.empty()) {
+    return client.prompt() ? exit_good : exit_failed;
+  }
+  return client.run(text) ? exit_good : exit_failed;
+}
+
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+  auto command = argc > 1 ? std::string{argv[1]} : std::string{};
+  for (auto index = 1; index < argc; ++index) {
+    if (std::string{argv[index]} == "--help") {
+      std::cout << usage();
+      return exit_good;
+    }
+  }
+  gflags::SetVersionString(BIRCHLEVER_VERSION);
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  auto text = std::string{};
+  for (auto index = 2; index < argc; ++index) {
+    text += (index > 2 ? " " : "") + std::string{argv[index]};
+  }
+  if (command == "serve") {
+    return serve();
+  }
+  if (command == "check-config") {
+    return check_config();
+  }
+  if (command == "query") {
+    return query(text);
+  }
+  if (command == "version") {
+    std::cout << "birchlever " BIRCHLEVER_VERSION "\n";
+    return exit_good;
+  }
+  std::cerr << usage();
+  return exit_usage;
+}
