A planned stop ends: actors that hold each other let go

Cause: a shard's controller and its writer hold each other, so neither was destroyed and the actor system waited for ever (seen in the threads' stacks). Ruled out: the HTTP and Thrift servers, which had ended. Change: both drop the other on stop; Thrift's remarks become log lines.

--- a/birchlever/controllers/shard_controller.cpp
+++ b/birchlever/controllers/shard_controller.cpp
@@ -96,6 +96,7 @@
       },
       [this](stop_atom) {
         send(writer_, stop_atom::value);
+        writer_ = nullptr;  // Each holds the other; without this neither would ever be destroyed.
         quit();
       },
   };
--- a/birchlever/controllers/shard_writer.cpp
+++ b/birchlever/controllers/shard_writer.cpp
@@ -46,7 +46,10 @@
       [this](flush_atom) { flush(); },
       [this](snapshot_atom, const shared<journal_snapshot>& snapshot) { write_snapshot(snapshot); },
       [this](hand_over_atom, const std::string& successor) { hand_over(successor); },
-      [this](stop_atom) { quit(); },
+      [this](stop_atom) {
+        controller_ = nullptr;
+        quit();
+      },
   };
 }
 
--- a/birchlever/rpc/peer_server.cpp
+++ b/birchlever/rpc/peer_server.cpp
@@ -27,6 +27,11 @@
 
 namespace thrift = apache::thrift;
 
+/// The library's own remarks, as lines of ours.
+auto log_thrift(const char* remark) -> void {
+  log_event(log_level::debug, "thrift", {{"remark", std::string{remark}}});
+}
+
 auto stranger() -> rpc::failure_message {
   return to_message(error{error_code::peer_refused, "the message does not carry a key of this fleet"});
 }
@@ -183,6 +188,7 @@
 auto peer_server::create(std::shared_ptr<daemon_context> context, std::shared_ptr<shard_set> shards,
                          query_handler query, std::function<void()> look_now)
     -> result<std::unique_ptr<peer_server>> {
+  thrift::GlobalOutput.setOutputFunction(log_thrift);
   const auto& settings = context->settings_;
   auto handler = std::make_shared<peer_handler>(context, std::move(shards), std::move(query), std::move(look_now));
   auto processor = std::make_shared<rpc::peerProcessor>(handler);
