--- a/stand_ins/engine_stand_in.cpp
+++ b/stand_ins/engine_stand_in.cpp
@@ -22,6 +22,11 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(since_start).count();
 }
 
+auto now_us() -> std::int64_t {
+  auto since_start = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::microseconds>(since_start).count();
+}
+
 auto pause(double milliseconds) -> void {
   std::this_thread::sleep_for(std::chrono::duration<double, std::milli>{milliseconds});
 }
@@ -133,6 +138,7 @@
   record.session_ = request.get_header_value("birchlever-session");
   record.key_ = request.get_header_value("birchlever-key");
   record.call_ = static_cast<int>(number_header(request, "birchlever-call"));
+  record.at_us_ = now_us();
   record.fence_ = number_header(request, "birchlever-fence");
   auto prompt = prompt_of(body);
   auto priority = static_cast<int>(number_header(request, "birchlever-priority"));
@@ -277,6 +283,7 @@
                       {"prompt_tokens", one.prompt_tokens_},
                       {"cached", one.cached_},
                       {"tokens", one.tokens_},
+                      {"at_us", one.at_us_},
                       {"state", one.state_}});
     }
     response.set_content(list.dump(), json_type);
--- a/stand_ins/engine_stand_in.h
+++ b/stand_ins/engine_stand_in.h
@@ -44,6 +44,7 @@
     std::int64_t prompt_tokens_ = 0;
     std::int64_t cached_ = 0;
     std::int64_t tokens_ = 0;
+    std::int64_t at_us_ = 0;  ///< Arrival on the machine's monotonic clock.
     std::string state_ = "running";
   };
 
--- a/stand_ins/service_stand_in.cpp
+++ b/stand_ins/service_stand_in.cpp
@@ -12,6 +12,11 @@
 constexpr auto json_type = "application/json";
 constexpr auto hang_poll = std::chrono::milliseconds{20};
 
+auto now_us() -> std::int64_t {
+  auto since_start = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::microseconds>(since_start).count();
+}
+
 auto pause(double milliseconds) -> void {
   std::this_thread::sleep_for(std::chrono::duration<double, std::milli>{milliseconds});
 }
@@ -29,6 +34,7 @@
                       {"session", one.session_},
                       {"call", one.call_},
                       {"path", one.path_},
+                      {"at_us", one.at_us_},
                       {"repeatable", one.repeatable_}});
     }
     response.set_content(list.dump(), json_type);
@@ -54,11 +60,12 @@
     response.status = 503;
     return;
   }
+  auto arrived = now_us();
   pause(settings_.work_ms_ + http_.faults().level("slow_ms"));
   auto call = request.get_header_value("birchlever-call");
   auto one = execution{request.get_header_value("birchlever-key"), request.get_header_value("birchlever-session"),
                        call.empty() ? 0 : std::stoi(call), request.path,
-                       request.get_header_value("birchlever-repeatable")};
+                       request.get_header_value("birchlever-repeatable"), arrived};
   auto body = json{{"done", request.path}, {"key", one.key_}, {"length", request.body.size()}}.dump();
   {
     auto lock = std::lock_guard{mutex_};
--- a/stand_ins/service_stand_in.h
+++ b/stand_ins/service_stand_in.h
@@ -31,6 +31,7 @@
     int call_ = 0;
     std::string path_;
     std::string repeatable_;
+    std::int64_t at_us_ = 0;
   };
 
   auto execute(const httplib::Request& request, httplib::Response& response) -> void;
