Budget slices are a part of the budget, so a takeover does not eat it whole

Cause: a slice of 2,048 tokens covered all of a 2,000 token budget; after a takeover everything reserved is held, so programs were refused for good (seen with show programs: held 1964 of 2000). Change: a slice is at most a sixteenth of the program's budget.

--- a/birchlever/coordination/program_ledger.cpp
+++ b/birchlever/coordination/program_ledger.cpp
@@ -88,7 +88,7 @@
   auto order = call_order{account, program};
   order.budget_ = budget;
   auto& owner = known != nullptr ? *known : create_program(order, policy, now);
-  return std::vector{opened_record(owner, std::min(owner.budget_.budget(), settings_.budget_slice_))};
+  return std::vector{opened_record(owner, slice_of(owner))};
 }
 
 auto program_ledger::open(const call_order& order, const std::string& policy, milliseconds now)
@@ -180,6 +180,10 @@
   return std::nullopt;
 }
 
+auto program_ledger::slice_of(const program& owner) const -> std::int64_t {
+  return std::min(settings_.budget_slice_, owner.budget_.budget() / settings_.slices_per_budget_);
+}
+
 auto program_ledger::cost_of(const program& owner, const call_order& order) const -> std::int64_t {
   if (!order.generates_) {
     return 0;
@@ -217,7 +221,7 @@
     return open_proceed{};
   }
   auto proceed = open_proceed{};
-  auto reservation = owner.budget_.needed_reservation(settings_.budget_slice_);
+  auto reservation = owner.budget_.needed_reservation(slice_of(owner));
   if (!owner.durable_) {
     proceed.records_.push_back(opened_record(owner, reservation.value_or(0)));
   } else if (reservation) {
--- a/birchlever/coordination/program_ledger.h
+++ b/birchlever/coordination/program_ledger.h
@@ -17,7 +17,8 @@
 
 /// Limits the ledger enforces. Times in milliseconds, sizes in tokens.
 struct ledger_settings {
-  std::int64_t budget_slice_ = 2048;         ///< Reserved ahead of what is needed.
+  std::int64_t budget_slice_ = 2048;         ///< Reserved ahead of what is needed, at most.
+  std::int64_t slices_per_budget_ = 16;      ///< A slice is at most this part of a program's budget.
   std::int64_t default_budget_ = 200000;     ///< For programs that name none.
   std::int64_t default_max_tokens_ = 512;    ///< For calls that name none.
   int turn_limit_ = 128;                     ///< Calls a program may make.
@@ -196,6 +197,7 @@
   auto begin(program& owner, const call_order& order, milliseconds now) -> open_decision;
   [[nodiscard]] auto limits(const program& owner, const call_order& order) const -> std::optional<error>;
   [[nodiscard]] auto cost_of(const program& owner, const call_order& order) const -> std::int64_t;
+  [[nodiscard]] auto slice_of(const program& owner) const -> std::int64_t;
   auto charge_of(const call_settlement& report) -> std::int64_t;
   auto charged_record(const program& owner, const call_settlement& report, std::int64_t charge) const
       -> journal_record;
--- a/scenarios/invariants.cpp
+++ b/scenarios/invariants.cpp
@@ -202,7 +202,7 @@
   auto broken = std::vector<std::string>{};
   for (const auto& call : load_.seen()) {
     if (call.outcome_ == "gave_up") {
-      broken.push_back(name_of(call) + ": never got an answer");
+      broken.push_back(name_of(call) + ": never got an answer; last: " + call.last_);
     }
   }
   return broken;
--- a/scenarios/program_load.cpp
+++ b/scenarios/program_load.cpp
@@ -31,6 +31,7 @@
   std::string text_;
   std::string ran_;  ///< Of a refusal.
   std::string type_;
+  std::string detail_;
   std::int64_t retry_ms_ = 0;
 };
 
@@ -43,6 +44,7 @@
   }
   seen.ran_ = parsed["error"].value("ran", "");
   seen.type_ = parsed["error"].value("type", "");
+  seen.detail_ = parsed["error"].value("message", "");
   seen.retry_ms_ = parsed["error"].value("retry_after_ms", std::int64_t{100});
   return seen;
 }
@@ -168,6 +170,7 @@
     auto daemon = 1 + static_cast<int>(generator() % static_cast<std::uint64_t>(fleet_.daemons()));
     auto seen = send(fleet_.daemon_address(daemon), "/v1/chat/completions", headers, body.dump(), stream, false);
     call.cuts_ += seen.cut_ ? 1 : 0;
+    call.last_ = seen.cut_ ? "cut" : seen.type_ + " " + seen.detail_;
     if (seen.whole_) {
       call.answer_ = seen.text_;
       call.outcome_ = "answered";
@@ -198,6 +201,7 @@
     auto daemon = 1 + static_cast<int>(generator() % static_cast<std::uint64_t>(fleet_.daemons()));
     auto seen = send(fleet_.daemon_address(daemon), "/v1/services/registry/" + call.path_, headers, "{}", false, true);
     call.cuts_ += seen.cut_ ? 1 : 0;
+    call.last_ = seen.cut_ ? "cut" : seen.type_ + " " + seen.detail_;
     call.only_not_run_ = call.only_not_run_ && seen.ran_ == "not_run";
     if (seen.whole_) {
       call.answer_ = seen.text_;
