Tickets that never arrive are voided by the entry that asked for them

Cause: an answer lost between owner and entry left a call dispatched for ever; a call whose entry and owner both died left a gap in the numbers that no retry could fill (seen: call_in_progress and call_out_of_order until the load gave up). Ruled out: the budget (mended before), lost settlements (they are repeated). Change: intents carry the request's id, and an entry that lost a ticket reports it unused; a missing number below the highest one may be sent again, since its successor was only sent after it had been accepted.

--- a/birchlever/controllers/owner_gateway.cpp
+++ b/birchlever/controllers/owner_gateway.cpp
@@ -85,8 +85,14 @@
 
 auto owner_gateway::open(const open_request& request) -> open_reply {
   auto shard = shard_for(request.order_.account_, request.order_.program_);
-  return reach<open_reply>(
-      shard, owner_patience_ms, [&] { return shards_->open(shard, request); },
+  auto ticket_may_be_lost = false;
+  auto reply = reach<open_reply>(
+      shard, owner_patience_ms,
+      [&] {
+        auto local = shards_->open(shard, request);
+        ticket_may_be_lost = ticket_may_be_lost || (!ok(local) && failure(local).ran_ == ran_state::outcome_unknown);
+        return local;
+      },
       [&](const std::string& address) -> open_reply {
         auto message = rpc::open_reply{};
         auto called = peers_->call(address, request.order_.deadline_ + peer_slack_ms, [&](auto& client) {
@@ -94,12 +100,31 @@
         });
         if (!ok(called)) {
           auto fault = failure(called);
+          ticket_may_be_lost = ticket_may_be_lost || fault.ran_ == ran_state::outcome_unknown;
           fault.ran_ = ran_state::not_run;  // A ticket that never arrived is never used.
           return fault;
         }
         heard(message.generation);
         return from_message(message);
       });
+  if (!ok(reply) && ticket_may_be_lost) {
+    void_later(request);
+  }
+  return reply;
+}
+
+/// A ticket that was given out but never arrived here is surely not used; its owner must not wait for it.
+auto owner_gateway::void_later(const open_request& request) -> void {
+  auto unused = settle_request{};
+  unused.report_.account_ = request.order_.account_;
+  unused.report_.program_ = request.order_.program_;
+  unused.report_.number_ = request.order_.number_;
+  unused.report_.outcome_ = call_outcome::not_run;
+  unused.report_.digest_ = request.order_.digest_;
+  unused.report_.repeatable_ = request.order_.repeatable_;
+  unused.report_.request_id_ = request.request_id_;
+  auto lock = std::lock_guard{mutex_};
+  open_settlements_.push_back({unused, context_->clock_->now() + settlement_patience_ms});
 }
 
 auto owner_gateway::send_accepted(const accepted_report& report) -> void {
--- a/birchlever/controllers/owner_gateway.h
+++ b/birchlever/controllers/owner_gateway.h
@@ -75,6 +75,7 @@
   auto heard(std::int64_t generation) -> void;
   auto send_accepted(const accepted_report& report) -> void;
   auto settle_once(const settle_request& request, milliseconds patience) -> settle_reply;
+  auto void_later(const open_request& request) -> void;
   auto text_call(const program_request& request, int kind) -> result<std::string>;
 
   std::shared_ptr<daemon_context> context_;
--- a/birchlever/controllers/shard_set.cpp
+++ b/birchlever/controllers/shard_set.cpp
@@ -53,6 +53,7 @@
 
 auto shard_set::open(int shard, open_request request) -> open_reply {
   auto wait = std::chrono::milliseconds{request.order_.deadline_} + open_slack;
+  request.order_.request_id_ = request.request_id_;
   auto message = shared<open_request>{std::make_shared<open_request>(std::move(request))};
   auto began = steady_clock{}.now();
   auto reply = ask<open_reply>(system_, actor_of(shard), wait, open_atom::value, message);
--- a/birchlever/coordination/journal_record.cpp
+++ b/birchlever/coordination/journal_record.cpp
@@ -32,6 +32,7 @@
   put_unless_default(body, "s", record.sequence_);
   put_unless_default(body, "u", record.upstream_);
   put_unless_default(body, "y", record.key_);
+  put_unless_default(body, "rq", record.request_id_);
   put_unless_default(body, "po", record.policy_);
   put_unless_default(body, "an", record.answer_);
   put_unless_default(body, "re", record.reason_);
@@ -54,6 +55,7 @@
   record.sequence_ = body.value("s", std::int64_t{0});
   record.upstream_ = body.value("u", "");
   record.key_ = body.value("y", "");
+  record.request_id_ = body.value("rq", "");
   record.policy_ = body.value("po", "");
   record.answer_ = body.value("an", "");
   record.reason_ = body.value("re", "");
--- a/birchlever/coordination/journal_record.h
+++ b/birchlever/coordination/journal_record.h
@@ -36,6 +36,7 @@
   std::int64_t sequence_ = 0;  ///< Fencing number of the attempt.
   std::string upstream_;
   std::string key_;     ///< Idempotency key sent to the upstream.
+  std::string request_id_;  ///< Of the request that got the ticket.
   std::string policy_;  ///< Policy the program began under.
   std::string answer_;  ///< The answer's whole body.
   std::string reason_;  ///< Why the program ended.
--- a/birchlever/coordination/program.h
+++ b/birchlever/coordination/program.h
@@ -40,6 +40,7 @@
   std::int64_t sequence_ = 0;  ///< Fencing number of the current attempt.
   std::string upstream_;
   std::string key_;
+  std::string request_id_;  ///< Of the request that got the current ticket.
   milliseconds expires_at_ = 0;  ///< When the current attempt is given up.
   std::string answer_;
   answer_location location_;
--- a/birchlever/coordination/program_ledger.cpp
+++ b/birchlever/coordination/program_ledger.cpp
@@ -152,8 +152,8 @@
   if (highest == 0 && order.number_ != 1) {
     return ordered ? open_decision{open_wait{}} : begin(owner, order, now);
   }
-  if (order.number_ <= highest) {
-    return refuse(error_code::call_out_of_order, call_name(order) + " comes after later calls were sent");
+  if (order.number_ < highest) {
+    return begin(owner, order, now);  // A later call was sent, so this one had been accepted; its owner died.
   }
   if (ordered && order.number_ > highest + 1) {
     return open_wait{};
@@ -213,6 +213,7 @@
   call.repeatable_ = order.repeatable_;
   call.max_tokens_ = cost;
   call.digest_ = order.digest_;
+  call.request_id_ = order.request_id_;
   call.sequence_ = (epoch_ << epoch_shift) + ++dispatches_;
   call.expires_at_ = now + limit;
   attempts_[call.sequence_] =
@@ -254,6 +255,7 @@
   intent.sequence_ = call.sequence_;
   intent.upstream_ = upstream;
   intent.key_ = call.key_;
+  intent.request_id_ = call.request_id_;
   return {ticket, intent};
 }
 
--- a/birchlever/coordination/program_ledger.h
+++ b/birchlever/coordination/program_ledger.h
@@ -38,6 +38,7 @@
   std::int64_t max_tokens_ = 0;  ///< Zero when the caller named none.
   std::int64_t prompt_tokens_ = 0;
   std::uint64_t digest_ = 0;
+  std::string request_id_;       ///< Names the entry's question; a ticket that never arrived is voided by it.
   bool repeatable_ = true;
   bool generates_ = true;  ///< False for plain services, which spend no tokens.
   bool ephemeral_ = false;
@@ -87,6 +88,7 @@
   bool repeatable_ = true;
   std::string answer_;
   std::string upstream_;
+  std::string request_id_;  ///< With fencing number 0 and not_run: the ticket of this request never arrived.
 };
 
 /// The permission to send one attempt.
@@ -198,6 +200,7 @@
   [[nodiscard]] auto limits(const program& owner, const call_order& order) const -> std::optional<error>;
   [[nodiscard]] auto cost_of(const program& owner, const call_order& order) const -> std::int64_t;
   [[nodiscard]] auto slice_of(const program& owner) const -> std::int64_t;
+  auto void_unused_ticket(program& owner, const call_settlement& report) -> std::vector<journal_record>;
   auto charge_of(const call_settlement& report) -> std::int64_t;
   auto charged_record(const program& owner, const call_settlement& report, std::int64_t charge) const
       -> journal_record;
--- a/birchlever/coordination/program_ledger_settle.cpp
+++ b/birchlever/coordination/program_ledger_settle.cpp
@@ -87,6 +87,23 @@
   return {charged_record(*owner, report, charge)};
 }
 
+auto program_ledger::void_unused_ticket(program& owner, const call_settlement& report)
+    -> std::vector<journal_record> {
+  auto known = owner.calls_.find(report.number_);
+  if (known == owner.calls_.end() || known->second.request_id_ != report.request_id_) {
+    return {};
+  }
+  auto& call = known->second;
+  if (call.phase_ != call_phase::unresolved) {
+    return cancel(report.account_, report.program_, report.number_);
+  }
+  auto unused = report;
+  unused.max_tokens_ = call.max_tokens_;
+  auto record = charged_record(owner, unused, 0);
+  record.kind_ = record_kind::call_voided;
+  return {record};
+}
+
 auto program_ledger::settle(const call_settlement& report, milliseconds now) -> result<settle_decision> {
   auto* owner = find(report.account_, report.program_);
   if (owner == nullptr) {
@@ -95,6 +112,10 @@
   owner->last_active_ = now;
   auto known = owner->calls_.find(report.number_);
   auto decision = settle_decision{};
+  if (report.outcome_ == call_outcome::not_run && report.sequence_ == 0) {
+    decision.records_ = void_unused_ticket(*owner, report);
+    return decision;
+  }
   if (known != owner->calls_.end() && known->second.digest_ != report.digest_) {
     return error{error_code::call_mismatch, "the call was issued with another request", ran_state::ran};
   }
@@ -178,6 +199,7 @@
   call.digest_ = record.digest_;
   call.upstream_ = record.upstream_;
   call.key_ = record.key_;
+  call.request_id_ = record.request_id_;
   owner.upstreams_.insert(record.upstream_);
   if (recovering_) {
     call.phase_ = call_phase::unresolved;
--- a/birchlever/coordination/program_ledger_snapshot.cpp
+++ b/birchlever/coordination/program_ledger_snapshot.cpp
@@ -16,6 +16,7 @@
                    {"rp", call.repeatable_}};
   if (call.phase_ == call_phase::unresolved) {
     body["y"] = call.key_;
+    body["rq"] = call.request_id_;
     body["m"] = call.max_tokens_;
   }
   if (!call.location_.segment_.empty()) {
@@ -36,6 +37,7 @@
   call.parent_ = body.at("pa");
   call.repeatable_ = body.at("rp");
   call.key_ = body.value("y", "");
+  call.request_id_ = body.value("rq", "");
   call.max_tokens_ = body.value("m", std::int64_t{0});
   call.location_ = {body.value("sg", ""), body.value("of", std::int64_t{0}), body.value("ln", std::int64_t{0})};
   return call;
--- a/birchlever/rpc/peer.thrift
+++ b/birchlever/rpc/peer.thrift
@@ -76,6 +76,7 @@
   14: i64 prompt_tokens,
   15: list<i64> prefix_hashes,
   16: bool last,
+  17: string request_id,
 }
 
 struct settle_reply {
--- a/birchlever/rpc/peer_messages.cpp
+++ b/birchlever/rpc/peer_messages.cpp
@@ -89,6 +89,7 @@
   request.prefix_hashes_ = to_unsigned(message.prefix_hashes);
   request.avoid_ = message.avoid;
   request.request_id_ = message.request_id;
+  order.request_id_ = message.request_id;
   request.account_share_ = message.account_share;
   request.traceparent_ = message.traceparent;
   return request;
@@ -157,6 +158,7 @@
   message.repeatable = report.repeatable_;
   message.answer = report.answer_;
   message.upstream = report.upstream_;
+  message.request_id = report.request_id_;
   message.prompt_tokens = request.prompt_tokens_;
   message.cached_tokens = request.cached_tokens_;
   message.prefix_hashes = to_signed(request.prefix_hashes_);
@@ -179,6 +181,7 @@
   report.repeatable_ = message.repeatable;
   report.answer_ = message.answer;
   report.upstream_ = message.upstream;
+  report.request_id_ = message.request_id;
   request.prompt_tokens_ = message.prompt_tokens;
   request.cached_tokens_ = message.cached_tokens;
   request.prefix_hashes_ = to_unsigned(message.prefix_hashes);
--- a/scenarios/main.cpp
+++ b/scenarios/main.cpp
@@ -43,7 +43,7 @@
 }
 
 auto run_one(const planned_run& planned, int number, tally& results) -> void {
-  auto logs = FLAGS_logs + "/" + planned.plan_.name_ + (planned.without_.empty() ? "" : "-without");
+  auto logs = FLAGS_logs + "/" + planned.plan_.name_ + "-" + std::to_string(number);
   std::filesystem::remove_all(logs);
   std::filesystem::create_directories(logs);
   auto began = std::chrono::steady_clock::now();
--- a/scenarios/scenario_runner.cpp
+++ b/scenarios/scenario_runner.cpp
@@ -327,7 +327,11 @@
   } else if (what == "uncut") {
     violated(step, invariants_.uncut());
   } else if (what == "served") {
-    violated(step, invariants_.served());
+    auto missing = invariants_.served();
+    if (!missing.empty()) {
+      missing.insert(missing.begin(), fleet_.operate(3, "show calls where phase != answered limit 4").body_);
+    }
+    violated(step, missing);
   } else if (what == "leaving") {
     auto engine = whole(step, 0, 1);
     violated(step, invariants_.leaving(engine, left_us_[engine], whole(step, 1, 3000)));
