Calls left behind by faults can be sent again: four causes, each with its test

Causes, each seen in a scenario's stand-in logs or by show calls: a call that found no upstream stayed committing (its cancel was thrown away); an attempt that ran out was journalled without its digest, so its retry was taken for another call; a call that failed before any engine confirmed it let the next one pass (order broken once in two_faults); an entry that lost its own ticket was told outcome_unknown while its report erased the call. Fuzzing found that a byte above 127 in a statement ended the daemon (an assertion in the grammar's character class); it is refused with its column now. Two new tests had asked again under the same request id, which no caller can; they now ask as callers do.

--- a/birchlever/coordination/journal.cpp
+++ b/birchlever/coordination/journal.cpp
@@ -13,7 +13,6 @@
 namespace birchlever {
 namespace {
 
-constexpr auto first_retry_gap = std::chrono::milliseconds{5};
 constexpr auto longest_retry_gap = std::chrono::milliseconds{250};
 
 auto padded(std::int64_t number, int width) -> std::string {
@@ -116,7 +115,7 @@
   if (test_switches::instance().mechanism_on("journal_fence")) {
     transaction.conditions_.push_back({lease::fence_key(shard_), fence_version_});
   }
-  auto gap = first_retry_gap;
+  auto gap = std::chrono::milliseconds{settings_.retry_gap_ms_};
   for (auto attempt = 0; attempt < settings_.attempts_; ++attempt) {
     auto outcome = store_->commit(transaction);
     if (ok(outcome)) {
--- a/birchlever/coordination/program.h
+++ b/birchlever/coordination/program.h
@@ -34,6 +34,7 @@
   std::int32_t parent_ = 0;
   call_phase phase_ = call_phase::committing;
   bool repeatable_ = true;
+  bool accepted_ = false;  ///< Some attempt was confirmed by its upstream.
   std::int64_t max_tokens_ = 0;  ///< What the current attempt could spend.
   std::int64_t tokens_ = 0;      ///< What the call spent.
   std::uint64_t digest_ = 0;
--- a/birchlever/coordination/program_ledger.cpp
+++ b/birchlever/coordination/program_ledger.cpp
@@ -18,8 +18,25 @@
   return "call " + std::to_string(order.number_) + " of program " + order.program_;
 }
 
-auto lets_next_pass(call_phase phase) -> bool {
-  return phase != call_phase::committing && phase != call_phase::dispatched;
+/// A repeatable call that failed before any upstream confirmed it must be sent again before the next one.
+auto lets_next_pass(const program_call& call) -> bool {
+  switch (call.phase_) {
+    case call_phase::committing:
+    case call_phase::dispatched:
+      return false;
+    case call_phase::failed:
+      return call.accepted_;
+    case call_phase::accepted:
+    case call_phase::answered:
+    case call_phase::unresolved:
+      break;
+  }
+  return true;
+}
+
+auto in_flight(const program_call& call) -> bool {
+  return call.phase_ == call_phase::committing || call.phase_ == call_phase::dispatched ||
+         call.phase_ == call_phase::accepted;
 }
 
 }  // namespace
@@ -119,7 +136,7 @@
 
 auto program_ledger::open_again(program& owner, program_call& call, const call_order& order, milliseconds now)
     -> open_decision {
-  if (call.digest_ != order.digest_) {
+  if (call.digest_ != order.digest_ && call.digest_ != 0) {
     return refuse(error_code::call_mismatch, call_name(order) + " was issued with another request");
   }
   switch (call.phase_) {
@@ -129,6 +146,9 @@
       if (!test_switches::instance().mechanism_on("at_most_once")) {
         return begin(owner, order, now);
       }
+      if (!order.request_id_.empty() && call.request_id_ == order.request_id_) {
+        return begin(owner, order, now);  // The asker itself lost the ticket, so the call was surely not sent.
+      }
       return open_resolve{call.upstream_, call.key_};
     case call_phase::failed:
       if (owner.ended_) {
@@ -158,7 +178,7 @@
   if (ordered && order.number_ > highest + 1) {
     return open_wait{};
   }
-  if (ordered && highest > 0 && !lets_next_pass(owner.calls_.rbegin()->second.phase_)) {
+  if (ordered && highest > 0 && !lets_next_pass(owner.calls_.rbegin()->second)) {
     return open_wait{};
   }
   if (order.parent_ != 0 && owner.calls_.count(order.parent_) == 0) {
@@ -271,7 +291,8 @@
   if (running == attempts_.end() || running->second.settling_) {
     return {};
   }
-  if (!call.repeatable_ && owner->durable_) {
+  auto intent_may_be_durable = !call.repeatable_ && owner->durable_ && call.phase_ != call_phase::committing;
+  if (intent_may_be_durable) {
     running->second.settling_ = true;  // The intent may be durable; the void record settles it.
     auto record = journal_record{record_kind::call_voided, account, program, number};
     record.epoch_ = epoch_;
@@ -300,6 +321,7 @@
     return false;
   }
   known->second.phase_ = call_phase::accepted;
+  known->second.accepted_ = true;
   return true;
 }
 
@@ -326,6 +348,8 @@
     }
     auto& owner = programs_.at(running.program_key_);
     auto report = call_settlement{owner.account_, owner.id_, running.number_, epoch_, sequence};
+    auto known = owner.calls_.find(running.number_);
+    report.digest_ = known == owner.calls_.end() ? 0 : known->second.digest_;
     report.max_tokens_ = running.cost_;
     running.settling_ = true;
     records.push_back(charged_record(owner, report, running.cost_));
@@ -333,8 +357,7 @@
   for (auto& [key, one] : programs_) {
     auto idle = now - one.last_active_ >= settings_.idle_limit_;
     auto busy = std::any_of(one.calls_.begin(), one.calls_.end(),
-                            [](const auto& entry) { return !lets_next_pass(entry.second.phase_) ||
-                                                           entry.second.phase_ == call_phase::accepted; });
+                            [](const auto& entry) { return in_flight(entry.second); });
     if (!one.ended_ && idle && !busy) {
       auto record = journal_record{record_kind::program_ended, one.account_, one.id_};
       record.reason_ = "idle";
--- a/birchlever/coordination/program_ledger_settle.cpp
+++ b/birchlever/coordination/program_ledger_settle.cpp
@@ -49,6 +49,7 @@
   auto& call = owner->calls_[under_way.number_];
   call.number_ = under_way.number_;
   call.phase_ = call_phase::accepted;
+  call.accepted_ = true;
   call.repeatable_ = under_way.repeatable_;
   call.max_tokens_ = under_way.max_tokens_;
   call.digest_ = under_way.digest_;
--- a/birchlever/core/test_switches.cpp
+++ b/birchlever/core/test_switches.cpp
@@ -16,6 +16,11 @@
   disabled_.insert(name);
 }
 
+auto test_switches::enable_mechanism(const std::string& name) -> void {
+  auto lock = std::lock_guard{mutex_};
+  disabled_.erase(name);
+}
+
 auto test_switches::mechanism_on(const std::string& name) const -> bool {
   if (!enabled_) {
     return true;
--- a/birchlever/core/test_switches.h
+++ b/birchlever/core/test_switches.h
@@ -27,6 +27,9 @@
   /// Turns a mechanism off by name, to show that its scenario fails without it.
   auto disable_mechanism(const std::string& name) -> void;
 
+  /// Turns a mechanism on again.
+  auto enable_mechanism(const std::string& name) -> void;
+
   /// True unless a test turned the mechanism off.
   [[nodiscard]] auto mechanism_on(const std::string& name) const -> bool;
 
--- a/birchlever/operators/statement_grammar.cpp
+++ b/birchlever/operators/statement_grammar.cpp
@@ -139,6 +139,9 @@
 const auto whole_statement = form > options > -x3::lit(';') > x3::eoi;
 
 auto syntax_fault(const std::string& text, std::size_t offset, const std::string& expected) -> error {
+  while (offset < text.size() && (text[offset] == ' ' || text[offset] == '\n')) {
+    ++offset;  // The place of the word that is wrong, not of the blank before it.
+  }
   auto line = 1 + std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(offset), '\n');
   auto line_begin = text.rfind('\n', offset == 0 ? 0 : offset - 1);
   auto column = offset - (line_begin == std::string::npos ? 0 : line_begin + 1) + 1;
@@ -161,6 +164,10 @@
   auto parsed = statement{};
   auto next = text.begin();
   auto offset_of = [&text](auto place) { return static_cast<std::size_t>(place - text.begin()); };
+  auto foreign = std::find_if(text.begin(), text.end(), [](char letter) { return letter < 0; });
+  if (foreign != text.end()) {
+    return syntax_fault(text, offset_of(foreign), "ASCII text");  // The grammar's character classes need it.
+  }
   try {
     auto grammar = x3::with<statement_tag>(std::ref(parsed))[whole_statement];
     if (x3::phrase_parse(next, text.end(), grammar, x3::space)) {
--- a/scenarios/scenario_grammar.cpp
+++ b/scenarios/scenario_grammar.cpp
@@ -58,6 +58,10 @@
 auto parse_step(const std::string& text, int line) -> result<scenario_step> {
   auto parsed = scenario_step{};
   parsed.line_ = line;
+  auto foreign = std::find_if(text.begin(), text.end(), [](char letter) { return letter < 0; });
+  if (foreign != text.end()) {
+    return fault_at(line, static_cast<std::size_t>(foreign - text.begin()), "ASCII text");
+  }
   auto next = text.begin();
   try {
     auto grammar = x3::with<line_tag>(std::ref(parsed))[step];
--- /dev/null
+++ b/unit_tests/coordination/program_ledger_test.cpp
@@ -0,0 +1,267 @@
+#include "birchlever/coordination/program_ledger.h"
+
+#include <catch2/catch.hpp>
+
+namespace birchlever {
+namespace {
+
+auto order_of(int number, bool repeatable = true) -> call_order {
+  auto order = call_order{"notary", "p", number};
+  order.budget_ = 1000;
+  order.max_tokens_ = 100;
+  order.digest_ = 1000U + static_cast<unsigned>(number);
+  order.repeatable_ = repeatable;
+  order.deadline_ = 5000;
+  order.request_id_ = "r" + std::to_string(number);
+  return order;
+}
+
+/// The same call asked for anew: each request of a caller has an id of its own.
+auto asked_again(call_order order) -> call_order {
+  order.request_id_ += "-again";
+  return order;
+}
+
+/// A ledger whose records become durable at once, and are kept for a successor.
+struct one_owner {
+  explicit one_owner(std::int64_t epoch = 1) : ledger_{value(program_ledger::create({}, epoch))} {}
+
+  auto keep(const std::vector<journal_record>& records) -> void {
+    for (const auto& record : records) {
+      ledger_.apply(record, 0);
+      journal_.push_back(record);
+    }
+  }
+
+  auto send(const call_order& order) -> call_ticket {
+    auto decision = ledger_.open(order, "default", 0);
+    REQUIRE(std::holds_alternative<open_proceed>(decision));
+    auto [ticket, intent] = ledger_.dispatch(order, "engine-1", 0);
+    keep(std::get<open_proceed>(decision).records_);
+    if (intent) {
+      keep({*intent});
+    }
+    return ticket;
+  }
+
+  auto report(const call_order& order, const call_ticket& ticket, call_outcome outcome) -> call_settlement {
+    auto made = call_settlement{order.account_, order.program_, order.number_, ticket.epoch_, ticket.sequence_, outcome};
+    made.tokens_ = 40;
+    made.max_tokens_ = ticket.max_tokens_;
+    made.digest_ = order.digest_;
+    made.repeatable_ = order.repeatable_;
+    made.answer_ = "answer " + std::to_string(order.number_);
+    made.upstream_ = "engine-1";
+    return made;
+  }
+
+  auto answer(const call_order& order, const call_ticket& ticket) -> void {
+    ledger_.accepted("notary", "p", order.number_, ticket.sequence_);
+    auto settled = ledger_.settle(report(order, ticket, call_outcome::answered), 0);
+    REQUIRE(ok(settled));
+    keep(value(settled).records_);
+  }
+
+  auto succeed(std::int64_t epoch) -> one_owner {
+    auto next = one_owner{epoch};
+    REQUIRE(ok(next.ledger_.recover({"", journal_, 0, 0}, 0)));
+    next.journal_ = journal_;
+    return next;
+  }
+
+  program_ledger ledger_;
+  std::vector<journal_record> journal_;
+};
+
+auto code_of(const open_decision& decision) -> error_code {
+  REQUIRE(std::holds_alternative<error>(decision));
+  return std::get<error>(decision).code_;
+}
+
+}  // namespace
+
+TEST_CASE("a call waits until the one before it was accepted") {
+  auto owner = one_owner{};
+  auto ticket = owner.send(order_of(1));
+  CHECK(std::holds_alternative<open_wait>(owner.ledger_.open(order_of(2), "default", 0)));
+  CHECK(owner.ledger_.accepted("notary", "p", 1, ticket.sequence_));
+  CHECK(std::holds_alternative<open_proceed>(owner.ledger_.open(order_of(2), "default", 0)));
+  CHECK(std::holds_alternative<open_wait>(owner.ledger_.open(order_of(4), "default", 0)));
+}
+
+TEST_CASE("a duplicate of an answered call gets the answer, another request under its number is refused") {
+  auto owner = one_owner{};
+  owner.answer(order_of(1), owner.send(order_of(1)));
+  auto again = owner.ledger_.open(order_of(1), "default", 0);
+  REQUIRE(std::holds_alternative<open_replay>(again));
+  CHECK(std::get<open_replay>(again).answer_ == "answer 1");
+  auto other = order_of(1);
+  other.digest_ = 5;
+  CHECK(code_of(owner.ledger_.open(other, "default", 0)) == error_code::call_mismatch);
+}
+
+TEST_CASE("another account cannot go on with a program") {
+  auto owner = one_owner{};
+  owner.answer(order_of(1), owner.send(order_of(1)));
+  auto foreign = order_of(2);
+  foreign.account_ = "fiduciary";
+  CHECK(code_of(owner.ledger_.open(foreign, "default", 0)) == error_code::unknown_program);
+}
+
+TEST_CASE("a call that may not be repeated is resolved, never sent again, after a takeover") {
+  auto owner = one_owner{};
+  owner.answer(order_of(1), owner.send(order_of(1)));
+  auto lost = order_of(2, false);
+  owner.send(lost);
+  auto next = owner.succeed(2);
+  auto decision = next.ledger_.open(asked_again(lost), "default", 0);
+  REQUIRE(std::holds_alternative<open_resolve>(decision));
+  CHECK(std::get<open_resolve>(decision).key_ == "notary/p/2");
+}
+
+TEST_CASE("a late answer of an earlier epoch settles its call") {
+  auto owner = one_owner{};
+  auto order = order_of(1, false);
+  auto ticket = owner.send(order);
+  auto next = owner.succeed(2);
+  next.answer(order, ticket);
+  CHECK(std::holds_alternative<open_replay>(next.ledger_.open(order, "default", 0)));
+  CHECK(next.ledger_.find("notary", "p")->budget_.settled() == 40);
+}
+
+TEST_CASE("a ticket that never arrived is voided by its request, and only by it") {
+  auto owner = one_owner{};
+  auto order = order_of(1, false);
+  owner.send(order);
+  auto next = owner.succeed(2);
+  auto unused = call_settlement{"notary", "p", 1};
+  unused.outcome_ = call_outcome::not_run;
+  unused.request_id_ = "someone else's";
+  CHECK(value(next.ledger_.settle(unused, 0)).records_.empty());
+  unused.request_id_ = order.request_id_;
+  next.keep(value(next.ledger_.settle(unused, 0)).records_);
+  CHECK(std::holds_alternative<open_proceed>(next.ledger_.open(order, "default", 0)));
+}
+
+TEST_CASE("a call that was opened but found no upstream can be opened again") {
+  auto owner = one_owner{};
+  owner.answer(order_of(1), owner.send(order_of(1)));
+  auto order = order_of(2, false);
+  REQUIRE(std::holds_alternative<open_proceed>(owner.ledger_.open(order, "default", 0)));
+  CHECK(owner.ledger_.cancel("notary", "p", 2).empty());
+  CHECK(std::holds_alternative<open_proceed>(owner.ledger_.open(order, "default", 0)));
+}
+
+TEST_CASE("an entry that lost its own ticket may ask again for it, another is told the outcome is unknown") {
+  auto owner = one_owner{};
+  auto order = order_of(1, false);
+  owner.send(order);
+  auto next = owner.succeed(2);
+  CHECK(std::holds_alternative<open_resolve>(next.ledger_.open(asked_again(order), "default", 0)));
+  CHECK(std::holds_alternative<open_proceed>(next.ledger_.open(order, "default", 0)));
+}
+
+TEST_CASE("a call that failed before it was accepted is sent again before the next one") {
+  auto owner = one_owner{};
+  auto order = order_of(1);
+  auto ticket = owner.send(order);
+  auto failed = owner.report(order, ticket, call_outcome::failed);
+  owner.keep(value(owner.ledger_.settle(failed, 0)).records_);
+  CHECK(std::holds_alternative<open_wait>(owner.ledger_.open(order_of(2), "default", 0)));
+  auto again = owner.send(order);
+  owner.ledger_.accepted("notary", "p", 1, again.sequence_);
+  CHECK(std::holds_alternative<open_proceed>(owner.ledger_.open(order_of(2), "default", 0)));
+}
+
+TEST_CASE("an attempt that ran out is charged in full, and its call is known after a takeover") {
+  auto owner = one_owner{};
+  owner.send(order_of(1));
+  auto records = owner.ledger_.expire(1000000);
+  REQUIRE(records.size() == 1);
+  owner.keep(records);
+  CHECK(owner.ledger_.find("notary", "p")->budget_.settled() == 100);
+  auto next = owner.succeed(2);
+  CHECK(std::holds_alternative<open_proceed>(next.ledger_.open(order_of(1), "default", 0)));
+}
+
+TEST_CASE("a gap that a dead owner left can be filled") {
+  auto owner = one_owner{};
+  auto first = owner.send(order_of(1));
+  owner.ledger_.accepted("notary", "p", 1, first.sequence_);
+  auto second = owner.send(order_of(2));
+  auto next = owner.succeed(2);
+  next.answer(order_of(2), second);
+  CHECK(std::holds_alternative<open_proceed>(next.ledger_.open(order_of(1), "default", 0)));
+}
+
+TEST_CASE("a new owner adopts a call under way, so that the next one may follow") {
+  auto owner = one_owner{};
+  auto ticket = owner.send(order_of(1));
+  auto next = owner.succeed(2);
+  auto under_way = owner.report(order_of(1), ticket, call_outcome::answered);
+  CHECK(next.ledger_.adopt(under_way, 0));
+  CHECK(!next.ledger_.adopt(under_way, 0));
+  CHECK(std::holds_alternative<open_wait>(next.ledger_.open(order_of(1), "default", 0)));
+  CHECK(std::holds_alternative<open_proceed>(next.ledger_.open(order_of(2), "default", 0)));
+}
+
+TEST_CASE("a budget is never passed, and what was reserved stays held after a takeover") {
+  auto owner = one_owner{};
+  auto order = order_of(1);
+  order.max_tokens_ = 900;
+  owner.send(order);
+  auto next = owner.succeed(2);
+  const auto& budget = next.ledger_.find("notary", "p")->budget_;
+  CHECK(budget.held() == budget.reserved());
+  CHECK(budget.held() >= 900);
+  auto again = order;
+  again.max_tokens_ = 200;
+  CHECK(code_of(next.ledger_.open(again, "default", 0)) == error_code::budget_exhausted);
+}
+
+TEST_CASE("loops, long programs and ended programs are refused by type") {
+  auto owner = one_owner{};
+  for (auto number = 1; number <= 8; ++number) {
+    auto order = order_of(number);
+    order.digest_ = 7;
+    order.max_tokens_ = 1;
+    owner.answer(order, owner.send(order));
+  }
+  auto ninth = order_of(9);
+  ninth.digest_ = 7;
+  CHECK(code_of(owner.ledger_.open(ninth, "default", 0)) == error_code::program_looping);
+  owner.keep(owner.ledger_.end("notary", "p", "done"));
+  CHECK(code_of(owner.ledger_.open(order_of(9), "default", 0)) == error_code::program_ended);
+}
+
+TEST_CASE("a program without calls ends after the idle limit, and is forgotten later") {
+  auto owner = one_owner{};
+  owner.answer(order_of(1), owner.send(order_of(1)));
+  CHECK(owner.ledger_.expire(599999).empty());
+  auto records = owner.ledger_.expire(600000);
+  REQUIRE(records.size() == 1);
+  CHECK(records.front().reason_ == "idle");
+  owner.keep(records);
+  owner.ledger_.forget(1200001);
+  CHECK(owner.ledger_.size() == 0);
+}
+
+TEST_CASE("a snapshot holds what the records hold, with answers moved out") {
+  auto owner = one_owner{};
+  owner.answer(order_of(1), owner.send(order_of(1)));
+  owner.send(order_of(2, false));
+  auto snapshot = owner.ledger_.prepare_snapshot(1, 9);
+  CHECK(snapshot.segment_ == "answer 1");
+  auto next = one_owner{2};
+  REQUIRE(ok(next.ledger_.recover({snapshot.state_, {}, 0, 0}, 0)));
+  auto replay = next.ledger_.open(order_of(1), "default", 0);
+  REQUIRE(std::holds_alternative<open_replay>(replay));
+  CHECK(std::get<open_replay>(replay).location_.segment_ == snapshot.segment_key_);
+  CHECK(std::holds_alternative<open_resolve>(next.ledger_.open(asked_again(order_of(2, false)), "default", 0)));
+  owner.ledger_.complete_snapshot(snapshot);
+  auto own = owner.ledger_.open(order_of(1), "default", 0);
+  CHECK(std::get<open_replay>(own).location_.length_ == 8);
+  CHECK(!ok(next.ledger_.recover({"{\"programs\":[{}]}", {}, 0, 0}, 0)));
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/unit_tests/policy/policy_test.cpp
@@ -0,0 +1,102 @@
+#include <catch2/catch.hpp>
+
+#include "birchlever/policy/policy_interface.h"
+#include "birchlever/upstream/upstream_table.h"
+
+namespace birchlever {
+namespace {
+
+auto engines() -> std::vector<engine_view> {
+  auto made = std::vector<engine_view>(3);
+  for (auto index = 0; index < 3; ++index) {
+    auto& engine = made[static_cast<std::size_t>(index)];
+    engine.id_ = "engine-" + std::to_string(index);
+    engine.capacity_ = 8;
+    engine.cache_capacity_ = 100000;
+    engine.running_ = 2;
+  }
+  return made;
+}
+
+auto call() -> call_view {
+  auto made = call_view{};
+  made.prompt_tokens_ = 8000;
+  made.max_tokens_ = 100;
+  made.cached_tokens_ = {0, 0, 0};
+  return made;
+}
+
+auto chosen(policy_kind kind, const call_view& view, const std::vector<engine_view>& list) -> std::size_t {
+  auto policy = value(make_policy({kind, {}}));
+  auto made = policy->choose(view, list);
+  REQUIRE(ok(made));
+  return value(made).engine_;
+}
+
+}  // namespace
+
+TEST_CASE("every policy decides alike on the same view, and refuses when nothing is usable") {
+  for (auto kind : {policy_kind::round_robin, policy_kind::least_loaded, policy_kind::prefix_affinity,
+                    policy_kind::least_attained_service, policy_kind::program_aware}) {
+    CHECK(chosen(kind, call(), engines()) == chosen(kind, call(), engines()));
+    auto barred = engines();
+    for (auto& engine : barred) {
+      engine.usable_ = false;
+    }
+    auto refused = value(make_policy({kind, {}}))->choose(call(), barred);
+    REQUIRE(!ok(refused));
+    CHECK(failure(refused).code_ == error_code::no_upstream);
+  }
+}
+
+TEST_CASE("the own policy follows the prefix unless its engine is far behind") {
+  auto view = call();
+  view.cached_tokens_ = {0, 7500, 0};
+  auto list = engines();
+  CHECK(chosen(policy_kind::program_aware, view, list) == 1);
+  list[1].queued_ = 60;
+  CHECK(chosen(policy_kind::program_aware, view, list) != 1);
+}
+
+TEST_CASE("an old load report loses weight against what the owner sent itself") {
+  auto list = engines();
+  list[0].running_ = 0;
+  list[0].report_age_ms_ = 60000;
+  list[0].sent_since_report_ = 40;
+  CHECK(chosen(policy_kind::program_aware, call(), list) != 0);
+}
+
+TEST_CASE("parameters are checked by name and range") {
+  CHECK(!ok(check_policy({policy_kind::program_aware, {{"cache_weight", 1000}}})));
+  CHECK(!ok(check_policy({policy_kind::round_robin, {{"cache_weight", 1}}})));
+  CHECK(ok(check_policy({policy_kind::program_aware, {{"cache_weight", 2}}})));
+}
+
+TEST_CASE("the upstream table leaves out what leaves, is drained or keeps failing") {
+  auto table = upstream_table{};
+  auto entry = [](const std::string& id) {
+    auto made = vm_entry{id, vm_kind::engine, {"127.0.0.1", 1}, "a"};
+    made.models_ = {"standard"};
+    return made;
+  };
+  auto list = std::vector{entry("one"), entry("two")};
+  auto policy = value(make_policy({policy_kind::least_loaded, {}}));
+  auto wish = placement{};
+  wish.call_.model_ = "standard";
+  table.set_upstreams(list, {"one"}, {});
+  CHECK(value(table.choose(*policy, wish, 0)).upstream_.id_ == "two");
+  list[1].leaving_ = true;
+  table.set_upstreams(list, {}, {});
+  CHECK(value(table.choose(*policy, wish, 0)).upstream_.id_ == "one");
+  list[1].leaving_ = false;
+  table.set_upstreams(list, {}, {});
+  table.done("one", true, 10);
+  table.done("one", true, 10);
+  CHECK(value(table.choose(*policy, wish, 20)).upstream_.id_ == "two");
+  wish.call_.avoid_ = {"two"};
+  CHECK(value(table.choose(*policy, wish, 20)).upstream_.id_ == "one");
+  table.set_upstreams({}, {}, {});
+  CHECK(!ok(table.choose(*policy, wish, 20)));
+}
+
+}  // namespace birchlever
