--- a/birchlever/controllers/control_controller.cpp
+++ b/birchlever/controllers/control_controller.cpp
@@ -111,8 +111,8 @@
   auto place = std::find(ranking.begin(), ranking.end(), context_->daemon_id_);
   auto observed = std::make_shared<observed_message>();
   observed->row_ = row;
-  observed->rank_ = place == ranking.end() ? static_cast<int>(ranking.size())
-                                           : static_cast<int>(place - ranking.begin());
+  observed->rank_ =
+      place == ranking.end() ? static_cast<int>(ranking.size()) : static_cast<int>(place - ranking.begin());
   auto index = static_cast<std::size_t>(shard);
   auto now = context_->clock_->now();
   if (ranking.empty() || place == ranking.begin()) {
--- a/birchlever/controllers/owner_gateway.cpp
+++ b/birchlever/controllers/owner_gateway.cpp
@@ -67,8 +67,9 @@
 template <class Reply, class Local, class Remote>
 auto owner_gateway::reach(int shard, milliseconds patience, Local local, Remote remote) -> Reply {
   auto give_up_at = context_->clock_->now() + patience;
-  auto reply = Reply{error{error_code::owner_unreachable, "shard " + std::to_string(shard) + " has no owner now",
-                           ran_state::not_run, no_owner_retry_ms}};
+  auto reply =
+      Reply{error{error_code::owner_unreachable, "shard " + std::to_string(shard) + " has no owner now",
+                  ran_state::not_run, no_owner_retry_ms}};
   while (true) {
     auto claim = context_->fleet_->claim(shard);
     if (claim.address_ == context_->peer_address_) {
@@ -90,7 +91,8 @@
       shard, owner_patience_ms,
       [&] {
         auto local = shards_->open(shard, request);
-        ticket_may_be_lost = ticket_may_be_lost || (!ok(local) && failure(local).ran_ == ran_state::outcome_unknown);
+        ticket_may_be_lost =
+            ticket_may_be_lost || (!ok(local) && failure(local).ran_ == ran_state::outcome_unknown);
         return local;
       },
       [&](const std::string& address) -> open_reply {
@@ -211,9 +213,9 @@
     if (open && context_->clock_->now() < one.give_up_at_) {
       still_open.push_back(std::move(one));
     } else if (open) {
-      log_event(log_level::error, "settlement_given_up",
-                {{"program", one.request_.report_.program_},
-                 {"call", std::int64_t{one.request_.report_.number_}}});
+      log_event(
+          log_level::error, "settlement_given_up",
+          {{"program", one.request_.report_.program_}, {"call", std::int64_t{one.request_.report_.number_}}});
     }
   }
   auto lock = std::lock_guard{mutex_};
@@ -262,7 +264,8 @@
   auto give_up_at = context_->clock_->now() + owner_patience_ms;
   while (true) {
     auto reply = reach<result<std::string>>(shard, owner_patience_ms, local, remote);
-    auto changing = ok(reply) && error_in(value(reply)) && value(reply).find("\"not_owner\"") != std::string::npos;
+    auto changing =
+        ok(reply) && error_in(value(reply)) && value(reply).find("\"not_owner\"") != std::string::npos;
     if (!changing || context_->clock_->now() >= give_up_at) {
       return reply;
     }
@@ -297,12 +300,13 @@
 
 auto owner_gateway::tell_generation(const std::string& address) -> void {
   auto reply = rpc::text_reply{};
-  (void)peers_->call(address, short_timeout_ms, [&](auto& client) { client.hear_generation(reply, envelope()); });
+  (void)peers_->call(address, short_timeout_ms,
+                     [&](auto& client) { client.hear_generation(reply, envelope()); });
 }
 
 auto owner_gateway::share_views(const std::string& address, const std::string& views) -> void {
-  auto sent = peers_->call(address, short_timeout_ms,
-                           [&](auto& client) { client.share_views(envelope(), views); });
+  auto sent =
+      peers_->call(address, short_timeout_ms, [&](auto& client) { client.share_views(envelope(), views); });
   context_->metrics_->count(ok(sent) ? "views_shared_total" : "views_share_failures_total");
 }
 
--- a/birchlever/controllers/shard_controller.cpp
+++ b/birchlever/controllers/shard_controller.cpp
@@ -30,8 +30,8 @@
 
 }  // namespace
 
-shard_controller::shard_controller(caf::actor_config& config, std::shared_ptr<daemon_context> context, int shard,
-                                   caf::actor upstream_worker)
+shard_controller::shard_controller(caf::actor_config& config, std::shared_ptr<daemon_context> context,
+                                   int shard, caf::actor upstream_worker)
     : caf::event_based_actor{config},
       context_{std::move(context)},
       shard_{shard},
@@ -39,7 +39,8 @@
       validity_{std::make_shared<lease_validity>()} {}
 
 auto shard_controller::make_behavior() -> caf::behavior {
-  writer_ = spawn<shard_writer, caf::detached>(context_, shard_, validity_, caf::actor_cast<caf::actor>(this));
+  writer_ =
+      spawn<shard_writer, caf::detached>(context_, shard_, validity_, caf::actor_cast<caf::actor>(this));
   delayed_send(this, tick_gap, tick_atom::value);
   return {
       [this](open_atom, const shared<open_request>& request) {
@@ -113,8 +114,8 @@
 }
 
 auto shard_controller::not_owner() const -> error {
-  return {error_code::not_owner, "this daemon does not own shard " + std::to_string(shard_), ran_state::not_run,
-          owner_retry_ms};
+  return {error_code::not_owner, "this daemon does not own shard " + std::to_string(shard_),
+          ran_state::not_run, owner_retry_ms};
 }
 
 auto shard_controller::open(const shared<open_request>& request, open_promise promise) -> void {
@@ -202,8 +203,8 @@
   promise.deliver(make_open_reply(ticket));
 }
 
-auto shard_controller::replay(open_promise promise, const std::string& answer, const answer_location& location)
-    -> void {
+auto shard_controller::replay(open_promise promise, const std::string& answer,
+                              const answer_location& location) -> void {
   auto text = read_answer(*context_, answer, location);
   if (!ok(text)) {
     promise.deliver(make_open_reply(failure(text)));
@@ -213,9 +214,11 @@
   promise.deliver(make_open_reply(replayed_answer{value(text)}));
 }
 
-auto shard_controller::wait(const shared<open_request>& request, open_promise promise, bool own_answer) -> void {
+auto shard_controller::wait(const shared<open_request>& request, open_promise promise, bool own_answer)
+    -> void {
   if (waiting_.size() >= static_cast<std::size_t>(context_->settings_.max_waiting_)) {
-    promise.deliver(make_open_reply(error{error_code::overloaded, "too many calls wait for their turn", ran_state::not_run, 1000}));
+    promise.deliver(make_open_reply(
+        error{error_code::overloaded, "too many calls wait for their turn", ran_state::not_run, 1000}));
     return;
   }
   auto now = context_->clock_->now();
@@ -250,8 +253,13 @@
       auto call = owner == nullptr ? decltype(owner->calls_.end()){} : owner->calls_.find(order.number_);
       if (owner != nullptr && call != owner->calls_.end() && !call->second.upstream_.empty()) {
         auto question = std::make_shared<probe_message>();
-        *question = {order.account_, order.program_, order.number_, call->second.upstream_, call->second.key_,
-                     call->second.sequence_, !one.request_->service_.empty()};
+        *question = {order.account_,
+                     order.program_,
+                     order.number_,
+                     call->second.upstream_,
+                     call->second.key_,
+                     call->second.sequence_,
+                     !one.request_->service_.empty()};
         send(upstream_worker_, probe_atom::value, shared<probe_message>{question});
       }
     }
@@ -261,7 +269,9 @@
     }
     auto code = one.own_answer_ ? error_code::call_in_progress : error_code::call_out_of_order;
     auto state = one.own_answer_ ? ran_state::outcome_unknown : ran_state::not_run;
-    one.promise_.deliver(make_open_reply(error{code, "call " + std::to_string(order.number_) + " waited too long for its turn", state, owner_retry_ms}));
+    one.promise_.deliver(
+        make_open_reply(error{code, "call " + std::to_string(order.number_) + " waited too long for its turn",
+                              state, owner_retry_ms}));
     next = waiting_.erase(next);
   }
 }
@@ -274,8 +284,13 @@
     return;
   }
   auto message = std::make_shared<probe_message>();
-  *message = {request->order_.account_, request->order_.program_, request->order_.number_, question.upstream_,
-              question.key_, 0, true};
+  *message = {request->order_.account_,
+              request->order_.program_,
+              request->order_.number_,
+              question.upstream_,
+              question.key_,
+              0,
+              true};
   send(upstream_worker_, probe_atom::value, shared<probe_message>{message});
 }
 
@@ -286,8 +301,8 @@
   auto now = context_->clock_->now();
   auto known = ledger_->accepted(report.account_, report.program_, report.number_, report.sequence_);
   if (!known && report.epoch_ < epoch_) {
-    auto under_way = call_settlement{report.account_, report.program_, report.number_, report.epoch_,
-                                     report.sequence_};
+    auto under_way =
+        call_settlement{report.account_, report.program_, report.number_, report.epoch_, report.sequence_};
     under_way.max_tokens_ = report.max_tokens_;
     under_way.digest_ = report.digest_;
     under_way.repeatable_ = report.repeatable_;
--- a/birchlever/controllers/shard_controller.h
+++ b/birchlever/controllers/shard_controller.h
@@ -60,7 +60,8 @@
       -> void;
   auto replay(open_promise promise, const std::string& answer, const answer_location& location) -> void;
   auto wait(const shared<open_request>& request, open_promise promise, bool own_answer) -> void;
-  auto resolve(const shared<open_request>& request, open_promise promise, const open_resolve& question) -> void;
+  auto resolve(const shared<open_request>& request, open_promise promise, const open_resolve& question)
+      -> void;
   auto settle(const shared<settle_request>& request, settle_promise promise) -> void;
   auto accepted(const accepted_report& report) -> void;
   auto wake(const std::string& account, const std::string& program) -> void;
--- a/birchlever/controllers/shard_placement.cpp
+++ b/birchlever/controllers/shard_placement.cpp
@@ -99,7 +99,8 @@
   if (!ok(segment)) {
     return failure(segment);
   }
-  auto complete = value(segment) && value(segment)->size() >= static_cast<std::size_t>(location.offset_ + location.length_);
+  auto complete = value(segment) &&
+                  value(segment)->size() >= static_cast<std::size_t>(location.offset_ + location.length_);
   if (!complete) {
     return error{error_code::store_unavailable, "history segment is missing", ran_state::ran, 1000};
   }
--- a/birchlever/controllers/shard_programs.cpp
+++ b/birchlever/controllers/shard_programs.cpp
@@ -25,7 +25,8 @@
 }
 
 auto phase_name(call_phase phase) -> const char* {
-  constexpr const char* names[] = {"committing", "dispatched", "accepted", "answered", "failed", "unresolved"};
+  constexpr const char* names[] = {"committing", "dispatched", "accepted",
+                                   "answered",   "failed",     "unresolved"};
   return names[static_cast<int>(phase)];
 }
 
@@ -151,7 +152,8 @@
     return;
   }
   auto records = ledger_->end(request.account_, request.program_, reason);
-  auto body = json{{"program", request.program_}, {"ended", true}, {"spent", owner->budget_.settled()}}.dump();
+  auto body =
+      json{{"program", request.program_}, {"ended", true}, {"spent", owner->budget_.settled()}}.dump();
   commit(std::move(records), [this, promise, body](bool durable) mutable {
     promise.deliver(durable ? body : failed_text(not_owner()));
   });
@@ -209,19 +211,20 @@
   ledger_->each([&](const program& one) {
     if (kind == "programs") {
       auto explained = explanations_.find(one.account_ + "/" + one.id_);
-      list.push_back({{"program", one.id_},
-                      {"account", one.account_},
-                      {"policy", one.policy_},
-                      {"shard", shard_},
-                      {"daemon", context_->daemon_id_},
-                      {"calls", static_cast<std::int64_t>(one.calls_.size())},
-                      {"budget", one.budget_.budget()},
-                      {"spent", one.budget_.settled()},
-                      {"held", one.budget_.held()},
-                      {"ended", one.ended_},
-                      {"upstream", one.last_upstream_},
-                      {"idle_ms", now - one.last_active_},
-                      {"explanation", explained == explanations_.end() ? "" : explain(one.policy_, explained->second)}});
+      list.push_back(
+          {{"program", one.id_},
+           {"account", one.account_},
+           {"policy", one.policy_},
+           {"shard", shard_},
+           {"daemon", context_->daemon_id_},
+           {"calls", static_cast<std::int64_t>(one.calls_.size())},
+           {"budget", one.budget_.budget()},
+           {"spent", one.budget_.settled()},
+           {"held", one.budget_.held()},
+           {"ended", one.ended_},
+           {"upstream", one.last_upstream_},
+           {"idle_ms", now - one.last_active_},
+           {"explanation", explained == explanations_.end() ? "" : explain(one.policy_, explained->second)}});
     }
     if (kind == "calls") {
       for (const auto& [number, call] : one.calls_) {
--- a/birchlever/controllers/shard_set.cpp
+++ b/birchlever/controllers/shard_set.cpp
@@ -71,8 +71,8 @@
 
 auto shard_set::settle(int shard, settle_request request, milliseconds wait) -> settle_reply {
   auto message = shared<settle_request>{std::make_shared<settle_request>(std::move(request))};
-  auto reply = ask<settle_reply>(system_, actor_of(shard),
-                                 std::chrono::milliseconds{wait}, settle_atom::value, message);
+  auto reply = ask<settle_reply>(system_, actor_of(shard), std::chrono::milliseconds{wait},
+                                 settle_atom::value, message);
   return reply ? *reply : settle_reply{no_answer(ran_state::outcome_unknown)};
 }
 
--- a/birchlever/controllers/shard_writer.cpp
+++ b/birchlever/controllers/shard_writer.cpp
@@ -26,8 +26,8 @@
   settings.margin_ = context_->settings_.lease_margin_ms_;
   settings.renew_every_ = context_->settings_.lease_renew_ms_;
   settings.rank_step_ = std::max<milliseconds>(50, context_->settings_.lease_margin_ms_ / 2);
-  auto made = lease::create(settings, shard_, context_->instance_id_, context_->peer_address_, context_->store_,
-                            context_->clock_);
+  auto made = lease::create(settings, shard_, context_->instance_id_, context_->peer_address_,
+                            context_->store_, context_->clock_);
   if (ok(made)) {
     lease_.emplace(std::move(value(made)));
   }
@@ -105,7 +105,8 @@
   auto found = journal_->recover();
   while (!ok(found) && lease_->held()) {
     log_failure(log_level::warning, "recovery_retry", failure(found));
-    journal_.emplace(value(journal::create(journal_settings{}, shard_, lease_->fence_version(), context_->store_)));
+    journal_.emplace(
+        value(journal::create(journal_settings{}, shard_, lease_->fence_version(), context_->store_)));
     if (lease_->renewal_due()) {
       (void)lease_->renew();
     }
@@ -221,7 +222,8 @@
   lease_->abandon();
   pending_.clear();
   pending_batch_ = 0;
-  log_event(log_level::info, "shard_lost", {{"shard", std::int64_t{shard_}}, {"reason", std::string{reason}}});
+  log_event(log_level::info, "shard_lost",
+            {{"shard", std::int64_t{shard_}}, {"reason", std::string{reason}}});
   send(controller_, lost_atom::value);
 }
 
--- a/birchlever/controllers/upstream_watch.cpp
+++ b/birchlever/controllers/upstream_watch.cpp
@@ -19,9 +19,9 @@
 constexpr auto rounds_per_look = 2;
 
 auto to_json(const load_report& report) -> json {
-  return {{"e", report.engine_},         {"r", report.running_},         {"q", report.queued_},
-          {"c", report.capacity_},       {"ct", report.cache_tokens_},   {"cc", report.cache_capacity_},
-          {"l", report.lag_ms_},         {"m", report.models_},          {"ro", report.role_}};
+  return {{"e", report.engine_},   {"r", report.running_},       {"q", report.queued_},
+          {"c", report.capacity_}, {"ct", report.cache_tokens_}, {"cc", report.cache_capacity_},
+          {"l", report.lag_ms_},   {"m", report.models_},        {"ro", report.role_}};
 }
 
 auto report_from_json(const json& body) -> load_report {
@@ -69,7 +69,8 @@
   };
 }
 
-auto upstream_watch::engines_to_ask(const std::vector<std::string>& owners) const -> std::vector<std::string> {
+auto upstream_watch::engines_to_ask(const std::vector<std::string>& owners) const
+    -> std::vector<std::string> {
   auto engines = std::vector<std::string>{};
   for (const auto& entry : *context_->fleet_->vms()) {
     if (entry.kind_ != vm_kind::engine) {
--- a/birchlever/controllers/upstream_worker.cpp
+++ b/birchlever/controllers/upstream_worker.cpp
@@ -111,9 +111,8 @@
     for (const auto& held : body["sessions"]) {
       auto session = held.get<std::string>();
       auto slash = session.find('/');
-      auto ours = slash != std::string::npos &&
-                  shard_of(session.substr(0, slash), session.substr(slash + 1), context_->fleet_->shard_count()) ==
-                      live.shard_;
+      auto ours = slash != std::string::npos && shard_of(session.substr(0, slash), session.substr(slash + 1),
+                                                         context_->fleet_->shard_count()) == live.shard_;
       if (ours && known.count(session) == 0 && release(entry.id_, session)) {
         context_->metrics_->count("sessions_swept_total");
       }
--- a/birchlever/coordination/fleet_configuration.cpp
+++ b/birchlever/coordination/fleet_configuration.cpp
@@ -119,7 +119,8 @@
   if (total == 0) {
     return default_policy_name;
   }
-  auto place = static_cast<std::int64_t>(hash_of(program, hash_of(account, 1)) % static_cast<std::uint64_t>(total));
+  auto place =
+      static_cast<std::int64_t>(hash_of(program, hash_of(account, 1)) % static_cast<std::uint64_t>(total));
   for (const auto& [name, policy] : policies_) {
     auto share = policy.state_ == policy_state::loaded ? policy.share_ : 0;
     if (place < share) {
--- a/birchlever/coordination/fleet_configuration.h
+++ b/birchlever/coordination/fleet_configuration.h
@@ -14,8 +14,8 @@
 
 /// A client account.
 struct client_account {
-  std::string key_digest_;             ///< SHA-256 of its key, in hexadecimal.
-  std::int64_t max_in_flight_ = 256;   ///< Calls it may have under way on one daemon.
+  std::string key_digest_;            ///< SHA-256 of its key, in hexadecimal.
+  std::int64_t max_in_flight_ = 256;  ///< Calls it may have under way on one daemon.
 };
 
 /// Where a policy stands.
--- a/birchlever/coordination/journal.h
+++ b/birchlever/coordination/journal.h
@@ -14,10 +14,10 @@
 
 /// How the journal writes.
 struct journal_settings {
-  int scan_page_ = 256;           ///< Rows read at once during recovery.
-  int trim_page_ = 200;           ///< Rows deleted by one write.
-  int retry_gap_ms_ = 5;          ///< First pause between tries; doubles up to 250 ms. Zero never pauses.
-  int attempts_ = 400;            ///< Tries of one commit before it is reported as unknown.
+  int scan_page_ = 256;   ///< Rows read at once during recovery.
+  int trim_page_ = 200;   ///< Rows deleted by one write.
+  int retry_gap_ms_ = 5;  ///< First pause between tries; doubles up to 250 ms. Zero never pauses.
+  int attempts_ = 400;    ///< Tries of one commit before it is reported as unknown.
 };
 
 /// What recovery found: the newest snapshot and the records after it.
--- a/birchlever/coordination/journal_record.h
+++ b/birchlever/coordination/journal_record.h
@@ -32,14 +32,14 @@
   std::int64_t tokens_ = 0;      ///< Tokens this call spent.
   std::int64_t max_tokens_ = 0;  ///< Tokens this call could have spent.
   std::uint64_t digest_ = 0;     ///< Hash of the request, to tell a duplicate from another call.
-  std::int64_t epoch_ = 0;     ///< Epoch that dispatched the attempt.
-  std::int64_t sequence_ = 0;  ///< Fencing number of the attempt.
+  std::int64_t epoch_ = 0;       ///< Epoch that dispatched the attempt.
+  std::int64_t sequence_ = 0;    ///< Fencing number of the attempt.
   std::string upstream_;
-  std::string key_;     ///< Idempotency key sent to the upstream.
+  std::string key_;         ///< Idempotency key sent to the upstream.
   std::string request_id_;  ///< Of the request that got the ticket.
-  std::string policy_;  ///< Policy the program began under.
-  std::string answer_;  ///< The answer's whole body.
-  std::string reason_;  ///< Why the program ended.
+  std::string policy_;      ///< Policy the program began under.
+  std::string answer_;      ///< The answer's whole body.
+  std::string reason_;      ///< Why the program ended.
 };
 
 /// The stable name of a record kind.
--- a/birchlever/coordination/lease.cpp
+++ b/birchlever/coordination/lease.cpp
@@ -100,7 +100,8 @@
   if (claim_.owner_.empty()) {
     return names_machine_of(owner_, claim_.successor_) || waited >= turn;
   }
-  auto margin = test_switches::instance().mechanism_on("lease_wait") ? settings_.margin_ : -settings_.duration_;
+  auto margin =
+      test_switches::instance().mechanism_on("lease_wait") ? settings_.margin_ : -settings_.duration_;
   return waited >= settings_.duration_ + margin + turn;
 }
 
--- a/birchlever/coordination/lease.h
+++ b/birchlever/coordination/lease.h
@@ -21,10 +21,10 @@
 
 /// What a lease row says.
 struct lease_claim {
-  std::string owner_;      ///< Identity of the holding process; empty when released.
-  std::string address_;    ///< Peer address of the holder, "ip:port".
-  std::int64_t epoch_ = 0; ///< Rises with every change of holder.
-  std::string successor_;  ///< Who should take a released lease.
+  std::string owner_;       ///< Identity of the holding process; empty when released.
+  std::string address_;     ///< Peer address of the holder, "ip:port".
+  std::int64_t epoch_ = 0;  ///< Rises with every change of holder.
+  std::string successor_;   ///< Who should take a released lease.
 };
 
 /// One shard's lease as one process sees it. Not thread safe: one controller owns it.
--- a/birchlever/coordination/program.h
+++ b/birchlever/coordination/program.h
@@ -34,14 +34,14 @@
   std::int32_t parent_ = 0;
   call_phase phase_ = call_phase::committing;
   bool repeatable_ = true;
-  bool accepted_ = false;  ///< Some attempt was confirmed by its upstream.
+  bool accepted_ = false;        ///< Some attempt was confirmed by its upstream.
   std::int64_t max_tokens_ = 0;  ///< What the current attempt could spend.
   std::int64_t tokens_ = 0;      ///< What the call spent.
   std::uint64_t digest_ = 0;
   std::int64_t sequence_ = 0;  ///< Fencing number of the current attempt.
   std::string upstream_;
   std::string key_;
-  std::string request_id_;  ///< Of the request that got the current ticket.
+  std::string request_id_;       ///< Of the request that got the current ticket.
   milliseconds expires_at_ = 0;  ///< When the current attempt is given up.
   std::string answer_;
   answer_location location_;
@@ -55,12 +55,12 @@
   budget_account budget_;
   std::map<std::int32_t, program_call> calls_;
   std::set<std::string> upstreams_;  ///< Upstreams that may hold memory for it.
-  bool durable_ = false;  ///< Its opening is in the journal.
+  bool durable_ = false;             ///< Its opening is in the journal.
   bool ended_ = false;
   std::string end_reason_;
-  bool ephemeral_ = false;           ///< A single call without an identity; nothing of it is durable.
-  milliseconds last_active_ = 0;     ///< On the owner's clock.
-  milliseconds began_at_ = 0;        ///< On the owner's clock; zero when it began under another owner.
+  bool ephemeral_ = false;                ///< A single call without an identity; nothing of it is durable.
+  milliseconds last_active_ = 0;          ///< On the owner's clock.
+  milliseconds began_at_ = 0;             ///< On the owner's clock; zero when it began under another owner.
   std::map<std::uint64_t, int> digests_;  ///< How often each request came, to find loops.
 
   // What policies look at.
--- a/birchlever/coordination/program_ledger.cpp
+++ b/birchlever/coordination/program_ledger.cpp
@@ -124,8 +124,8 @@
   }
   owner->last_active_ = now;
   if (order.budget_ > 0 && order.budget_ != owner->budget_.budget()) {
-    return refuse(error_code::budget_mismatch,
-                  "program " + order.program_ + " has another budget: " + std::to_string(owner->budget_.budget()));
+    return refuse(error_code::budget_mismatch, "program " + order.program_ + " has another budget: " +
+                                                   std::to_string(owner->budget_.budget()));
   }
   auto known = owner->calls_.find(order.number_);
   if (known != owner->calls_.end()) {
@@ -147,7 +147,8 @@
         return begin(owner, order, now);
       }
       if (!order.request_id_.empty() && call.request_id_ == order.request_id_) {
-        return begin(owner, order, now);  // The asker itself lost the ticket, so the call was surely not sent.
+        return begin(owner, order,
+                     now);  // The asker itself lost the ticket, so the call was surely not sent.
       }
       return open_resolve{call.upstream_, call.key_};
     case call_phase::failed:
@@ -268,7 +269,8 @@
   if (order.repeatable_ || owner.ephemeral_ || !test_switches::instance().mechanism_on("at_most_once")) {
     return {ticket, std::nullopt};
   }
-  auto intent = journal_record{record_kind::call_intended, owner.account_, owner.id_, call.number_, call.parent_};
+  auto intent =
+      journal_record{record_kind::call_intended, owner.account_, owner.id_, call.number_, call.parent_};
   intent.max_tokens_ = call.max_tokens_;
   intent.digest_ = call.digest_;
   intent.epoch_ = epoch_;
@@ -282,7 +284,8 @@
 auto program_ledger::cancel(const std::string& account, const std::string& program, std::int32_t number)
     -> std::vector<journal_record> {
   auto* owner = find(account, program);
-  auto known = owner == nullptr ? std::map<std::int32_t, program_call>::iterator{} : owner->calls_.find(number);
+  auto known =
+      owner == nullptr ? std::map<std::int32_t, program_call>::iterator{} : owner->calls_.find(number);
   if (owner == nullptr || known == owner->calls_.end()) {
     return {};
   }
--- a/birchlever/coordination/program_ledger.h
+++ b/birchlever/coordination/program_ledger.h
@@ -17,15 +17,15 @@
 
 /// Limits the ledger enforces. Times in milliseconds, sizes in tokens.
 struct ledger_settings {
-  std::int64_t budget_slice_ = 2048;         ///< Reserved ahead of what is needed, at most.
-  std::int64_t slices_per_budget_ = 16;      ///< A slice is at most this part of a program's budget.
-  std::int64_t default_budget_ = 200000;     ///< For programs that name none.
-  std::int64_t default_max_tokens_ = 512;    ///< For calls that name none.
-  int turn_limit_ = 128;                     ///< Calls a program may make.
-  int loop_limit_ = 8;                       ///< Times the same request may come in one program.
-  milliseconds idle_limit_ = 600000;         ///< After this long without a call a program ends.
-  milliseconds ended_retention_ = 600000;    ///< How long an ended program still answers duplicates.
-  milliseconds call_limit_ = 120000;         ///< Longest time one attempt may take.
+  std::int64_t budget_slice_ = 2048;       ///< Reserved ahead of what is needed, at most.
+  std::int64_t slices_per_budget_ = 16;    ///< A slice is at most this part of a program's budget.
+  std::int64_t default_budget_ = 200000;   ///< For programs that name none.
+  std::int64_t default_max_tokens_ = 512;  ///< For calls that name none.
+  int turn_limit_ = 128;                   ///< Calls a program may make.
+  int loop_limit_ = 8;                     ///< Times the same request may come in one program.
+  milliseconds idle_limit_ = 600000;       ///< After this long without a call a program ends.
+  milliseconds ended_retention_ = 600000;  ///< How long an ended program still answers duplicates.
+  milliseconds call_limit_ = 120000;       ///< Longest time one attempt may take.
 };
 
 /// A call as its caller asked for it.
@@ -34,11 +34,11 @@
   std::string program_;
   std::int32_t number_ = 1;
   std::int32_t parent_ = 0;
-  std::int64_t budget_ = 0;  ///< Zero when the caller named none.
+  std::int64_t budget_ = 0;      ///< Zero when the caller named none.
   std::int64_t max_tokens_ = 0;  ///< Zero when the caller named none.
   std::int64_t prompt_tokens_ = 0;
   std::uint64_t digest_ = 0;
-  std::string request_id_;       ///< Names the entry's question; a ticket that never arrived is voided by it.
+  std::string request_id_;  ///< Names the entry's question; a ticket that never arrived is voided by it.
   bool repeatable_ = true;
   bool generates_ = true;  ///< False for plain services, which spend no tokens.
   bool ephemeral_ = false;
--- a/birchlever/coordination/program_ledger_settle.cpp
+++ b/birchlever/coordination/program_ledger_settle.cpp
@@ -146,8 +146,8 @@
     record.answer_ = report.answer_;
     record.tokens_ = charge_of(report);
     decision.answered_ = true;
-    auto ahead = owner->budget_.settled() + owner->budget_.in_flight() + owner->budget_.held() +
-                 slice_of(*owner);
+    auto ahead =
+        owner->budget_.settled() + owner->budget_.in_flight() + owner->budget_.held() + slice_of(*owner);
     record.reserved_ = std::min(owner->budget_.budget(), ahead);
   } else {
     auto full = call_settlement{report};
--- a/birchlever/coordination/program_ledger_snapshot.cpp
+++ b/birchlever/coordination/program_ledger_snapshot.cpp
@@ -39,7 +39,8 @@
   call.key_ = body.value("y", "");
   call.request_id_ = body.value("rq", "");
   call.max_tokens_ = body.value("m", std::int64_t{0});
-  call.location_ = {body.value("sg", ""), body.value("of", std::int64_t{0}), body.value("ln", std::int64_t{0})};
+  call.location_ = {body.value("sg", ""), body.value("of", std::int64_t{0}),
+                    body.value("ln", std::int64_t{0})};
   return call;
 }
 
--- a/birchlever/coordination/versioned_configuration.cpp
+++ b/birchlever/coordination/versioned_configuration.cpp
@@ -68,8 +68,8 @@
   }
   observe(value(row), clock_->now());
   auto winner = current();
-  return error{error_code::configuration_conflict, "generation " + std::to_string(winner.generation_) +
-                                                       " by " + winner.author_ + " was first"};
+  return error{error_code::configuration_conflict,
+               "generation " + std::to_string(winner.generation_) + " by " + winner.author_ + " was first"};
 }
 
 auto versioned_configuration::resolve(std::int64_t proposed, const std::string& write_id)
--- a/birchlever/coordination/versioned_configuration.h
+++ b/birchlever/coordination/versioned_configuration.h
@@ -50,8 +50,8 @@
   [[nodiscard]] auto fresh() const -> bool;
 
  private:
-  versioned_configuration(std::shared_ptr<table_store_interface> store, std::shared_ptr<clock_interface> clock,
-                          milliseconds bound);
+  versioned_configuration(std::shared_ptr<table_store_interface> store,
+                          std::shared_ptr<clock_interface> clock, milliseconds bound);
 
   auto resolve(std::int64_t proposed, const std::string& write_id) -> result<std::int64_t>;
   auto conflict() -> error;
--- a/birchlever/core/daemon_settings.cpp
+++ b/birchlever/core/daemon_settings.cpp
@@ -10,7 +10,7 @@
 namespace birchlever {
 namespace {
 
-using text_check = auto (*)(const std::string&) -> const char*;
+using text_check = auto(*)(const std::string&) -> const char*;
 
 constexpr auto longest_name = std::size_t{64};
 
@@ -23,7 +23,9 @@
   if (text.empty()) {
     return "must be given";
   }
-  auto fine = [](unsigned char letter) { return std::isalnum(letter) != 0 || letter == '-' || letter == '_'; };
+  auto fine = [](unsigned char letter) {
+    return std::isalnum(letter) != 0 || letter == '-' || letter == '_';
+  };
   auto good = text.size() <= longest_name && std::all_of(text.begin(), text.end(), fine);
   return good ? nullptr : "may hold up to 64 letters, digits, '-' and '_'";
 }
@@ -50,7 +52,8 @@
     return "does not begin with an IPv4 number";
   }
   auto digits = text.substr(colon + 1);
-  auto numeric = !digits.empty() && digits.size() <= 5 && std::all_of(digits.begin(), digits.end(), ::isdigit);
+  auto numeric =
+      !digits.empty() && digits.size() <= 5 && std::all_of(digits.begin(), digits.end(), ::isdigit);
   return numeric && std::stoi(digits) >= 1 && std::stoi(digits) <= 65535 ? nullptr
                                                                          : "has no port from 1 to 65535";
 }
@@ -61,8 +64,8 @@
   return known ? nullptr : "is not debug, info, warning or error";
 }
 
-auto check_number(std::vector<setting_fault>& faults, const char* name, std::int64_t value, std::int64_t least,
-                  std::int64_t most, const char* unit) -> void {
+auto check_number(std::vector<setting_fault>& faults, const char* name, std::int64_t value,
+                  std::int64_t least, std::int64_t most, const char* unit) -> void {
   if (value < least || value > most) {
     faults.push_back({name, std::to_string(value),
                       "must be from " + std::to_string(least) + " to " + std::to_string(most) + " " + unit});
--- a/birchlever/core/error.cpp
+++ b/birchlever/core/error.cpp
@@ -81,9 +81,8 @@
 }
 
 auto to_json_text(const error& failure) -> std::string {
-  auto body = nlohmann::json{{"type", name_of(failure.code_)},
-                             {"message", failure.detail_},
-                             {"ran", name_of(failure.ran_)}};
+  auto body = nlohmann::json{
+      {"type", name_of(failure.code_)}, {"message", failure.detail_}, {"ran", name_of(failure.ran_)}};
   if (failure.retry_after_ms_ > 0) {
     body["retry_after_ms"] = failure.retry_after_ms_;
   }
--- a/birchlever/core/hashing.cpp
+++ b/birchlever/core/hashing.cpp
@@ -22,8 +22,8 @@
 }
 
 auto random_id() -> std::string {
-  thread_local auto generator = std::mt19937_64{(static_cast<std::uint64_t>(std::random_device{}()) << 32U) ^
-                                                std::random_device{}()};
+  thread_local auto generator =
+      std::mt19937_64{(static_cast<std::uint64_t>(std::random_device{}()) << 32U) ^ std::random_device{}()};
   auto text = std::array<char, 33>{};
   std::snprintf(text.data(), text.size(), "%016llx%016llx", static_cast<unsigned long long>(generator()),
                 static_cast<unsigned long long>(generator()));
--- a/birchlever/filters/admission_filter.cpp
+++ b/birchlever/filters/admission_filter.cpp
@@ -49,7 +49,8 @@
   auto configuration = context_->fleet_->configuration();
   auto known = configuration->accounts_.find(account);
   auto limit = known == configuration->accounts_.end() ? std::int64_t{1} : known->second.max_in_flight_;
-  auto places = static_cast<std::int64_t>(share_of_threads * static_cast<double>(context_->settings_.http_threads_));
+  auto places =
+      static_cast<std::int64_t>(share_of_threads * static_cast<double>(context_->settings_.http_threads_));
   auto lock = std::lock_guard{occupancy_->mutex_};
   auto& mine = occupancy_->by_account_[account];
   if (mine >= limit) {
--- a/birchlever/filters/authenticate_filter.cpp
+++ b/birchlever/filters/authenticate_filter.cpp
@@ -17,7 +17,8 @@
   return fits ? header.substr(scheme.size()) : std::string{};
 }
 
-authenticate_filter::authenticate_filter(std::shared_ptr<daemon_context> context) : context_{std::move(context)} {}
+authenticate_filter::authenticate_filter(std::shared_ptr<daemon_context> context)
+    : context_{std::move(context)} {}
 
 auto authenticate_filter::apply(request_context& context) -> filter_verdict {
   if (context_->configuration_->generation() == 0) {
--- a/birchlever/filters/caller_server.cpp
+++ b/birchlever/filters/caller_server.cpp
@@ -136,7 +136,7 @@
 }
 
 auto caller_server::state::failed(httplib::Response& response, const request_context& context) -> void {
-  const auto& reason = *context.failure_;
+  auto reason = context.truthful(*context.failure_);
   context_->metrics_->count("refusals_total{type=\"" + std::string{name_of(reason.code_)} + "\"}");
   set_call_headers(response, context);
   answer_error(response, reason);
@@ -172,7 +172,8 @@
   }
 }
 
-auto caller_server::state::stream(httplib::Response& response, std::shared_ptr<request_context> context) -> void {
+auto caller_server::state::stream(httplib::Response& response, std::shared_ptr<request_context> context)
+    -> void {
   auto answer = std::make_shared<chat_answer>(context_, *dispatcher_, std::move(context));
   response.set_header("Cache-Control", "no-cache");
   response.set_chunked_content_provider(event_type, [answer](std::size_t, httplib::DataSink& sink) {
@@ -203,7 +204,8 @@
     auto bytes = context->exchange_->read_all(std::min(patience, context_->settings_.upstream_wait_ms_));
     if (!ok(bytes)) {
       (void)dispatcher_->settle(*context, call_outcome::failed, 0, 0, "");
-      auto code = context->open_.order_.repeatable_ ? error_code::upstream_failed : error_code::outcome_unknown;
+      auto code =
+          context->open_.order_.repeatable_ ? error_code::upstream_failed : error_code::outcome_unknown;
       answer_error(response, {code, failure(bytes).detail_, ran_state::outcome_unknown});
       return;
     }
@@ -261,16 +263,18 @@
       return;
     }
     auto program = body.value("program", random_id());
-    answer_text(response, gateway_->create_program({value(account), program, body.value("budget", std::int64_t{0})}));
-  });
-  server_.Delete("/v1/programs/([^/]+)", [this](const httplib::Request& request, httplib::Response& response) {
-    auto account = account_of(request);
-    if (!ok(account)) {
-      answer_error(response, failure(account));
-      return;
-    }
-    answer_text(response, gateway_->end_program({value(account), request.matches[1], 0}));
+    answer_text(response,
+                gateway_->create_program({value(account), program, body.value("budget", std::int64_t{0})}));
   });
+  server_.Delete("/v1/programs/([^/]+)",
+                 [this](const httplib::Request& request, httplib::Response& response) {
+                   auto account = account_of(request);
+                   if (!ok(account)) {
+                     answer_error(response, failure(account));
+                     return;
+                   }
+                   answer_text(response, gateway_->end_program({value(account), request.matches[1], 0}));
+                 });
   server_.Get("/v1/programs/([^/]+)", [this](const httplib::Request& request, httplib::Response& response) {
     auto account = account_of(request);
     if (!ok(account)) {
@@ -316,11 +320,12 @@
 }
 
 auto caller_server::state::routes() -> void {
-  server_.Post("/v1/chat/completions",
-               [this](const httplib::Request& request, httplib::Response& response) { chat(request, response); });
-  server_.Post("/v1/services/([^/]+)/(.*)", [this](const httplib::Request& request, httplib::Response& response) {
-    service(request, response);
+  server_.Post("/v1/chat/completions", [this](const httplib::Request& request, httplib::Response& response) {
+    chat(request, response);
   });
+  server_.Post(
+      "/v1/services/([^/]+)/(.*)",
+      [this](const httplib::Request& request, httplib::Response& response) { service(request, response); });
   program_routes();
   operator_routes();
   server_.Get("/healthz", [](const httplib::Request&, httplib::Response& response) {
@@ -340,22 +345,24 @@
       return;
     }
     auto too_long = response.status == 413;
-    auto failure = too_long ? error{error_code::body_too_large, "the body is too long"}
-                            : error{error_code::unknown_route, "there is no " + request.method + " " + request.path};
+    auto failure =
+        too_long ? error{error_code::body_too_large, "the body is too long"}
+                 : error{error_code::unknown_route, "there is no " + request.method + " " + request.path};
     answer_error(response, failure);
   });
-  server_.set_exception_handler([](const httplib::Request&, httplib::Response& response, std::exception_ptr fault) {
-    auto detail = std::string{"unexpected failure"};
-    try {
-      std::rethrow_exception(std::move(fault));
-    } catch (const std::exception& known) {
-      detail = known.what();
-    } catch (...) {
-      detail = "failure of an unknown kind";
-    }
-    log_event(log_level::error, "request_failed", {{"detail", detail}});
-    answer_error(response, {error_code::internal, detail, ran_state::outcome_unknown});
-  });
+  server_.set_exception_handler(
+      [](const httplib::Request&, httplib::Response& response, std::exception_ptr fault) {
+        auto detail = std::string{"unexpected failure"};
+        try {
+          std::rethrow_exception(std::move(fault));
+        } catch (const std::exception& known) {
+          detail = known.what();
+        } catch (...) {
+          detail = "failure of an unknown kind";
+        }
+        log_event(log_level::error, "request_failed", {{"detail", detail}});
+        answer_error(response, {error_code::internal, detail, ran_state::outcome_unknown});
+      });
 }
 
 caller_server::caller_server(std::unique_ptr<state> made) : state_{std::move(made)} {}
@@ -380,7 +387,8 @@
   made->server_.set_tcp_nodelay(true);
   made->server_.set_write_timeout(std::chrono::milliseconds{settings.upstream_wait_ms_});
   if (!made->server_.bind_to_port(settings.listen_address_.c_str(), static_cast<int>(settings.http_port_))) {
-    return error{error_code::invalid_setting, "HTTP port " + std::to_string(settings.http_port_) + " cannot be used"};
+    return error{error_code::invalid_setting,
+                 "HTTP port " + std::to_string(settings.http_port_) + " cannot be used"};
   }
   made->thread_ = std::thread{[server = &made->server_] { server->listen_after_bind(); }};
   return std::unique_ptr<caller_server>{new caller_server{std::move(made)}};
--- a/birchlever/filters/chat_answer.cpp
+++ b/birchlever/filters/chat_answer.cpp
@@ -32,11 +32,12 @@
 /// The last events of a stream: finish reason, usage, and the end mark.
 auto final_events(const json& answer) -> std::string {
   const auto& choice = answer.at("choices").at(0);
-  auto body = json{{"id", answer.at("id")},
-                   {"object", "chat.completion.chunk"},
-                   {"model", answer.at("model")},
-                   {"choices", {{{"index", 0}, {"delta", json::object()}, {"finish_reason", choice.at("finish_reason")}}}},
-                   {"usage", answer.at("usage")}};
+  auto body = json{
+      {"id", answer.at("id")},
+      {"object", "chat.completion.chunk"},
+      {"model", answer.at("model")},
+      {"choices", {{{"index", 0}, {"delta", json::object()}, {"finish_reason", choice.at("finish_reason")}}}},
+      {"usage", answer.at("usage")}};
   return event_of(body) + done_event();
 }
 
@@ -69,7 +70,8 @@
     return {};
   }
   const auto& choice = body["choices"][0];
-  if (choice.contains("delta") && choice["delta"].contains("content") && choice["delta"]["content"].is_string()) {
+  if (choice.contains("delta") && choice["delta"].contains("content") &&
+      choice["delta"]["content"].is_string()) {
     text_ += choice["delta"]["content"].get<std::string>();
   }
   if (choice.contains("finish_reason") && choice["finish_reason"].is_string()) {
@@ -120,10 +122,11 @@
   }
   const auto& standing = value(settled).answer_;
   answer_ = standing.empty() ? answer : standing;
-  auto same_text = standing.empty() || json::parse(standing).at("choices").at(0).at("message").at("content") == text_;
+  auto same_text =
+      standing.empty() || json::parse(standing).at("choices").at(0).at("message").at("content") == text_;
   if (!same_text) {
-    return error{error_code::call_mismatch, "another attempt of this call was recorded first; ask again for it",
-                 ran_state::ran, 1};
+    return error{error_code::call_mismatch,
+                 "another attempt of this call was recorded first; ask again for it", ran_state::ran, 1};
   }
   return final_events(json::parse(answer_));
 }
@@ -131,6 +134,7 @@
 auto chat_answer::resume(const error& reason) -> result<std::string> {
   (void)dispatcher_.settle(*context_, call_outcome::failed, 0, 0, "");
   daemon_->metrics_->count("streams_broken_total");
+  context_->may_have_run_ = true;
   const auto& order = context_->open_.order_;
   if (!order.repeatable_) {
     stage_ = stage::ended;
@@ -149,13 +153,14 @@
     answer_ = *context_->replay_;
     auto whole_text = json::parse(answer_).at("choices").at(0).at("message").at("content").get<std::string>();
     if (whole_text.compare(0, text_.size(), text_) == 0) {
-      auto rest = json{{"id", completion_id_},
-                       {"object", "chat.completion.chunk"},
-                       {"choices", {{{"index", 0}, {"delta", {{"content", whole_text.substr(text_.size())}}}}}}};
+      auto rest =
+          json{{"id", completion_id_},
+               {"object", "chat.completion.chunk"},
+               {"choices", {{{"index", 0}, {"delta", {{"content", whole_text.substr(text_.size())}}}}}}};
       return event_of(rest) + final_events(json::parse(answer_));
     }
   }
-  return context_->failure_.value_or(reason);
+  return context_->truthful(context_->failure_.value_or(reason));
 }
 
 auto chat_answer::advance() -> result<std::string> {
@@ -175,7 +180,8 @@
     return forward;
   }
   if (!final_seen_) {
-    return resume({error_code::upstream_failed, "the engine's answer ended early", ran_state::outcome_unknown});
+    return resume(
+        {error_code::upstream_failed, "the engine's answer ended early", ran_state::outcome_unknown});
   }
   auto last = finish();
   return ok(last) ? result<std::string>{forward + value(last)} : last;
@@ -212,13 +218,14 @@
   if (!body.is_object() || !body.contains("choices")) {
     return std::string{data_mark} + answer + std::string{event_end} + done_event();
   }
-  auto text = json{{"id", body.at("id")},
-                   {"object", "chat.completion.chunk"},
-                   {"model", body.at("model")},
-                   {"choices",
-                    {{{"index", 0},
-                      {"delta", {{"role", "assistant"}, {"content", body["choices"][0]["message"]["content"]}}},
-                      {"finish_reason", nullptr}}}}};
+  auto text =
+      json{{"id", body.at("id")},
+           {"object", "chat.completion.chunk"},
+           {"model", body.at("model")},
+           {"choices",
+            {{{"index", 0},
+              {"delta", {{"role", "assistant"}, {"content", body["choices"][0]["message"]["content"]}}},
+              {"finish_reason", nullptr}}}}};
   return event_of(text) + final_events(body);
 }
 
--- a/birchlever/filters/dispatch_filter.cpp
+++ b/birchlever/filters/dispatch_filter.cpp
@@ -52,7 +52,8 @@
 
 }  // namespace
 
-dispatch_filter::dispatch_filter(std::shared_ptr<daemon_context> context, std::shared_ptr<owner_gateway> gateway)
+dispatch_filter::dispatch_filter(std::shared_ptr<daemon_context> context,
+                                 std::shared_ptr<owner_gateway> gateway)
     : context_{std::move(context)},
       gateway_{std::move(gateway)},
       retries_{static_cast<double>(context_->settings_.retry_share_percent_)} {}
@@ -169,11 +170,13 @@
 }
 
 auto dispatch_filter::broken(request_context& context, error reason) -> attempt_end {
+  context.may_have_run_ = true;
   (void)settle(context, call_outcome::failed, 0, 0, "");
   context_->metrics_->count("upstream_failures_total");
   context.open_.avoid_.push_back(context.ticket_.upstream_);
   context.open_.request_id_ += "+";
-  auto repeatable = context.open_.order_.repeatable_ || !test_switches::instance().mechanism_on("at_most_once");
+  auto repeatable =
+      context.open_.order_.repeatable_ || !test_switches::instance().mechanism_on("at_most_once");
   if (repeatable && context.attempts_left_ > 0 && retries_.spend()) {
     return attempt_end::try_again;
   }
@@ -189,8 +192,9 @@
 auto dispatch_filter::report_accepted(const request_context& context) -> void {
   const auto& order = context.open_.order_;
   const auto& ticket = context.ticket_;
-  gateway_->accepted({order.account_, order.program_, order.number_, ticket.call_.sequence_, ticket.call_.epoch_,
-                      order.digest_, ticket.call_.max_tokens_, order.repeatable_, ticket.upstream_});
+  gateway_->accepted({order.account_, order.program_, order.number_, ticket.call_.sequence_,
+                      ticket.call_.epoch_, order.digest_, ticket.call_.max_tokens_, order.repeatable_,
+                      ticket.upstream_});
 }
 
 auto dispatch_filter::settle(const request_context& context, call_outcome outcome, std::int64_t tokens,
@@ -199,9 +203,9 @@
   const auto& order = context.open_.order_;
   const auto& ticket = context.ticket_;
   auto request = settle_request{};
-  request.report_ = {order.account_,       order.program_,           order.number_, ticket.call_.epoch_,
-                     ticket.call_.sequence_, outcome,                tokens,        ticket.call_.max_tokens_,
-                     order.digest_,        order.repeatable_,        answer,        ticket.upstream_};
+  request.report_ = {order.account_,         order.program_,    order.number_, ticket.call_.epoch_,
+                     ticket.call_.sequence_, outcome,           tokens,        ticket.call_.max_tokens_,
+                     order.digest_,          order.repeatable_, answer,        ticket.upstream_};
   request.prompt_tokens_ = order.prompt_tokens_;
   request.cached_tokens_ = cached_tokens;
   request.last_ = context.last_ && outcome == call_outcome::answered;
--- a/birchlever/filters/parse_filter.cpp
+++ b/birchlever/filters/parse_filter.cpp
@@ -39,7 +39,8 @@
     return standard;
   }
   const auto& field = extra[key];
-  auto fits = field.is_number_integer() && field.get<std::int64_t>() >= least && field.get<std::int64_t>() <= most_number;
+  auto fits = field.is_number_integer() && field.get<std::int64_t>() >= least &&
+              field.get<std::int64_t>() <= most_number;
   if (!fits) {
     return wrong("birchlever." + key + " must be a whole number from " + std::to_string(least));
   }
@@ -75,7 +76,8 @@
   if (message["content"].is_string()) {
     return text + message["content"].get<std::string>() + "\n";
   }
-  return message["content"].is_array() ? std::optional{text + message["content"].dump() + "\n"} : std::nullopt;
+  return message["content"].is_array() ? std::optional{text + message["content"].dump() + "\n"}
+                                       : std::nullopt;
 }
 
 auto prefix_hashes_of(const std::string& prompt) -> std::vector<std::uint64_t> {
@@ -136,7 +138,8 @@
     order.program_ = value(extra)["program"].get<std::string>();
   }
   auto odd = [](unsigned char letter) { return letter <= ' ' || letter == '/' || letter == 127; };
-  if (order.program_.size() > longest_name || std::any_of(order.program_.begin(), order.program_.end(), odd)) {
+  if (order.program_.size() > longest_name ||
+      std::any_of(order.program_.begin(), order.program_.end(), odd)) {
     return wrong("program must be up to 128 characters without spaces or slashes");
   }
   auto service = !context.open_.service_.empty();
--- a/birchlever/filters/request_context.h
+++ b/birchlever/filters/request_context.h
@@ -37,10 +37,19 @@
   std::shared_ptr<upstream_exchange> exchange_;
   std::optional<std::string> replay_;  ///< The answer given before.
   int attempts_left_ = 0;
+  bool may_have_run_ = false;  ///< Some attempt of this request ended without a word on whether it ran.
 
   // When a filter answers itself.
   std::optional<error> failure_;
 
+  /// The failure as the caller must hear it: "not run" only when it is true of every attempt.
+  [[nodiscard]] auto truthful(error failure) const -> error {
+    if (may_have_run_ && failure.ran_ == ran_state::not_run) {
+      failure.ran_ = ran_state::outcome_unknown;
+    }
+    return failure;
+  }
+
   /// A header's content, or empty.
   [[nodiscard]] auto header(const std::string& name) const -> std::string {
     auto found = headers_.find(name);
--- a/birchlever/filters/request_filter.h
+++ b/birchlever/filters/request_filter.h
@@ -23,7 +23,8 @@
 /// Filters in order.
 class filter_chain {
  public:
-  explicit filter_chain(std::vector<std::unique_ptr<request_filter>> filters) : filters_{std::move(filters)} {}
+  explicit filter_chain(std::vector<std::unique_ptr<request_filter>> filters)
+      : filters_{std::move(filters)} {}
 
   /// Runs the filters until one answers.
   auto run(request_context& context) -> filter_verdict {
--- a/birchlever/operators/operator_console.cpp
+++ b/birchlever/operators/operator_console.cpp
@@ -50,7 +50,8 @@
 
 /// Subjects that every daemon knows alike, so that one answer is enough.
 auto same_everywhere(const std::string& subject) -> bool {
-  return subject == "policies" || subject == "configuration" || subject == "generations" || subject == "accounts";
+  return subject == "policies" || subject == "configuration" || subject == "generations" ||
+         subject == "accounts";
 }
 
 /// Several owners see the same engine; the youngest view of each stays.
@@ -78,8 +79,8 @@
   std::int64_t asked_ = 0;
 };
 
-operator_console::operator_console(std::shared_ptr<daemon_context> context, std::shared_ptr<owner_gateway> gateway,
-                                   std::shared_ptr<shard_set> shards)
+operator_console::operator_console(std::shared_ptr<daemon_context> context,
+                                   std::shared_ptr<owner_gateway> gateway, std::shared_ptr<shard_set> shards)
     : context_{std::move(context)}, gateway_{std::move(gateway)}, shards_{std::move(shards)} {}
 
 auto operator_console::daemons() const -> std::vector<vm_entry> {
@@ -174,10 +175,12 @@
 }
 
 auto operator_console::explain(const statement& parsed) -> result<std::string> {
-  auto found = gather("show programs where program = '" + parsed.name_ + "' and account = '" + parsed.subject_ + "'");
+  auto found =
+      gather("show programs where program = '" + parsed.name_ + "' and account = '" + parsed.subject_ + "'");
   if (found.rows_.empty()) {
-    return error{error_code::unknown_program, "no daemon knows program " + parsed.subject_ + "/" + parsed.name_ +
-                                                  (found.silent_.empty() ? "" : "; some daemons were silent")};
+    return error{error_code::unknown_program,
+                 "no daemon knows program " + parsed.subject_ + "/" + parsed.name_ +
+                     (found.silent_.empty() ? "" : "; some daemons were silent")};
   }
   auto row = found.rows_.front();
   row["explanation"] = json::parse(row.value("explanation", ""), nullptr, false);
@@ -206,8 +209,8 @@
   }
   auto current = context_->configuration_->current();
   if (parsed.if_generation_ && *parsed.if_generation_ != current.generation_) {
-    return error{error_code::configuration_conflict, "generation " + std::to_string(current.generation_) + " by " +
-                                                         current.author_ + " is in force"};
+    return error{error_code::configuration_conflict, "generation " + std::to_string(current.generation_) +
+                                                         " by " + current.author_ + " is in force"};
   }
   auto before = fleet_configuration::parse(current.text_);
   if (!ok(before)) {
@@ -221,7 +224,8 @@
     return failure(edited);
   }
   if (parsed.dry_run_) {
-    return dump({{"rows", json::array({{{"would_become", current.generation_ + 1}, {"command", name_of(parsed.verb_)}}})},
+    return dump({{"rows", json::array({{{"would_become", current.generation_ + 1},
+                                        {"command", name_of(parsed.verb_)}}})},
                  {"dry_run", true}});
   }
   auto author = context_->daemon_id_ + ": " + std::string{name_of(parsed.verb_)} + " " + parsed.name_;
--- a/birchlever/operators/operator_console.h
+++ b/birchlever/operators/operator_console.h
@@ -8,7 +8,6 @@
 #include "birchlever/operators/statement.h"
 #include "birchlever/platform/vm_list.h"
 
-
 namespace birchlever {
 
 struct daemon_context;
--- a/birchlever/operators/policy_report.cpp
+++ b/birchlever/operators/policy_report.cpp
@@ -42,8 +42,9 @@
 }
 
 auto wasted_share(const joined_record& one) -> double {
-  return one.prompt_tokens_ == 0 ? 0
-                                 : static_cast<double>(one.recomputed_tokens_) / static_cast<double>(one.prompt_tokens_);
+  return one.prompt_tokens_ == 0
+             ? 0
+             : static_cast<double>(one.recomputed_tokens_) / static_cast<double>(one.prompt_tokens_);
 }
 
 auto row_of(const std::string& name, const joined_record& one) -> json {
--- a/birchlever/operators/statistics.cpp
+++ b/birchlever/operators/statistics.cpp
@@ -70,9 +70,11 @@
   auto share_one = one.variance_ / one.count_;
   auto share_other = other.variance_ / other.count_;
   auto total = share_one + share_other;
-  auto freedom = total <= 0 ? 1
-                            : total * total / (share_one * share_one / (one.count_ - 1) +
-                                               share_other * share_other / (other.count_ - 1));
+  auto freedom =
+      total <= 0
+          ? 1
+          : total * total /
+                (share_one * share_one / (one.count_ - 1) + share_other * share_other / (other.count_ - 1));
   return around(difference, half_width(std::sqrt(total), freedom));
 }
 
--- a/birchlever/platform/http_connection_pool.cpp
+++ b/birchlever/platform/http_connection_pool.cpp
@@ -32,7 +32,8 @@
     return error{error_code::invalid_setting, "address '" + text + "' is not ip:port"};
   }
   auto digits = text.substr(colon + 1);
-  auto numeric = !digits.empty() && digits.size() <= 5 && digits.find_first_not_of("0123456789") == std::string::npos;
+  auto numeric =
+      !digits.empty() && digits.size() <= 5 && digits.find_first_not_of("0123456789") == std::string::npos;
   auto port = numeric ? std::stoi(digits) : 0;
   if (port < 1 || port > 65535) {
     return error{error_code::invalid_setting, "address '" + text + "' has no port from 1 to 65535"};
@@ -79,7 +80,8 @@
   return client;
 }
 
-auto http_connection_pool::give_back(const endpoint& target, std::unique_ptr<httplib::Client> client) -> void {
+auto http_connection_pool::give_back(const endpoint& target, std::unique_ptr<httplib::Client> client)
+    -> void {
   auto lock = std::lock_guard{mutex_};
   auto& idle = idle_[target.text()];
   if (idle.size() < settings_.idle_per_endpoint_) {
--- a/birchlever/platform/vm_list.h
+++ b/birchlever/platform/vm_list.h
@@ -22,7 +22,7 @@
   bool checks_fence_ = true;  ///< The upstream refuses orders that carry an old fencing number.
   std::string service_;       ///< Name of the plain service, for services.
   std::vector<std::string> models_;
-  std::string role_;          ///< Engine role: "both", "prefill", "decode" or "spare".
+  std::string role_;  ///< Engine role: "both", "prefill", "decode" or "spare".
 };
 
 /// The stable name of a kind.
--- a/birchlever/policy/baseline_policies.cpp
+++ b/birchlever/policy/baseline_policies.cpp
@@ -46,7 +46,8 @@
   if (std::find(call.avoid_.begin(), call.avoid_.end(), engine.id_) != call.avoid_.end()) {
     return false;
   }
-  auto has_model = std::find(engine.models_.begin(), engine.models_.end(), call.model_) != engine.models_.end();
+  auto has_model =
+      std::find(engine.models_.begin(), engine.models_.end(), call.model_) != engine.models_.end();
   return call.model_.empty() || engine.models_.empty() || has_model;
 }
 
@@ -94,7 +95,8 @@
   return decision{chosen, 0, std::move(candidates)};
 }
 
-auto least_attained_service_policy::choose(const call_view& call, const std::vector<engine_view>& engines) const
+auto least_attained_service_policy::choose(const call_view& call,
+                                           const std::vector<engine_view>& engines) const
     -> result<decision> {
   auto chosen = cheapest(weigh_by_load(call, engines));
   if (ok(chosen)) {
--- a/birchlever/policy/policy_settings.cpp
+++ b/birchlever/policy/policy_settings.cpp
@@ -6,8 +6,8 @@
 namespace birchlever {
 namespace {
 
-constexpr auto kind_names = std::array<std::string_view, 5>{
-    "round_robin", "least_loaded", "prefix_affinity", "least_attained_service", "program_aware"};
+constexpr auto kind_names = std::array<std::string_view, 5>{"round_robin", "least_loaded", "prefix_affinity",
+                                                            "least_attained_service", "program_aware"};
 
 const auto affinity_parameters = std::vector<policy_parameter>{
     {"overload", 1.5, 1.0, 100.0, "leave the prefix's engine when its load is so many times the mean"},
--- a/birchlever/policy/policy_view.h
+++ b/birchlever/policy/policy_view.h
@@ -35,11 +35,11 @@
   std::int64_t attained_tokens_ = 0;
   std::int64_t budget_remaining_ = 0;
   std::int64_t deadline_ms_ = 0;
-  double account_share_ = 1;            ///< The account's load over its fair share.
-  std::vector<double> cached_tokens_;   ///< Per engine: prompt tokens its cache may hold.
-  double cache_view_age_ms_ = 0;        ///< Age of that knowledge.
-  std::vector<std::string> avoid_;      ///< Engines that failed this call.
-  std::uint64_t seed_ = 0;              ///< For ties.
+  double account_share_ = 1;           ///< The account's load over its fair share.
+  std::vector<double> cached_tokens_;  ///< Per engine: prompt tokens its cache may hold.
+  double cache_view_age_ms_ = 0;       ///< Age of that knowledge.
+  std::vector<std::string> avoid_;     ///< Engines that failed this call.
+  std::uint64_t seed_ = 0;             ///< For ties.
 };
 
 /// One engine a decision weighed.
--- a/birchlever/rpc/peer_client_pool.cpp
+++ b/birchlever/rpc/peer_client_pool.cpp
@@ -33,7 +33,8 @@
   bool fresh_ = true;
 };
 
-auto peer_client_pool::create(const peer_pool_settings& settings) -> result<std::shared_ptr<peer_client_pool>> {
+auto peer_client_pool::create(const peer_pool_settings& settings)
+    -> result<std::shared_ptr<peer_client_pool>> {
   if (settings.connect_timeout_ < 1) {
     return error{error_code::invalid_setting, "peer timeouts must be at least 1 ms"};
   }
@@ -69,7 +70,8 @@
   try {
     made->transport_->open();
   } catch (const thrift::TException&) {
-    return error{error_code::owner_unreachable, "no connection to daemon " + address, ran_state::not_run, 500};
+    return error{error_code::owner_unreachable, "no connection to daemon " + address, ran_state::not_run,
+                 500};
   }
   return made;
 }
@@ -86,7 +88,8 @@
     -> status {
   auto state = test_switches::instance().link("peer:" + address);
   if (state == link_state::cut) {
-    return error{error_code::owner_unreachable, "link to daemon " + address + " is cut", ran_state::not_run, 500};
+    return error{error_code::owner_unreachable, "link to daemon " + address + " is cut", ran_state::not_run,
+                 500};
   }
   while (true) {
     auto borrowed = borrow(address);
--- a/birchlever/rpc/peer_messages.cpp
+++ b/birchlever/rpc/peer_messages.cpp
@@ -135,7 +135,8 @@
   auto ticket = dispatch_ticket{};
   ticket.upstream_ = message.ticket.upstream;
   ticket.address_ = {message.ticket.host, message.ticket.port};
-  ticket.call_ = {message.ticket.epoch, message.ticket.sequence, message.ticket.max_tokens, message.ticket.key};
+  ticket.call_ = {message.ticket.epoch, message.ticket.sequence, message.ticket.max_tokens,
+                  message.ticket.key};
   ticket.priority_ = message.ticket.priority;
   ticket.send_within_ = message.ticket.send_within_ms;
   ticket.waited_ = message.ticket.waited_ms;
--- a/birchlever/rpc/peer_server.cpp
+++ b/birchlever/rpc/peer_server.cpp
@@ -72,7 +72,8 @@
       return;
     }
     auto wait = context_->settings_.settle_wait_ms_;
-    reply = to_message(shards_->settle(shard_for(report.account, report.program), from_message(report), wait));
+    reply =
+        to_message(shards_->settle(shard_for(report.account, report.program), from_message(report), wait));
     reply.generation = context_->configuration_->generation();
   }
 
@@ -95,7 +96,8 @@
   auto read_history(rpc::text_reply& reply, const rpc::envelope& sender, const rpc::program_message& request)
       -> void override {
     answer_text(reply, sender, [&] {
-      return shards_->history(shard_for(request.account, request.program), {request.account, request.program, 0});
+      return shards_->history(shard_for(request.account, request.program),
+                              {request.account, request.program, 0});
     });
   }
 
@@ -190,15 +192,16 @@
     -> result<std::unique_ptr<peer_server>> {
   thrift::GlobalOutput.setOutputFunction(log_thrift);
   const auto& settings = context->settings_;
-  auto handler = std::make_shared<peer_handler>(context, std::move(shards), std::move(query), std::move(look_now));
+  auto handler =
+      std::make_shared<peer_handler>(context, std::move(shards), std::move(query), std::move(look_now));
   auto processor = std::make_shared<rpc::peerProcessor>(handler);
   auto protocol = std::make_shared<thrift::protocol::TCompactProtocolFactory>();
   auto threads = thrift::concurrency::ThreadManager::newSimpleThreadManager(
       static_cast<std::size_t>(settings.peer_threads_));
   threads->threadFactory(std::make_shared<thrift::concurrency::ThreadFactory>());
   threads->start();
-  auto socket = std::make_shared<thrift::transport::TNonblockingServerSocket>(settings.listen_address_,
-                                                                              static_cast<int>(settings.peer_port_));
+  auto socket = std::make_shared<thrift::transport::TNonblockingServerSocket>(
+      settings.listen_address_, static_cast<int>(settings.peer_port_));
   auto made = std::make_unique<state>();
   made->server_ = std::make_shared<thrift::server::TNonblockingServer>(processor, protocol, socket, threads);
   auto bound = std::make_shared<std::promise<void>>();
@@ -220,8 +223,8 @@
     outcome.get();
   } catch (const std::exception& fault) {
     made->thread_.join();
-    return error{error_code::invalid_setting, "peer port " + std::to_string(settings.peer_port_) +
-                                                  " cannot be used: " + fault.what()};
+    return error{error_code::invalid_setting,
+                 "peer port " + std::to_string(settings.peer_port_) + " cannot be used: " + fault.what()};
   }
   return std::unique_ptr<peer_server>{new peer_server{std::move(made)}};
 }
--- a/birchlever/telemetry/metrics.cpp
+++ b/birchlever/telemetry/metrics.cpp
@@ -41,7 +41,8 @@
 };
 
 /// Splits name{labels} so that a suffix can go before the labels.
-auto with_suffix(const std::string& name, const std::string& suffix, const std::string& label) -> std::string {
+auto with_suffix(const std::string& name, const std::string& suffix, const std::string& label)
+    -> std::string {
   auto brace = name.find('{');
   auto base = name.substr(0, brace);
   auto labels = brace == std::string::npos ? std::string{} : name.substr(brace + 1, name.size() - brace - 2);
--- a/birchlever/telemetry/trace.h
+++ b/birchlever/telemetry/trace.h
@@ -31,7 +31,8 @@
 
   /// Takes in a finished span. Times in microseconds since 1970.
   auto record(const trace_context& self, const std::string& parent, const std::string& name,
-              std::int64_t started_us, std::int64_t ended_us, std::map<std::string, std::string> tags) -> void;
+              std::int64_t started_us, std::int64_t ended_us, std::map<std::string, std::string> tags)
+      -> void;
 
   /// All kept spans as Zipkin v2 JSON.
   [[nodiscard]] auto to_zipkin() const -> std::string;
--- a/birchlever/upstream/upstream_exchange.cpp
+++ b/birchlever/upstream/upstream_exchange.cpp
@@ -15,7 +15,8 @@
     -> std::unique_ptr<upstream_exchange> {
   auto made = std::unique_ptr<upstream_exchange>{new upstream_exchange{}};
   auto* self = made.get();
-  made->thread_ = std::thread{[self, pool = std::move(pool), request = std::move(request)] { self->run(pool, request); }};
+  made->thread_ =
+      std::thread{[self, pool = std::move(pool), request = std::move(request)] { self->run(pool, request); }};
   return made;
 }
 
@@ -26,8 +27,8 @@
   }
 }
 
-auto upstream_exchange::run(const std::shared_ptr<http_connection_pool>& pool, const upstream_request& request)
-    -> void {
+auto upstream_exchange::run(const std::shared_ptr<http_connection_pool>& pool,
+                            const upstream_request& request) -> void {
   auto borrowed = pool->borrow(request.target_);
   if (!ok(borrowed)) {
     finish(std::make_unique<error>(failure(borrowed)));
@@ -61,10 +62,11 @@
   auto not_sent = !lost && (outcome.error() == httplib::Error::Connection ||
                             outcome.error() == httplib::Error::ConnectionTimeout);
   auto name = request.target_.text();
-  finish(not_sent ? std::make_unique<error>(
-                        error{error_code::upstream_refused, "no connection to " + name, ran_state::not_run})
-                  : std::make_unique<error>(error{error_code::upstream_failed, "answer of " + name + " broke off",
-                                                  ran_state::outcome_unknown}));
+  finish(not_sent
+             ? std::make_unique<error>(
+                   error{error_code::upstream_refused, "no connection to " + name, ran_state::not_run})
+             : std::make_unique<error>(error{error_code::upstream_failed, "answer of " + name + " broke off",
+                                             ran_state::outcome_unknown}));
 }
 
 auto upstream_exchange::on_status(int status, std::string content_type) -> void {
@@ -97,7 +99,8 @@
   auto known = changed_.wait_for(lock, std::chrono::milliseconds{patience},
                                  [this] { return status_ != 0 || finished_; });
   if (!known) {
-    return error{error_code::upstream_timeout, "the upstream gave no answer in time", ran_state::outcome_unknown};
+    return error{error_code::upstream_timeout, "the upstream gave no answer in time",
+                 ran_state::outcome_unknown};
   }
   if (status_ == 0) {
     return fault_ ? *fault_ : error{error_code::upstream_failed, "no answer", ran_state::outcome_unknown};
--- a/birchlever/upstream/upstream_table.cpp
+++ b/birchlever/upstream/upstream_table.cpp
@@ -33,7 +33,8 @@
     view.usable_ = false;
   }
   for (const auto& entry : entries) {
-    auto barred = entry.leaving_ || drained.count(entry.id_) != 0 || drained_halls.count(entry.data_hall_) != 0;
+    auto barred =
+        entry.leaving_ || drained.count(entry.id_) != 0 || drained_halls.count(entry.data_hall_) != 0;
     if (entry.kind_ == vm_kind::service && !barred) {
       services_.push_back(entry);
     }
@@ -136,9 +137,17 @@
 auto upstream_table::choose(const policy_interface& policy, placement wish, milliseconds now)
     -> result<placed> {
   auto lock = std::lock_guard{mutex_};
-  if (!wish.service_.empty()) {
-    return choose_service(wish);
+  auto pick = [&] { return wish.service_.empty() ? choose_engine(policy, wish, now) : choose_service(wish); };
+  auto chosen = pick();
+  if (!ok(chosen) && !wish.call_.avoid_.empty()) {
+    wish.call_.avoid_.clear();  // One that failed before is better than a refusal.
+    chosen = pick();
   }
+  return chosen;
+}
+
+auto upstream_table::choose_engine(const policy_interface& policy, placement& wish, milliseconds now)
+    -> result<placed> {
   refresh(now);
   auto suspects = std::vector<std::size_t>{};
   for (auto index = std::size_t{0}; index < views_.size(); ++index) {
--- a/birchlever/upstream/upstream_table.h
+++ b/birchlever/upstream/upstream_table.h
@@ -98,6 +98,7 @@
   auto refresh(milliseconds now) -> void;
   auto fill_cached(const placement& wish, std::vector<double>& cached) const -> void;
   auto choose_service(const placement& wish) -> result<placed>;
+  auto choose_engine(const policy_interface& policy, placement& wish, milliseconds now) -> result<placed>;
   [[nodiscard]] auto describe(decision made) const -> placed;
   [[nodiscard]] auto index_of(const std::string& id) const -> std::size_t;
 
--- a/birchlever_daemon/comparison_plot.cpp
+++ b/birchlever_daemon/comparison_plot.cpp
@@ -16,12 +16,13 @@
 constexpr auto bar_height = 14;
 
 auto bar(std::ofstream& file, int y, double length, const char* colour) -> void {
-  file << "<rect x='" << left << "' y='" << y << "' width='" << length << "' height='" << bar_height << "' fill='"
-       << colour << "'/>\n";
+  file << "<rect x='" << left << "' y='" << y << "' width='" << length << "' height='" << bar_height
+       << "' fill='" << colour << "'/>\n";
 }
 
 auto label(std::ofstream& file, double x, int y, const std::string& text) -> void {
-  file << "<text x='" << x << "' y='" << y << "' font-family='sans-serif' font-size='12'>" << text << "</text>\n";
+  file << "<text x='" << x << "' y='" << y << "' font-family='sans-serif' font-size='12'>" << text
+       << "</text>\n";
 }
 
 }  // namespace
@@ -37,8 +38,10 @@
   }
   auto file = std::ofstream{path};
   auto height = top + row_height * static_cast<int>(list.size()) + 10;
-  file << "<svg xmlns='http://www.w3.org/2000/svg' width='" << left + width + 120 << "' height='" << height << "'>\n";
-  label(file, 10, 20, "program p95 in ms with 95 % interval (blue); recomputed share of prompt tokens (orange)");
+  file << "<svg xmlns='http://www.w3.org/2000/svg' width='" << left + width + 120 << "' height='" << height
+       << "'>\n";
+  label(file, 10, 20,
+        "program p95 in ms with 95 % interval (blue); recomputed share of prompt tokens (orange)");
   auto y = top;
   for (const auto& row : list) {
     auto p95 = row.value("p95_ms", 0.0);
--- a/birchlever_daemon/daemon.cpp
+++ b/birchlever_daemon/daemon.cpp
@@ -132,6 +132,7 @@
 
 auto daemon::state::start_actors() -> void {
   configuration_.set("scheduler.max-threads", actor_threads);
+  configuration_.set("scheduler.policy", caf::atom("sharing"));  // Stealing workers poll even at rest.
   system_ = std::make_unique<caf::actor_system>(configuration_);
   auto worker = system_->spawn<upstream_worker, caf::detached>(context_);
   helpers_.push_back(worker);
@@ -149,19 +150,20 @@
   control_ = system_->spawn<control_controller, caf::detached>(context_, shards_);
   auto look_now = [control = control_] { caf::anon_send(control, look_atom::value); };
   auto peers = peer_server::create(
-      context_, shard_set_, [console = console_](const std::string& text) { return console->local_rows(text); },
-      look_now);
+      context_, shard_set_,
+      [console = console_](const std::string& text) { return console->local_rows(text); }, look_now);
   if (!ok(peers)) {
     return failure(peers);
   }
   peer_server_ = std::move(value(peers));
   helpers_.push_back(system_->spawn<entry_controller, caf::detached>(gateway_));
   helpers_.push_back(system_->spawn<upstream_watch, caf::detached>(context_, gateway_));
-  auto callers = caller_server::create(context_, gateway_, [console = console_, look_now](const std::string& text) {
-    auto answer = console->operate(text);
-    look_now();
-    return answer;
-  });
+  auto callers =
+      caller_server::create(context_, gateway_, [console = console_, look_now](const std::string& text) {
+        auto answer = console->operate(text);
+        look_now();
+        return answer;
+      });
   if (!ok(callers)) {
     return failure(callers);
   }
--- a/birchlever_daemon/main.cpp
+++ b/birchlever_daemon/main.cpp
@@ -90,7 +90,8 @@
 }
 
 auto level_of(const std::string& name) -> birchlever::log_level {
-  for (auto level : {birchlever::log_level::debug, birchlever::log_level::info, birchlever::log_level::warning}) {
+  for (auto level :
+       {birchlever::log_level::debug, birchlever::log_level::info, birchlever::log_level::warning}) {
     if (birchlever::name_of(level) == name) {
       return level;
     }
@@ -112,7 +113,8 @@
   if (!faults.empty()) {
     return report(faults);
   }
-  birchlever::start_log(settings.vm_id_.empty() ? "birchlever" : settings.vm_id_, level_of(settings.log_level_));
+  birchlever::start_log(settings.vm_id_.empty() ? "birchlever" : settings.vm_id_,
+                        level_of(settings.log_level_));
   auto running = birchlever::daemon::create(settings);
   if (!birchlever::ok(running)) {
     birchlever::log_failure(birchlever::log_level::error, "daemon_not_started", birchlever::failure(running));
--- a/performance_test/control_test.cpp
+++ b/performance_test/control_test.cpp
@@ -17,7 +17,8 @@
 constexpr auto rest_s = 8;
 constexpr auto changes = 5;
 constexpr auto service_settings_text =
-    "--poll_ms=2000 --lease_ms=6000 --lease_margin_ms=1000 --lease_renew_ms=2000 --configuration_bound_ms=7000 "
+    "--poll_ms=2000 --lease_ms=6000 --lease_margin_ms=1000 --lease_renew_ms=2000 "
+    "--configuration_bound_ms=7000 "
     "--sweep_ms=30000 --test_controls=0 --http_threads=32 --peer_threads=8 --log_level=warning";
 constexpr auto ms_per_s = 1000.0;
 constexpr auto kb_per_mb = 1024.0;
@@ -38,12 +39,14 @@
 
 auto spread_once(scenarios::test_fleet& fleet, int daemons, int number) -> double {
   auto began = std::chrono::steady_clock::now();
-  auto answer = json::parse(fleet.operate(1, "create policy spread" + std::to_string(number) + " using least_loaded").body_);
+  auto answer = json::parse(
+      fleet.operate(1, "create policy spread" + std::to_string(number) + " using least_loaded").body_);
   auto generation = answer.value("generation", std::int64_t{0});
   (void)scenarios::eventually(10000, [&] {
     auto rows = rows_of(fleet);
-    auto there = std::count_if(rows.begin(), rows.end(),
-                               [&](const json& row) { return row.value("generation", std::int64_t{0}) >= generation; });
+    auto there = std::count_if(rows.begin(), rows.end(), [&](const json& row) {
+      return row.value("generation", std::int64_t{0}) >= generation;
+    });
     return there == daemons;
   });
   return std::chrono::duration<double, std::milli>{std::chrono::steady_clock::now() - began}.count();
@@ -71,8 +74,11 @@
     }
     return sum;
   };
-  auto rate = [&](const char* name) { return (counts_after.value(name, 0.0) - counts_before.value(name, 0.0)) / rest_s; };
-  cost.cpu_percent_ = (total(after, "cpu_ms") - total(before, "cpu_ms")) / daemons / (rest_s * ms_per_s) * 100;
+  auto rate = [&](const char* name) {
+    return (counts_after.value(name, 0.0) - counts_before.value(name, 0.0)) / rest_s;
+  };
+  cost.cpu_percent_ =
+      (total(after, "cpu_ms") - total(before, "cpu_ms")) / daemons / (rest_s * ms_per_s) * 100;
   cost.memory_mb_ = total(after, "peak_memory_kb") / daemons / kb_per_mb;
   cost.reads_ = rate("reads");
   cost.writes_ = rate("writes");
@@ -91,7 +97,8 @@
   auto writes = std::vector<std::pair<double, double>>{};
   auto good = true;
   text << std::fixed << std::setprecision(2)
-       << "| daemons | CPU % of a core, each | memory MB, each | store reads/s | store writes/s | list reads/s | "
+       << "| daemons | CPU % of a core, each | memory MB, each | store reads/s | store writes/s | list "
+          "reads/s | "
           "spread of a change ms: median | most |\n|---|---|---|---|---|---|---|---|\n";
   for (auto daemons : {1, 3, 12, 48}) {
     if (daemons > settings.most_daemons_) {
@@ -100,10 +107,11 @@
     auto cost = measure(settings, daemons);
     reads.emplace_back(daemons, cost.reads_);
     writes.emplace_back(daemons, cost.writes_);
-    auto most = cost.spread_ms_.empty() ? 0 : *std::max_element(cost.spread_ms_.begin(), cost.spread_ms_.end());
-    text << "| " << daemons << " | " << cost.cpu_percent_ << " | " << cost.memory_mb_ << " | " << cost.reads_ << " | "
-         << cost.writes_ << " | " << cost.lists_ << " | " << quantile_of(cost.spread_ms_, 0.5) << " | " << most
-         << " |\n";
+    auto most =
+        cost.spread_ms_.empty() ? 0 : *std::max_element(cost.spread_ms_.begin(), cost.spread_ms_.end());
+    text << "| " << daemons << " | " << cost.cpu_percent_ << " | " << cost.memory_mb_ << " | " << cost.reads_
+         << " | " << cost.writes_ << " | " << cost.lists_ << " | " << quantile_of(cost.spread_ms_, 0.5)
+         << " | " << most << " |\n";
     good = good && cost.reads_ <= 1 + daemons * 0.8 && cost.writes_ <= 5 && most < 8000 && cost.reads_ > 0;
   }
   auto read_fit = fit_line(reads);
--- a/performance_test/decisions_test.cpp
+++ b/performance_test/decisions_test.cpp
@@ -48,10 +48,11 @@
     text << "| " << engines << " | " << points.back().second << " |\n";
   }
   auto fit = fit_line(points);
-  text << "\nFit: " << fit.offset_ << " us + " << std::setprecision(4) << fit.slope_ << " us an engine, residual "
-       << fit.residual_ << " us\n";
+  text << "\nFit: " << fit.offset_ << " us + " << std::setprecision(4) << fit.slope_
+       << " us an engine, residual " << fit.residual_ << " us\n";
   publish(settings, "decisions", text.str());
-  return !settings.check_ || points.back().second <= bound_us * 4;  // Times vary; the target itself is in docs.
+  return !settings.check_ ||
+         points.back().second <= bound_us * 4;  // Times vary; the target itself is in docs.
 }
 
 }  // namespace birchlever::performance
--- a/performance_test/latency_test.cpp
+++ b/performance_test/latency_test.cpp
@@ -130,15 +130,17 @@
   auto writes = counts_after.value("writes", 0.0) - counts_before.value("writes", 0.0);
   auto text = std::ostringstream{};
   text << std::fixed << std::setprecision(2)
-       << "| call of 10 tokens | direct ms | through birchlever ms | added ms | ratio |\n|---|---|---|---|---|\n";
+       << "| call of 10 tokens | direct ms | through birchlever ms | added ms | ratio "
+          "|\n|---|---|---|---|---|\n";
   line(text, "first token", first[0], first[1]);
   line(text, "whole answer", whole[0], whole[1]);
-  text << "\nCalls that failed: " << failed << " of " << calls - 1 << ". Under " << callers << " callers: " << served
-       << " calls in " << seconds << " s, " << served / seconds << " calls/s, " << writes / served
-       << " store writes a call, " << writes / seconds << " store writes/s.\n";
+  text << "\nCalls that failed: " << failed << " of " << calls - 1 << ". Under " << callers
+       << " callers: " << served << " calls in " << seconds << " s, " << served / seconds << " calls/s, "
+       << writes / served << " store writes a call, " << writes / seconds << " store writes/s.\n";
   publish(settings, "latency", text.str());
   auto added = quantile_of(first[1], 0.5) - quantile_of(first[0], 0.5);
-  auto good = failed == 0 && served == callers * calls_each && added < most_added_first_ms && writes / served < 1.2;
+  auto good =
+      failed == 0 && served == callers * calls_each && added < most_added_first_ms && writes / served < 1.2;
   return good || !settings.check_;
 }
 
--- a/performance_test/main.cpp
+++ b/performance_test/main.cpp
@@ -13,7 +13,8 @@
 auto main(int argc, char** argv) -> int {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   auto what = argc > 1 ? std::string{argv[1]} : std::string{};
-  auto settings = birchlever::performance::test_settings{FLAGS_binaries, FLAGS_tables, FLAGS_check, FLAGS_most_daemons};
+  auto settings =
+      birchlever::performance::test_settings{FLAGS_binaries, FLAGS_tables, FLAGS_check, FLAGS_most_daemons};
   for (const auto& test : birchlever::performance::all_tests()) {
     if (test.name_ == what) {
       return test.run_(settings) ? 0 : 1;
--- a/performance_test/policies_test.cpp
+++ b/performance_test/policies_test.cpp
@@ -14,8 +14,9 @@
 namespace birchlever::performance {
 namespace {
 
-constexpr auto kinds = std::array{policy_kind::round_robin, policy_kind::least_loaded, policy_kind::prefix_affinity,
-                                  policy_kind::least_attained_service, policy_kind::program_aware};
+constexpr auto kinds =
+    std::array{policy_kind::round_robin, policy_kind::least_loaded, policy_kind::prefix_affinity,
+               policy_kind::least_attained_service, policy_kind::program_aware};
 constexpr auto seeds = std::array<std::uint64_t, 3>{1, 2, 3};
 constexpr auto most_worse_in_fault = 1.05;
 
@@ -44,10 +45,10 @@
 auto row(std::ostringstream& text, policy_kind kind, const case_result& one, const case_result& own) -> void {
   auto paired = paired_difference(own.latencies_, one.latencies_);
   text << "| " << name_of(kind) << " | " << mean_of(one.latencies_).value_ / 1000 << " | "
-       << quantile_of(one.latencies_, 0.5) / 1000 << " | " << quantile_of(one.latencies_, 0.95) / 1000 << " | "
-       << quantile_of(one.latencies_, 0.99) / 1000 << " | " << one.wasted_ / 1e6 << " | " << one.dead_ / 1e6 << " | "
-       << one.slowdown_ << " | " << paired.value_ / 1000 << " [" << paired.low_ / 1000 << ", " << paired.high_ / 1000
-       << "] |\n";
+       << quantile_of(one.latencies_, 0.5) / 1000 << " | " << quantile_of(one.latencies_, 0.95) / 1000
+       << " | " << quantile_of(one.latencies_, 0.99) / 1000 << " | " << one.wasted_ / 1e6 << " | "
+       << one.dead_ / 1e6 << " | " << one.slowdown_ << " | " << paired.value_ / 1000 << " ["
+       << paired.low_ / 1000 << ", " << paired.high_ / 1000 << "] |\n";
 }
 
 }  // namespace
@@ -65,7 +66,8 @@
       }
       const auto& own = results[policy_kind::program_aware];
       text << "\n### " << name_of(load) << ", fault: " << name_of(fault) << "\n\n"
-           << "| policy | mean s | p50 s | p95 s | p99 s | wasted Mtokens | dead Mtoken-s | worst account slowdown | "
+           << "| policy | mean s | p50 s | p95 s | p99 s | wasted Mtokens | dead Mtoken-s | worst account "
+              "slowdown | "
               "own minus this, mean s, 95 % |\n|---|---|---|---|---|---|---|---|---|\n";
       auto best_p95 = std::numeric_limits<double>::infinity();
       auto baseline_p95 = best_p95;
--- a/performance_test/policy_bench.cpp
+++ b/performance_test/policy_bench.cpp
@@ -17,7 +17,7 @@
 constexpr auto halls = 3;
 constexpr auto capacity = 8;
 constexpr auto prefill_per_ms = 8.0;
-constexpr auto token_ms = 24.0;         // An idle engine; a full one takes twice as long per token.
+constexpr auto token_ms = 24.0;  // An idle engine; a full one takes twice as long per token.
 constexpr auto report_gap_ms = 500.0;
 constexpr auto report_lag_ms = 300.0;
 constexpr auto late_lag_ms = 2000.0;
@@ -82,7 +82,7 @@
 struct bench_engine {
   int running_ = 0;
   std::set<waiting_call> queue_;
-  std::map<int, held_prefix> held_;       ///< By program; templates by -1 - template.
+  std::map<int, held_prefix> held_;  ///< By program; templates by -1 - template.
   double held_tokens_ = 0;
   bool dead_ = false;
   double slow_ = 1;
@@ -160,7 +160,9 @@
     auto at = 0.0;
     for (auto index = 0; index < settings_.programs_; ++index) {
       auto burst = settings_.workload_ == workload::signing_house && uniform(generator) < 0.3;
-      at += burst ? 0 : -std::log(1 - uniform(generator)) * gap * (settings_.workload_ == workload::signing_house ? 1.43 : 1);
+      at += burst ? 0
+                  : -std::log(1 - uniform(generator)) * gap *
+                        (settings_.workload_ == workload::signing_house ? 1.43 : 1);
       auto program = bench_program{};
       auto skew = uniform(generator);
       auto hot = settings_.fault_ == bench_fault::hot_account && uniform(generator) < 0.5;
@@ -228,7 +230,8 @@
     auto lag = settings_.fault_ == bench_fault::reports_late ? late_lag_ms : report_lag_ms;
     auto& engine = engines_[place];
     auto& history = reported_[place];
-    history.push_back({now_, static_cast<double>(engine.running_), static_cast<double>(engine.queue_.size()), engine.held_tokens_});
+    history.push_back({now_, static_cast<double>(engine.running_), static_cast<double>(engine.queue_.size()),
+                       engine.held_tokens_});
     while (history.size() > 1 && history[1][0] <= now_ - lag) {
       history.erase(history.begin());
     }
@@ -276,7 +279,8 @@
     refresh_views();
     auto began = std::chrono::steady_clock::now();
     auto chosen = policy_->choose(call, views_);
-    decision_ns_ += std::chrono::duration<double, std::nano>{std::chrono::steady_clock::now() - began}.count();
+    decision_ns_ +=
+        std::chrono::duration<double, std::nano>{std::chrono::steady_clock::now() - began}.count();
     if (!ok(chosen)) {
       ++outcome_.refusals_;
       push(now_ + 1000, event_kind::ask, index, 0, 0);
@@ -325,10 +329,12 @@
         outcome_.recomputed_tokens_ += std::max(0.0, program.history_tokens_ - held);
       }
       auto duration = service_ms(static_cast<int>(missing), turn.answer_tokens_, engine);
-      outcome_.first_token_ms_.push_back(now_ - program.asked_ms_ + missing / prefill_per_ms * engine.slow_ + token_ms);
+      outcome_.first_token_ms_.push_back(now_ - program.asked_ms_ + missing / prefill_per_ms * engine.slow_ +
+                                         token_ms);
       ++engine.running_;
       engine.running_programs_.insert(index);
-      push(now_ + duration, event_kind::finish, index, engine_index, attempt_[static_cast<std::size_t>(index)]);
+      push(now_ + duration, event_kind::finish, index, engine_index,
+           attempt_[static_cast<std::size_t>(index)]);
     }
   }
 
@@ -348,15 +354,16 @@
     engine.held_tokens_ += tokens - held.tokens_;
     held = {tokens, now_};
     while (engine.held_tokens_ > shape_.cache_tokens_ && engine.held_.size() > 1) {
-      auto oldest = std::min_element(engine.held_.begin(), engine.held_.end(), [](const auto& left, const auto& right) {
-        return left.second.used_ms_ < right.second.used_ms_;
-      });
+      auto oldest = std::min_element(
+          engine.held_.begin(), engine.held_.end(),
+          [](const auto& left, const auto& right) { return left.second.used_ms_ < right.second.used_ms_; });
       engine.held_tokens_ -= oldest->second.tokens_;
       if (oldest->first >= 0) {
         auto& owner = programs_[static_cast<std::size_t>(oldest->first)];
         owner.holders_.erase(engine_index);
         auto dead = owner.turn_ >= owner.turns_.size();
-        outcome_.dead_token_seconds_ += dead ? oldest->second.tokens_ * (now_ - oldest->second.used_ms_) / 1000 : 0;
+        outcome_.dead_token_seconds_ +=
+            dead ? oldest->second.tokens_ * (now_ - oldest->second.used_ms_) / 1000 : 0;
       }
       engine.held_.erase(oldest);
     }
@@ -378,7 +385,8 @@
     hold(engine_index, index, program.history_tokens_);
     program.holders_.insert(engine_index);
     if (program.holders_.size() > 1) {
-      outcome_.duplicated_tokens_ += program.history_tokens_ * static_cast<double>(program.holders_.size() - 1);
+      outcome_.duplicated_tokens_ +=
+          program.history_tokens_ * static_cast<double>(program.holders_.size() - 1);
     }
     ++program.turn_;
     if (program.turn_ < program.turns_.size()) {
@@ -411,7 +419,8 @@
     }
     for (const auto& engine : engines_) {
       for (const auto& [key, held] : engine.held_) {
-        auto dead = key >= 0 && programs_[static_cast<std::size_t>(key)].turn_ >= programs_[static_cast<std::size_t>(key)].turns_.size();
+        auto dead = key >= 0 && programs_[static_cast<std::size_t>(key)].turn_ >=
+                                    programs_[static_cast<std::size_t>(key)].turns_.size();
         outcome_.dead_token_seconds_ += dead ? held.tokens_ * (now_ - held.used_ms_) / 1000 : 0;
       }
     }
--- a/performance_test/policy_bench.h
+++ b/performance_test/policy_bench.h
@@ -19,18 +19,18 @@
 struct bench_settings {
   workload workload_ = workload::map_viewer;
   bench_fault fault_ = bench_fault::none;
-  double load_ = 0.8;         ///< Share of the engines' capacity asked for.
+  double load_ = 0.8;  ///< Share of the engines' capacity asked for.
   int programs_ = 1200;
   std::uint64_t seed_ = 1;
 };
 
 /// What a policy did with the load.
 struct bench_outcome {
-  std::vector<double> latencies_ms_;     ///< Per program, in the order of the programs.
-  std::vector<double> first_token_ms_;   ///< Per call.
-  double recomputed_tokens_ = 0;         ///< Prefix tokens of the own program computed again.
-  double duplicated_tokens_ = 0;         ///< Prefix tokens held on more than one engine, summed over moves.
-  double dead_token_seconds_ = 0;        ///< Tokens held for ended programs, times seconds.
+  std::vector<double> latencies_ms_;    ///< Per program, in the order of the programs.
+  std::vector<double> first_token_ms_;  ///< Per call.
+  double recomputed_tokens_ = 0;        ///< Prefix tokens of the own program computed again.
+  double duplicated_tokens_ = 0;        ///< Prefix tokens held on more than one engine, summed over moves.
+  double dead_token_seconds_ = 0;       ///< Tokens held for ended programs, times seconds.
   double worst_account_slowdown_ = 0;
   std::int64_t refusals_ = 0;
   double decision_ns_ = 0;
--- a/performance_test/takeover_test.cpp
+++ b/performance_test/takeover_test.cpp
@@ -1,4 +1,5 @@
-/// What a takeover costs against the number of programs: reads, time and memory, from rows and from a snapshot.
+/// What a takeover costs against the number of programs: reads, time and memory, from rows and from a
+/// snapshot.
 #include <unistd.h>
 
 #include <chrono>
@@ -79,7 +80,8 @@
   auto points = std::vector<std::pair<double, double>>{};
   auto good = true;
   text << std::fixed << std::setprecision(1)
-       << "| programs | from rows: reads | ms | from a snapshot: reads | ms | snapshot KB |\n|---|---|---|---|---|---|\n";
+       << "| programs | from rows: reads | ms | from a snapshot: reads | ms | snapshot KB "
+          "|\n|---|---|---|---|---|---|\n";
   for (auto programs : {100, 1000, 3000, 10000}) {
     auto store = std::make_shared<memory_table_store>();
     auto fence = value(store->commit({"w", {}, {{lease::fence_key(0), "1"}}, {}}));
@@ -99,9 +101,11 @@
     (void)writer.write_snapshot(ledger.prepare_snapshot(0, writer.last_sequence()));
     auto from_snapshot = recover(store, fence);
     points.emplace_back(programs, from_snapshot.ms_);
-    text << "| " << programs << " | " << from_rows.reads_ << " | " << from_rows.ms_ << " | " << from_snapshot.reads_
-         << " | " << from_snapshot.ms_ << " | " << from_snapshot.snapshot_kb_ << " |\n";
-    good = good && from_snapshot.reads_ <= 3 && from_rows.reads_ <= 3 + programs * (calls_each + 1) / records_a_row / 256;
+    text << "| " << programs << " | " << from_rows.reads_ << " | " << from_rows.ms_ << " | "
+         << from_snapshot.reads_ << " | " << from_snapshot.ms_ << " | " << from_snapshot.snapshot_kb_
+         << " |\n";
+    good = good && from_snapshot.reads_ <= 3 &&
+           from_rows.reads_ <= 3 + programs * (calls_each + 1) / records_a_row / 256;
   }
   auto fit = fit_line(points);
   text << "\nFit from a snapshot: " << fit.offset_ << " ms + " << std::setprecision(4) << fit.slope_
--- a/scenarios/invariants.cpp
+++ b/scenarios/invariants.cpp
@@ -24,7 +24,8 @@
   if (!body.is_object()) {
     return {};
   }
-  return body.contains("choices") ? body["choices"][0]["message"]["content"].get<std::string>() : body.value("body", "");
+  return body.contains("choices") ? body["choices"][0]["message"]["content"].get<std::string>()
+                                  : body.value("body", "");
 }
 
 }  // namespace
@@ -53,7 +54,8 @@
     auto before = std::int64_t{0};
     for (const auto& [call, at] : calls) {
       if (at < before) {
-        broken.push_back(session + ": call " + std::to_string(call) + " reached an upstream before an earlier call");
+        broken.push_back(session + ": call " + std::to_string(call) +
+                         " reached an upstream before an earlier call");
       }
       before = std::max(before, at);
     }
@@ -69,7 +71,8 @@
     auto pool = value(http_connection_pool::create(http_pool_settings{}));
     auto found = eventually(8000, [&] {
       for (auto daemon = 1; daemon <= fleet_.daemons(); ++daemon) {
-        auto answer = pool->request(fleet_.daemon_address(daemon), "GET", "/v1/programs/" + program, "", headers);
+        auto answer =
+            pool->request(fleet_.daemon_address(daemon), "GET", "/v1/programs/" + program, "", headers);
         if (!ok(answer) || value(answer).status_ != 200) {
           continue;
         }
@@ -108,7 +111,8 @@
   auto broken = std::vector<std::string>{};
   for (const auto& [session, tokens] : spent) {
     if (tokens > load_.plan().budget_) {
-      broken.push_back(session + ": spent " + std::to_string(tokens) + " of " + std::to_string(load_.plan().budget_));
+      broken.push_back(session + ": spent " + std::to_string(tokens) + " of " +
+                       std::to_string(load_.plan().budget_));
     }
   }
   return broken;
@@ -121,7 +125,8 @@
     for (auto index = 1; index <= fleet_.engines(); ++index) {
       auto body = fleet_.get_json(fleet_.engine_address(index), "/v1/sessions");
       for (const auto& session : body.value("sessions", json::array())) {
-        left.insert("engine " + std::to_string(index) + " still holds memory for " + session.get<std::string>());
+        left.insert("engine " + std::to_string(index) + " still holds memory for " +
+                    session.get<std::string>());
       }
     }
     return left.empty();
@@ -151,7 +156,8 @@
       continue;
     }
     for (const auto& entry : service_log_) {
-      auto same = entry.value("session", "") == session_of(call) && entry.value("path", "") == "/" + call.path_;
+      auto same =
+          entry.value("session", "") == session_of(call) && entry.value("path", "") == "/" + call.path_;
       if (same) {
         broken.push_back(name_of(call) + ": " + call.path_ + " was told not run, yet it ran");
       }
--- a/scenarios/invariants.h
+++ b/scenarios/invariants.h
@@ -32,7 +32,8 @@
   /// What may not be repeated ran at most once.
   [[nodiscard]] auto once() const -> std::vector<std::string>;
   /// An upstream that left at the given time got nothing from so many milliseconds later on.
-  [[nodiscard]] auto leaving(int engine, std::int64_t left_us, int grace_ms) const -> std::vector<std::string>;
+  [[nodiscard]] auto leaving(int engine, std::int64_t left_us, int grace_ms) const
+      -> std::vector<std::string>;
   /// No answer broke off.
   [[nodiscard]] auto uncut() const -> std::vector<std::string>;
   /// Every call ended with an answer, or with outcome_unknown where that is the truth.
--- a/scenarios/program_load.cpp
+++ b/scenarios/program_load.cpp
@@ -13,7 +13,8 @@
 
 constexpr auto tries = 60;
 constexpr auto call_patience_s = 8;
-constexpr auto load_patience_us = std::int64_t{25000000};  // The whole load; a fleet that lost its way ends too.
+constexpr auto load_patience_us =
+    std::int64_t{25000000};  // The whole load; a fleet that lost its way ends too.
 constexpr auto tool_every = 3;
 constexpr auto sub_agent_at = 4;
 constexpr auto cut_pause = std::chrono::milliseconds{100};
@@ -83,15 +84,16 @@
   return seen;
 }
 
-auto send(const endpoint& target, const std::string& path, const httplib::Headers& headers, const std::string& body,
-          bool stream, bool tool) -> attempt_result {
+auto send(const endpoint& target, const std::string& path, const httplib::Headers& headers,
+          const std::string& body, bool stream, bool tool) -> attempt_result {
   auto client = httplib::Client{target.host_, target.port_};
   client.set_connection_timeout(std::chrono::seconds{1});
   client.set_read_timeout(std::chrono::seconds{call_patience_s});
   auto answer = client.Post(path, headers, body, "application/json");
   if (!answer) {
     auto seen = attempt_result{};
-    auto connected = answer.error() != httplib::Error::Connection && answer.error() != httplib::Error::ConnectionTimeout;
+    auto connected =
+        answer.error() != httplib::Error::Connection && answer.error() != httplib::Error::ConnectionTimeout;
     seen.cut_ = connected;
     seen.ran_ = connected ? "" : "not_run";
     seen.retry_ms_ = 50;
@@ -120,7 +122,8 @@
   auto hash = hash_of(prompt);
   auto text = std::string{};
   for (auto place = 0; place < tokens; ++place) {
-    text += "w" + std::to_string(place) + "-" + std::to_string(hash_of(std::to_string(place), hash) % 10000) + " ";
+    text += "w" + std::to_string(place) + "-" + std::to_string(hash_of(std::to_string(place), hash) % 10000) +
+            " ";
   }
   return text;
 }
@@ -146,8 +149,8 @@
   return seen_;
 }
 
-auto program_load::chat(const std::string& account, const std::string& program, int number, int parent, bool last,
-                        std::uint64_t seed) -> void {
+auto program_load::chat(const std::string& account, const std::string& program, int number, int parent,
+                        bool last, std::uint64_t seed) -> void {
   auto generator = std::mt19937_64{seed};
   auto content = account + " asks " + program + " turn " + std::to_string(number);
   auto stream = number % 2 == 0;
@@ -168,7 +171,8 @@
   call.outcome_ = "gave_up";
   for (auto attempt = 0; attempt < tries && now_us() < give_up_us_; ++attempt) {
     auto daemon = 1 + static_cast<int>(generator() % static_cast<std::uint64_t>(fleet_.daemons()));
-    auto seen = send(fleet_.daemon_address(daemon), "/v1/chat/completions", headers, body.dump(), stream, false);
+    auto seen =
+        send(fleet_.daemon_address(daemon), "/v1/chat/completions", headers, body.dump(), stream, false);
     call.cuts_ += seen.cut_ ? 1 : 0;
     call.last_ = seen.cut_ ? "cut" : seen.type_ + " " + seen.detail_;
     if (seen.whole_) {
@@ -185,8 +189,8 @@
   note(std::move(call));
 }
 
-auto program_load::tool(const std::string& account, const std::string& program, int number, std::uint64_t seed)
-    -> void {
+auto program_load::tool(const std::string& account, const std::string& program, int number,
+                        std::uint64_t seed) -> void {
   auto generator = std::mt19937_64{seed};
   auto headers = httplib::Headers{{"Authorization", "Bearer " + account + "-key-1"},
                                   {"birchlever-program", program},
@@ -199,7 +203,8 @@
   call.outcome_ = "gave_up";
   for (auto attempt = 0; attempt < tries && now_us() < give_up_us_; ++attempt) {
     auto daemon = 1 + static_cast<int>(generator() % static_cast<std::uint64_t>(fleet_.daemons()));
-    auto seen = send(fleet_.daemon_address(daemon), "/v1/services/registry/" + call.path_, headers, "{}", false, true);
+    auto seen = send(fleet_.daemon_address(daemon), "/v1/services/registry/" + call.path_, headers, "{}",
+                     false, true);
     call.cuts_ += seen.cut_ ? 1 : 0;
     call.last_ = seen.cut_ ? "cut" : seen.type_ + " " + seen.detail_;
     call.only_not_run_ = call.only_not_run_ && seen.ran_ == "not_run";
@@ -235,7 +240,8 @@
     }
     auto sub_agent = number == sub_agent_at && number + 1 < plan_.calls_;
     if (sub_agent) {
-      auto beside = std::thread{[&, number] { chat(account, program, number + 1, number - 1, false, seed + 77); }};
+      auto beside =
+          std::thread{[&, number] { chat(account, program, number + 1, number - 1, false, seed + 77); }};
       chat(account, program, number, 0, false, seed + 78);
       beside.join();
       ++number;
@@ -249,7 +255,8 @@
   plan_ = plan;
   give_up_us_ = now_us() + load_patience_us;
   for (auto index = 0; index < plan.programs_; ++index) {
-    threads_.emplace_back([this, index] { run_program(index, plan_.seed_ * 1000 + static_cast<std::uint64_t>(index) * 100); });
+    threads_.emplace_back(
+        [this, index] { run_program(index, plan_.seed_ * 1000 + static_cast<std::uint64_t>(index) * 100); });
   }
 }
 
--- a/scenarios/program_load.h
+++ b/scenarios/program_load.h
@@ -22,10 +22,10 @@
   std::string path_;      ///< Of a tool call.
   std::string expected_;  ///< The text the engine must have given.
   std::string answer_;
-  std::string outcome_;   ///< "answered", "outcome_unknown", "not_run" or "gave_up".
+  std::string outcome_;        ///< "answered", "outcome_unknown", "not_run" or "gave_up".
   bool only_not_run_ = false;  ///< Every answer to this very request said not_run.
-  std::string last_;  ///< Why the newest attempt gave no answer.
-  int cuts_ = 0;          ///< Answers that broke off or never came.
+  std::string last_;           ///< Why the newest attempt gave no answer.
+  int cuts_ = 0;               ///< Answers that broke off or never came.
   std::int64_t finished_us_ = 0;
 };
 
--- a/scenarios/scenario.h
+++ b/scenarios/scenario.h
@@ -37,8 +37,8 @@
 struct scenario_step {
   step_verb verb_ = step_verb::start;
   int line_ = 0;
-  std::string subject_;              ///< daemon, engine, service, platform, or what is expected.
-  std::vector<std::string> names_;   ///< Further words and quoted texts.
+  std::string subject_;             ///< daemon, engine, service, platform, or what is expected.
+  std::vector<std::string> names_;  ///< Further words and quoted texts.
   std::vector<double> numbers_;
 };
 
@@ -49,7 +49,7 @@
   int engines_ = 3;
   bool checks_fence_ = true;
   bool knows_keys_ = true;
-  std::string without_;  ///< Mechanism whose absence must make an expectation fail; empty when none.
+  std::string without_;   ///< Mechanism whose absence must make an expectation fail; empty when none.
   std::string settings_;  ///< Extra settings of the daemons.
   std::vector<scenario_step> steps_;
 };
--- a/scenarios/scenario_grammar.cpp
+++ b/scenarios/scenario_grammar.cpp
@@ -12,12 +12,13 @@
 
 struct verb_table : x3::symbols<step_verb> {
   verb_table() {
-    add("start", step_verb::start)("stop", step_verb::stop)("kill", step_verb::kill)("freeze", step_verb::freeze)(
-        "thaw", step_verb::thaw)("cut", step_verb::cut)("lose answers", step_verb::lose_answers)(
-        "heal", step_verb::heal)("fault", step_verb::fault)("leave", step_verb::leave)(
-        "load", step_verb::run_load)("wait load", step_verb::wait_load)("wait ms", step_verb::wait_ms)(
-        "wait calls", step_verb::wait_calls)("wait owner", step_verb::wait_owner)("race", step_verb::race)(
-        "roll", step_verb::roll)("stranger", step_verb::stranger)("expect", step_verb::expect);
+    add("start", step_verb::start)("stop", step_verb::stop)("kill", step_verb::kill)(
+        "freeze", step_verb::freeze)("thaw", step_verb::thaw)("cut", step_verb::cut)(
+        "lose answers", step_verb::lose_answers)("heal", step_verb::heal)("fault", step_verb::fault)(
+        "leave", step_verb::leave)("load", step_verb::run_load)("wait load", step_verb::wait_load)(
+        "wait ms", step_verb::wait_ms)("wait calls", step_verb::wait_calls)(
+        "wait owner", step_verb::wait_owner)("race", step_verb::race)("roll", step_verb::roll)(
+        "stranger", step_verb::stranger)("expect", step_verb::expect);
   }
 };
 const auto verbs = verb_table{};
@@ -38,15 +39,16 @@
   }
 };
 const auto add_number = [](auto& context) { line_of(context).numbers_.push_back(x3::_attr(context)); };
-const auto word = x3::rule<class word_rule, std::string>{"a word"} = x3::lexeme[+(x3::alpha | x3::char_("_-"))];
+const auto word = x3::rule<class word_rule, std::string>{"a word"} =
+    x3::lexeme[+(x3::alpha | x3::char_("_-"))];
 const auto quoted = x3::rule<class quoted_rule, std::string>{"a quoted text"} =
     x3::lexeme['"' > *(x3::char_ - '"') > '"'];
 const auto part = x3::double_[add_number] | quoted[add_name] | word[add_name];
 const auto step = verbs[set_verb] > *part > x3::eoi;
 
 auto fault_at(int line, std::size_t column, const std::string& expected) -> error {
-  return error{error_code::syntax_error, "line " + std::to_string(line) + ", column " + std::to_string(column + 1) +
-                                             ": expected " + expected};
+  return error{error_code::syntax_error, "line " + std::to_string(line) + ", column " +
+                                             std::to_string(column + 1) + ": expected " + expected};
 }
 
 auto trimmed(const std::string& line) -> std::string {
@@ -73,8 +75,10 @@
   }
   auto statement = parse_statement(text);
   if (!ok(statement)) {
-    return error{error_code::syntax_error, "line " + std::to_string(line) + " of the scenario: neither a step nor a "
-                                           "statement; as a statement: " + failure(statement).detail_};
+    return error{error_code::syntax_error, "line " + std::to_string(line) +
+                                               " of the scenario: neither a step nor a "
+                                               "statement; as a statement: " +
+                                               failure(statement).detail_};
   }
   parsed.verb_ = step_verb::operate;
   parsed.names_ = {text};
@@ -94,7 +98,8 @@
     return !text.empty();
   };
   auto count = std::string{};
-  if (take_text("scenario", made.name_) || take_text("without", made.without_) || take_text("settings", made.settings_)) {
+  if (take_text("scenario", made.name_) || take_text("without", made.without_) ||
+      take_text("settings", made.settings_)) {
     return true;
   }
   if (take_text("daemons", count)) {
--- a/scenarios/scenario_runner.cpp
+++ b/scenarios/scenario_runner.cpp
@@ -154,7 +154,9 @@
 }
 
 auto scenario_runner::link_step(const scenario_step& step) -> void {
-  auto state = step.verb_ == step_verb::cut ? "cut" : step.verb_ == step_verb::heal ? "healthy" : "answers_lost";
+  auto state = step.verb_ == step_verb::cut    ? "cut"
+               : step.verb_ == step_verb::heal ? "healthy"
+                                               : "answers_lost";
   auto daemon = daemon_of(step);
   auto target = step.names_.empty() ? std::string{"store"} : step.names_.back();
   auto other = whole(step, 1, 1);
@@ -173,7 +175,8 @@
       auto plan = load_plan{};
       plan.programs_ = static_cast<int>(number_behind(step, "programs", plan.programs_));
       plan.calls_ = static_cast<int>(number_behind(step, "calls", plan.calls_));
-      plan.budget_ = static_cast<std::int64_t>(number_behind(step, "budget", static_cast<double>(plan.budget_)));
+      plan.budget_ =
+          static_cast<std::int64_t>(number_behind(step, "budget", static_cast<double>(plan.budget_)));
       plan.answer_tokens_ = static_cast<int>(number_behind(step, "tokens", plan.answer_tokens_));
       plan.seed_ = static_cast<std::uint64_t>(number_behind(step, "seed", 1));
       load_.run(plan);
@@ -233,7 +236,8 @@
     auto generation = body["rows"][0].value("generation", std::int64_t{0});
     auto& highest = highest_generation_[daemon];
     if (generation < highest) {
-      violations_.push_back("daemon " + std::to_string(daemon) + " went back to generation " + std::to_string(generation));
+      violations_.push_back("daemon " + std::to_string(daemon) + " went back to generation " +
+                            std::to_string(generation));
     }
     highest = std::max(highest, generation);
   }
@@ -279,7 +283,8 @@
     for (auto daemon = 1; daemon <= fleet_.daemons(); ++daemon) {
       watch_generations();
       if (highest_generation_[daemon] < at_least) {
-        behind = "daemon " + std::to_string(daemon) + " has generation " + std::to_string(highest_generation_[daemon]);
+        behind = "daemon " + std::to_string(daemon) + " has generation " +
+                 std::to_string(highest_generation_[daemon]);
       }
     }
     return behind.empty();
@@ -304,7 +309,8 @@
   auto page = pool->request(fleet_.daemon_address(whole(step, 0, 1)), "GET", "/metrics", "");
   auto wanted = "refusals_total{type=\"" + step.names_.front() + "\"}";
   auto found = ok(page) && value(page).body_.find(wanted) != std::string::npos;
-  return found ? std::vector<std::string>{} : std::vector<std::string>{"no refusal of type " + step.names_.front()};
+  return found ? std::vector<std::string>{}
+               : std::vector<std::string>{"no refusal of type " + step.names_.front()};
 }
 
 auto scenario_runner::expect(const scenario_step& step) -> void {
--- a/scenarios/scenario_runner.h
+++ b/scenarios/scenario_runner.h
@@ -15,8 +15,8 @@
 
 /// What a run of a scenario found.
 struct scenario_outcome {
-  bool ran_ = false;                      ///< The fleet came up and every step could be taken.
-  std::vector<std::string> violations_;   ///< What did not hold.
+  bool ran_ = false;                     ///< The fleet came up and every step could be taken.
+  std::vector<std::string> violations_;  ///< What did not hold.
 };
 
 /// Runs one scenario once, with or without the mechanism it names.
--- a/scenarios/test_fleet.cpp
+++ b/scenarios/test_fleet.cpp
@@ -36,7 +36,8 @@
 
 }  // namespace
 
-test_fleet::test_fleet(const scenario& plan, int number, std::string binaries, std::string logs, std::string without)
+test_fleet::test_fleet(const scenario& plan, int number, std::string binaries, std::string logs,
+                       std::string without)
     : plan_{plan},
       network_{"127.0." + std::to_string(number) + "."},
       binaries_{std::move(binaries)},
@@ -119,13 +120,22 @@
   auto fence = std::string{plan_.checks_fence_ ? "--checks_fence=true" : "--checks_fence=false"};
   auto keys = std::string{plan_.knows_keys_ ? "--knows_keys=true" : "--knows_keys=false"};
   up = up && stand_in("service", "registry-1", service_address(), {keys});
-  list({{"id", "registry-1"}, {"kind", "service"}, {"service", "registry"}, {"host", service_address().host_},
-        {"port", stand_in_port}, {"data_hall", halls.front()}});
+  list({{"id", "registry-1"},
+        {"kind", "service"},
+        {"service", "registry"},
+        {"host", service_address().host_},
+        {"port", stand_in_port},
+        {"data_hall", halls.front()}});
   for (auto index = 1; index <= plan_.engines_; ++index) {
     auto id = "engine-" + std::to_string(index);
     up = up && stand_in("engine", id, engine_address(index), {fence});
-    list({{"id", id}, {"kind", "engine"}, {"host", engine_address(index).host_}, {"port", stand_in_port},
-          {"data_hall", hall_of(index)}, {"models", {"standard"}}, {"checks_fence", plan_.checks_fence_}});
+    list({{"id", id},
+          {"kind", "engine"},
+          {"host", engine_address(index).host_},
+          {"port", stand_in_port},
+          {"data_hall", hall_of(index)},
+          {"models", {"standard"}},
+          {"checks_fence", plan_.checks_fence_}});
   }
   for (auto index = 1; index <= plan_.daemons_; ++index) {
     start_daemon(index);
@@ -134,8 +144,11 @@
     up = up && await_ready(index);
   }
   up = up && await_owners(15);
-  up = up && eventually(5000, [&] { return operate(1, "set account notary key 'notary-key-1'").status_ == 200; });
-  up = up && eventually(5000, [&] { return operate(1, "set account fiduciary key 'fiduciary-key-1'").status_ == 200; });
+  up = up &&
+       eventually(5000, [&] { return operate(1, "set account notary key 'notary-key-1'").status_ == 200; });
+  up = up && eventually(5000, [&] {
+         return operate(1, "set account fiduciary key 'fiduciary-key-1'").status_ == 200;
+       });
   return up;
 }
 
@@ -143,20 +156,40 @@
   auto id = "daemon-" + std::to_string(index);
   auto host = daemon_address(index).host_;
   auto platform = platform_address().text();
-  auto arguments = std::vector<std::string>{
-      binaries_ + "/birchlever", "serve", flag("listen_address", host), flag("http_port", std::to_string(http_port)),
-      flag("peer_port", std::to_string(peer_port)), flag("data_hall", hall_of(index)), flag("vm_id", id),
-      flag("store_address", platform), flag("vm_list_address", platform), "--fleet_keys=fleet-key-1",
-      flag("operator_keys", operator_key), flag("shard_count", std::to_string(shard_count)), "--lease_ms=1500",
-      "--lease_margin_ms=300", "--lease_renew_ms=400", "--poll_ms=250", "--configuration_bound_ms=3000",
-      "--commit_gap_ms=10", "--send_within_ms=400", "--sweep_ms=1500", "--snapshot_rows=60", "--http_threads=64",
-      "--test_controls=1", flag("test_without", without_)};
+  auto arguments = std::vector<std::string>{binaries_ + "/birchlever",
+                                            "serve",
+                                            flag("listen_address", host),
+                                            flag("http_port", std::to_string(http_port)),
+                                            flag("peer_port", std::to_string(peer_port)),
+                                            flag("data_hall", hall_of(index)),
+                                            flag("vm_id", id),
+                                            flag("store_address", platform),
+                                            flag("vm_list_address", platform),
+                                            "--fleet_keys=fleet-key-1",
+                                            flag("operator_keys", operator_key),
+                                            flag("shard_count", std::to_string(shard_count)),
+                                            "--lease_ms=1500",
+                                            "--lease_margin_ms=300",
+                                            "--lease_renew_ms=400",
+                                            "--poll_ms=250",
+                                            "--configuration_bound_ms=3000",
+                                            "--commit_gap_ms=10",
+                                            "--send_within_ms=400",
+                                            "--sweep_ms=1500",
+                                            "--snapshot_rows=60",
+                                            "--http_threads=64",
+                                            "--test_controls=1",
+                                            flag("test_without", without_)};
   auto extra = std::istringstream{plan_.settings_};
   for (auto one = std::string{}; extra >> one;) {
     arguments.push_back(one);
   }
   daemon_pids_[index] = spawn(id, std::move(arguments));
-  list({{"id", id}, {"kind", "daemon"}, {"host", host}, {"port", peer_port}, {"data_hall", hall_of(index)},
+  list({{"id", id},
+        {"kind", "daemon"},
+        {"host", host},
+        {"port", peer_port},
+        {"data_hall", hall_of(index)},
         {"leaving", false}});
 }
 
@@ -223,8 +256,11 @@
   return 0;
 }
 
-auto test_fleet::set_fault(const std::string& kind, int index, const std::string& name, double level) -> void {
-  auto target = kind == "engine" ? engine_address(index) : kind == "service" ? service_address() : platform_address();
+auto test_fleet::set_fault(const std::string& kind, int index, const std::string& name, double level)
+    -> void {
+  auto target = kind == "engine"    ? engine_address(index)
+                : kind == "service" ? service_address()
+                                    : platform_address();
   post(target, "/control", {{name, level}});
 }
 
--- a/scenarios/test_fleet.h
+++ b/scenarios/test_fleet.h
@@ -73,7 +73,6 @@
   std::vector<pid_t> stand_in_pids_;
 };
 
-
 }  // namespace birchlever::scenarios
 
 #include "scenarios/eventually.h"
--- a/stand_ins/engine_stand_in.cpp
+++ b/stand_ins/engine_stand_in.cpp
@@ -35,7 +35,8 @@
   auto prompt = std::string{};
   for (const auto& message : body.at("messages")) {
     auto content = message.value("content", json{});
-    prompt += message.value("role", "") + ":" + (content.is_string() ? content.get<std::string>() : content.dump()) + "\n";
+    prompt += message.value("role", "") + ":" +
+              (content.is_string() ? content.get<std::string>() : content.dump()) + "\n";
   }
   return prompt;
 }
@@ -47,10 +48,12 @@
 
 /// Token i of the answer to a prompt: the same wherever it runs, so callers can check it.
 auto token_of(std::uint64_t prompt_hash, std::int64_t place) -> std::string {
-  return "w" + std::to_string(place) + "-" + std::to_string(hash_of(std::to_string(place), prompt_hash) % 10000) + " ";
+  return "w" + std::to_string(place) + "-" +
+         std::to_string(hash_of(std::to_string(place), prompt_hash) % 10000) + " ";
 }
 
-auto chunk(const std::string& id, const std::string& model, const json& delta, const json& reason) -> std::string {
+auto chunk(const std::string& id, const std::string& model, const json& delta, const json& reason)
+    -> std::string {
   auto body = json{{"id", id},
                    {"object", "chat.completion.chunk"},
                    {"model", model},
@@ -69,7 +72,8 @@
   auto lock = std::unique_lock{mutex_};
   auto mine = waiting_turn{priority, ++arrivals_};
   queue_.insert(mine);
-  turn_changed_.wait(lock, [&] { return running_ < settings_.capacity_ && queue_.begin()->arrival_ == mine.arrival_; });
+  turn_changed_.wait(
+      lock, [&] { return running_ < settings_.capacity_ && queue_.begin()->arrival_ == mine.arrival_; });
   queue_.erase(mine);
   ++running_;
   turn_changed_.notify_all();
@@ -102,9 +106,9 @@
     total += held.tokens_;
   }
   while (total > settings_.cache_tokens_ && sessions_.size() > 1) {
-    auto oldest = std::min_element(sessions_.begin(), sessions_.end(), [](const auto& left, const auto& right) {
-      return left.second.used_ < right.second.used_;
-    });
+    auto oldest = std::min_element(
+        sessions_.begin(), sessions_.end(),
+        [](const auto& left, const auto& right) { return left.second.used_ < right.second.used_; });
     total -= oldest->second.tokens_;
     sessions_.erase(oldest);
   }
@@ -175,7 +179,8 @@
   pause(static_cast<double>(record.prompt_tokens_ - record.cached_) / settings_.prefill_per_ms_ * slow);
   auto hash = hash_of(prompt);
   auto most = body.value("max_tokens", std::int64_t{16});
-  auto natural = body.value("answer_tokens", shortest_answer + static_cast<std::int64_t>(hash % answer_spread));
+  auto natural =
+      body.value("answer_tokens", shortest_answer + static_cast<std::int64_t>(hash % answer_spread));
   auto length = std::min(most, natural);
   auto known = body.value("resume_text", std::string{});
   auto first = static_cast<std::int64_t>(std::count(known.begin(), known.end(), ' '));
@@ -206,14 +211,16 @@
   if (!alive) {
     return false;
   }
-  auto last = json{{"id", id},
-                   {"object", "chat.completion.chunk"},
-                   {"model", model},
-                   {"choices", {{{"index", 0}, {"delta", json::object()}, {"finish_reason", length < natural ? "length" : "stop"}}}},
-                   {"usage",
-                    {{"prompt_tokens", record.prompt_tokens_},
-                     {"completion_tokens", sent},
-                     {"cached_tokens", record.cached_}}}};
+  auto last = json{
+      {"id", id},
+      {"object", "chat.completion.chunk"},
+      {"model", model},
+      {"choices",
+       {{{"index", 0}, {"delta", json::object()}, {"finish_reason", length < natural ? "length" : "stop"}}}},
+      {"usage",
+       {{"prompt_tokens", record.prompt_tokens_},
+        {"completion_tokens", sent},
+        {"cached_tokens", record.cached_}}}};
   auto bytes = "data: " + last.dump() + "\n\ndata: [DONE]\n\n";
   sink.write(bytes.data(), bytes.size());
   sink.done();
@@ -263,8 +270,9 @@
 
 auto engine_stand_in::routes() -> void {
   auto& server = http_.server();
-  server.Post("/v1/chat/completions",
-              [this](const httplib::Request& request, httplib::Response& response) { complete(request, response); });
+  server.Post("/v1/chat/completions", [this](const httplib::Request& request, httplib::Response& response) {
+    complete(request, response);
+  });
   server.Get("/load", [this](const httplib::Request&, httplib::Response& response) {
     response.set_content(load_report().dump(), json_type);
   });
--- a/stand_ins/engine_stand_in.h
+++ b/stand_ins/engine_stand_in.h
@@ -1,4 +1,5 @@
-/// Stands in for a model engine: continuous batching, a limited prefix cache, priorities, fencing, lagged load.
+/// Stands in for a model engine: continuous batching, a limited prefix cache, priorities, fencing, lagged
+/// load.
 #pragma once
 
 #include <condition_variable>
@@ -17,9 +18,9 @@
 /// How the engine behaves when nothing is broken.
 struct engine_settings {
   std::string id_;
-  int capacity_ = 8;              ///< Streams that run at once.
-  double token_ms_ = 2;           ///< Time per token of one stream.
-  double prefill_per_ms_ = 64;    ///< Prompt tokens taken in per millisecond.
+  int capacity_ = 8;            ///< Streams that run at once.
+  double token_ms_ = 2;         ///< Time per token of one stream.
+  double prefill_per_ms_ = 64;  ///< Prompt tokens taken in per millisecond.
   std::int64_t cache_tokens_ = 200000;
   double load_lag_ms_ = 200;
   bool checks_fence_ = true;
--- a/stand_ins/platform_stand_in.cpp
+++ b/stand_ins/platform_stand_in.cpp
@@ -75,8 +75,8 @@
 
 /// The write took effect; its answer never comes: the connection is closed without one.
 auto platform_stand_in::lose_answer(httplib::Response& response) -> void {
-  response.set_content_provider(
-      1, json_type, [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
+  response.set_content_provider(1, json_type,
+                                [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
 }
 
 auto platform_stand_in::table_routes() -> void {
@@ -91,7 +91,8 @@
       return;
     }
     response.status = ok(outcome) ? 200 : 409;
-    auto body = ok(outcome) ? json{{"version", value(outcome)}} : json{{"conflict", failure(outcome).detail_}};
+    auto body =
+        ok(outcome) ? json{{"version", value(outcome)}} : json{{"conflict", failure(outcome).detail_}};
     response.set_content(body.dump(), json_type);
   });
   server.Post("/table/read", [this](const httplib::Request& request, httplib::Response& response) {
--- a/stand_ins/platform_stand_in.h
+++ b/stand_ins/platform_stand_in.h
@@ -21,8 +21,8 @@
   double list_lag_ms_ = 300;  ///< The VM list shows changes so late.
 };
 
-/// Faults: down, slow_ms, lose_answers (so many writes take effect unanswered), flap_ms (down and up in turn),
-/// list_down. GET /counts gives the operations counted.
+/// Faults: down, slow_ms, lose_answers (so many writes take effect unanswered), flap_ms (down and up in
+/// turn), list_down. GET /counts gives the operations counted.
 class platform_stand_in {
  public:
   explicit platform_stand_in(const platform_settings& settings);
--- a/stand_ins/service_stand_in.cpp
+++ b/stand_ins/service_stand_in.cpp
@@ -63,9 +63,12 @@
   auto arrived = now_us();
   pause(settings_.work_ms_ + http_.faults().level("slow_ms"));
   auto call = request.get_header_value("birchlever-call");
-  auto one = execution{request.get_header_value("birchlever-key"), request.get_header_value("birchlever-session"),
-                       call.empty() ? 0 : std::stoi(call), request.path,
-                       request.get_header_value("birchlever-repeatable"), arrived};
+  auto one = execution{request.get_header_value("birchlever-key"),
+                       request.get_header_value("birchlever-session"),
+                       call.empty() ? 0 : std::stoi(call),
+                       request.path,
+                       request.get_header_value("birchlever-repeatable"),
+                       arrived};
   auto body = json{{"done", request.path}, {"key", one.key_}, {"length", request.body.size()}}.dump();
   {
     auto lock = std::lock_guard{mutex_};
@@ -76,8 +79,8 @@
     std::this_thread::sleep_for(hang_poll);
   }
   if (http_.faults().take("drop")) {
-    response.set_content_provider(
-        1, json_type, [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
+    response.set_content_provider(1, json_type,
+                                  [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
     return;
   }
   response.set_content(body, json_type);
--- a/unit_tests/coordination/configuration_test.cpp
+++ b/unit_tests/coordination/configuration_test.cpp
@@ -10,8 +10,10 @@
 struct two_views {
   std::shared_ptr<memory_table_store> store_ = std::make_shared<memory_table_store>();
   std::shared_ptr<manual_clock> clock_ = std::make_shared<manual_clock>();
-  std::shared_ptr<versioned_configuration> left_ = value(versioned_configuration::create(store_, clock_, 5000));
-  std::shared_ptr<versioned_configuration> right_ = value(versioned_configuration::create(store_, clock_, 5000));
+  std::shared_ptr<versioned_configuration> left_ =
+      value(versioned_configuration::create(store_, clock_, 5000));
+  std::shared_ptr<versioned_configuration> right_ =
+      value(versioned_configuration::create(store_, clock_, 5000));
 
   auto look(versioned_configuration& view) -> bool {
     return view.observe(value(store_->read(versioned_configuration::row_key())), clock_->now());
--- a/unit_tests/coordination/exploration_test.cpp
+++ b/unit_tests/coordination/exploration_test.cpp
@@ -1,8 +1,8 @@
 /// Seeded random schedules over the coordination parts as state machines: owners that crash, stop and lag,
 /// a store that fails and loses answers, entries that die with tickets in hand.
+#include <rapidcheck.h>
 #include <catch2/catch.hpp>
 #include <map>
-#include <rapidcheck.h>
 
 #include "birchlever/coordination/journal.h"
 #include "birchlever/coordination/lease.h"
@@ -35,7 +35,8 @@
     return outcome;
   }
   auto read(const std::string& key) -> result<std::optional<table_row>> override {
-    return down_ ? result<std::optional<table_row>>{error{error_code::store_unavailable, "down"}} : inner_.read(key);
+    return down_ ? result<std::optional<table_row>>{error{error_code::store_unavailable, "down"}}
+                 : inner_.read(key);
   }
   auto scan(const std::string& prefix, const std::string& after, int limit)
       -> result<std::vector<table_row>> override {
@@ -241,7 +242,8 @@
     }
     auto place = static_cast<std::size_t>(choice) % tickets_.size();
     auto held = tickets_[place];
-    auto report = call_settlement{"notary", "p", held.order_.number_, held.ticket_.epoch_, held.ticket_.sequence_};
+    auto report =
+        call_settlement{"notary", "p", held.order_.number_, held.ticket_.epoch_, held.ticket_.sequence_};
     report.outcome_ = held.executed_ ? call_outcome::answered : call_outcome::not_run;
     report.tokens_ = held.executed_ ? call_tokens : 0;
     report.max_tokens_ = held.ticket_.max_tokens_;
@@ -286,7 +288,8 @@
 /// Runs seeded schedules, shrinking what fails; the text tells the smallest failing one.
 auto explore(int count, std::string& text) -> bool {
   auto step = rc::gen::resize(  // At smaller sizes inRange would leave out the later actions.
-      rc::kNominalSize, rc::gen::tuple(rc::gen::inRange(0, 27), rc::gen::inRange(0, 3), rc::gen::inRange(0, 10000)));
+      rc::kNominalSize,
+      rc::gen::tuple(rc::gen::inRange(0, 27), rc::gen::inRange(0, 3), rc::gen::inRange(0, 10000)));
   auto property = [&] {
     auto steps = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(longest, step);
     auto one = model{std::get<2>(steps.front()) % 2 == 0 ? small_budget : large_budget};
--- a/unit_tests/coordination/program_ledger_test.cpp
+++ b/unit_tests/coordination/program_ledger_test.cpp
@@ -45,7 +45,8 @@
   }
 
   auto report(const call_order& order, const call_ticket& ticket, call_outcome outcome) -> call_settlement {
-    auto made = call_settlement{order.account_, order.program_, order.number_, ticket.epoch_, ticket.sequence_, outcome};
+    auto made = call_settlement{order.account_, order.program_,   order.number_,
+                                ticket.epoch_,  ticket.sequence_, outcome};
     made.tokens_ = 40;
     made.max_tokens_ = ticket.max_tokens_;
     made.digest_ = order.digest_;
@@ -257,7 +258,8 @@
   auto replay = next.ledger_.open(order_of(1), "default", 0);
   REQUIRE(std::holds_alternative<open_replay>(replay));
   CHECK(std::get<open_replay>(replay).location_.segment_ == snapshot.segment_key_);
-  CHECK(std::holds_alternative<open_resolve>(next.ledger_.open(asked_again(order_of(2, false)), "default", 0)));
+  CHECK(
+      std::holds_alternative<open_resolve>(next.ledger_.open(asked_again(order_of(2, false)), "default", 0)));
   owner.ledger_.complete_snapshot(snapshot);
   auto own = owner.ledger_.open(order_of(1), "default", 0);
   CHECK(std::get<open_replay>(own).location_.length_ == 8);
--- a/unit_tests/filters/parse_filter_test.cpp
+++ b/unit_tests/filters/parse_filter_test.cpp
@@ -29,7 +29,8 @@
 }  // namespace
 
 TEST_CASE("a chat completion is read from headers and from the body's own object") {
-  auto by_header = parse(good_body, {{"birchlever-program", "p"}, {"birchlever-call", "3"}, {"birchlever-budget", "50"}});
+  auto by_header =
+      parse(good_body, {{"birchlever-program", "p"}, {"birchlever-call", "3"}, {"birchlever-budget", "50"}});
   REQUIRE(!by_header.failure_);
   CHECK(by_header.open_.order_.number_ == 3);
   CHECK(by_header.open_.order_.budget_ == 50);
@@ -46,14 +47,17 @@
   CHECK(code_of(parse("[]")) == error_code::wrong_type);
   CHECK(code_of(parse("{}")) == error_code::missing_field);
   CHECK(code_of(parse(std::string(3000, 'x'))) == error_code::body_too_large);
-  CHECK(code_of(parse(R"({"model":1,"messages":[{"role":"user","content":"x"}]})")) == error_code::wrong_type);
+  CHECK(code_of(parse(R"({"model":1,"messages":[{"role":"user","content":"x"}]})")) ==
+        error_code::wrong_type);
   CHECK(code_of(parse(R"({"model":"m","messages":[]})")) == error_code::wrong_type);
   CHECK(code_of(parse(R"({"model":"m","messages":[{"content":"x"}]})")) == error_code::wrong_type);
   CHECK(code_of(parse(R"({"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":-1})")) ==
         error_code::wrong_type);
   CHECK(code_of(parse(good_body, {{"birchlever-program", "p"}})) == error_code::missing_field);
-  CHECK(code_of(parse(good_body, {{"birchlever-program", "p"}, {"birchlever-call", "x"}})) == error_code::wrong_type);
-  CHECK(code_of(parse(good_body, {{"birchlever-program", "a/b"}, {"birchlever-call", "1"}})) == error_code::wrong_type);
+  CHECK(code_of(parse(good_body, {{"birchlever-program", "p"}, {"birchlever-call", "x"}})) ==
+        error_code::wrong_type);
+  CHECK(code_of(parse(good_body, {{"birchlever-program", "a/b"}, {"birchlever-call", "1"}})) ==
+        error_code::wrong_type);
   CHECK(code_of(parse(good_body, {{"birchlever-repeatable", "maybe"}})) == error_code::wrong_type);
   CHECK(code_of(parse(good_body, {{"birchlever-call", "99999999999999999999"}})) == error_code::wrong_type);
 }
@@ -67,6 +71,14 @@
   CHECK(!context.open_.order_.repeatable_);
 }
 
+TEST_CASE("not run is told only when it is true of every attempt") {
+  auto context = request_context{};
+  auto refusal = error{error_code::no_upstream, "none"};
+  CHECK(context.truthful(refusal).ran_ == ran_state::not_run);
+  context.may_have_run_ = true;
+  CHECK(context.truthful(refusal).ran_ == ran_state::outcome_unknown);
+}
+
 TEST_CASE("no body makes the filter fail otherwise than by type") {
   auto generator = std::mt19937_64{7};
   for (auto round = 0; round < 3000; ++round) {
--- a/unit_tests/operators/statement_test.cpp
+++ b/unit_tests/operators/statement_test.cpp
@@ -11,7 +11,8 @@
 namespace birchlever {
 
 TEST_CASE("questions are read with their conditions, order and limit") {
-  auto parsed = parse_statement("show programs where account = notary and spent >= 10 order by spent desc limit 5");
+  auto parsed =
+      parse_statement("show programs where account = notary and spent >= 10 order by spent desc limit 5");
   REQUIRE(ok(parsed));
   const auto& made = value(parsed);
   CHECK(made.subject_ == "programs");
@@ -24,7 +25,8 @@
 }
 
 TEST_CASE("commands are read with their options") {
-  auto parsed = parse_statement("create policy mine using program_aware with cache_weight = 2.5, hall_ms=1 if generation 7 dry run");
+  auto parsed = parse_statement(
+      "create policy mine using program_aware with cache_weight = 2.5, hall_ms=1 if generation 7 dry run");
   REQUIRE(ok(parsed));
   CHECK(value(parsed).parameters_.at("cache_weight") == 2.5);
   CHECK(value(parsed).if_generation_ == 7);
@@ -51,7 +53,8 @@
 
 TEST_CASE("no text makes the parser fail otherwise than by type") {
   auto generator = std::mt19937_64{5};
-  auto valid = std::string{"show programs where account = notary and spent >= 10 order by spent desc limit 5"};
+  auto valid =
+      std::string{"show programs where account = notary and spent >= 10 order by spent desc limit 5"};
   for (auto round = 0; round < 3000; ++round) {
     auto text = valid;
     for (auto change = 0; change < 4; ++change) {
--- a/unit_tests/policy/policy_test.cpp
+++ b/unit_tests/policy/policy_test.cpp
@@ -95,6 +95,8 @@
   CHECK(value(table.choose(*policy, wish, 20)).upstream_.id_ == "two");
   wish.call_.avoid_ = {"two"};
   CHECK(value(table.choose(*policy, wish, 20)).upstream_.id_ == "one");
+  wish.call_.avoid_ = {"one", "two"};
+  CHECK(ok(table.choose(*policy, wish, 20)));
   table.set_upstreams({}, {}, {});
   CHECK(!ok(table.choose(*policy, wish, 20)));
 }
