--- a/birchlever/controllers/control_controller.cpp
+++ b/birchlever/controllers/control_controller.cpp
@@ -4,6 +4,7 @@
 
 #include "birchlever/controllers/daemon_context.h"
 #include "birchlever/controllers/fleet_view.h"
+#include "birchlever/controllers/owner_gateway.h"
 #include "birchlever/coordination/versioned_configuration.h"
 #include "birchlever/policy/policy_book.h"
 #include "birchlever/telemetry/log.h"
@@ -20,10 +21,11 @@
 }  // namespace
 
 control_controller::control_controller(caf::actor_config& config, std::shared_ptr<daemon_context> context,
-                                       std::vector<caf::actor> shards)
+                                       std::vector<caf::actor> shards, std::shared_ptr<owner_gateway> gateway)
     : caf::event_based_actor{config},
       context_{std::move(context)},
       shards_{std::move(shards)},
+      gateway_{std::move(gateway)},
       better_owner_since_(shards_.size(), 0) {}
 
 auto control_controller::make_behavior() -> caf::behavior {
@@ -32,7 +34,7 @@
       [this](tick_atom) {
         look_at_vms();
         look();
-        delayed_send(this, std::chrono::milliseconds{context_->settings_.poll_ms_}, tick_atom::value);
+        delayed_send(this, std::chrono::milliseconds{next_gap()}, tick_atom::value);
       },
       [this](look_atom) { look(); },
       [this](hand_over_atom) { hand_over_all(); },
@@ -40,6 +42,12 @@
   };
 }
 
+/// A tenth more or less than the setting, so that daemons that began together do not look in step.
+auto control_controller::next_gap() -> milliseconds {
+  auto spread = std::uniform_real_distribution<double>{0.9, 1.1};
+  return static_cast<milliseconds>(static_cast<double>(context_->settings_.poll_ms_) * spread(generator_));
+}
+
 auto control_controller::look_at_vms() -> void {
   auto entries = context_->vm_list_->fetch();
   if (!ok(entries)) {
@@ -113,19 +121,30 @@
   observed->row_ = row;
   observed->rank_ =
       place == ranking.end() ? static_cast<int>(ranking.size()) : static_cast<int>(place - ranking.begin());
-  auto index = static_cast<std::size_t>(shard);
+  observed->successor_ = better_owner(shard, ranking);
+  anon_send(shards_[static_cast<std::size_t>(shard)], observed_atom::value,
+            shared<observed_message>{observed});
+}
+
+/// The daemon to hand a shard we own over to: first in the ranking for some looks already, and able to take
+/// it.
+auto control_controller::better_owner(int shard, const std::vector<std::string>& ranking) -> std::string {
+  auto& since = better_owner_since_[static_cast<std::size_t>(shard)];
+  auto owned = context_->fleet_->claim(shard).address_ == context_->peer_address_;
+  if (!owned || ranking.empty() || ranking.front() == context_->daemon_id_) {
+    since = 0;
+    return {};
+  }
   auto now = context_->clock_->now();
-  if (ranking.empty() || place == ranking.begin()) {
-    better_owner_since_[index] = 0;
-  } else if (better_owner_since_[index] == 0) {
-    better_owner_since_[index] = now;
+  if (since == 0) {
+    since = now;
   }
-  auto since = better_owner_since_[index];
-  auto settled = since != 0 && now - since >= rebalance_after_looks * context_->settings_.poll_ms_;
-  if (settled) {
-    observed->successor_ = ranking.front();
+  if (now - since < rebalance_after_looks * context_->settings_.poll_ms_) {
+    return {};
   }
-  anon_send(shards_[index], observed_atom::value, shared<observed_message>{observed});
+  since = 0;
+  auto successor = context_->fleet_->find_vm(ranking.front());
+  return successor && gateway_->can_own(successor->address_.text()) ? ranking.front() : std::string{};
 }
 
 auto control_controller::hand_over_all() -> void {
--- a/birchlever/controllers/owner_gateway.cpp
+++ b/birchlever/controllers/owner_gateway.cpp
@@ -304,6 +304,13 @@
                      [&](auto& client) { client.hear_generation(reply, envelope()); });
 }
 
+auto owner_gateway::can_own(const std::string& address) -> bool {
+  auto reply = rpc::text_reply{};
+  auto called = peers_->call(address, short_timeout_ms,
+                             [&](auto& client) { client.hear_generation(reply, envelope()); });
+  return ok(called) && reply.text == able_to_own;
+}
+
 auto owner_gateway::share_views(const std::string& address, const std::string& views) -> void {
   auto sent =
       peers_->call(address, short_timeout_ms, [&](auto& client) { client.share_views(envelope(), views); });
--- a/birchlever/controllers/owner_gateway.h
+++ b/birchlever/controllers/owner_gateway.h
@@ -15,6 +15,9 @@
 class peer_client_pool;
 class shard_set;
 
+/// The answer of a daemon that may be given shards.
+inline constexpr auto able_to_own = "able";
+
 namespace rpc {
 class envelope;
 }
@@ -44,6 +47,9 @@
   /// Runs an operator's statement on one daemon.
   auto query(const std::string& address, const std::string& statement) -> result<std::string>;
 
+  /// True when a daemon says that it reaches the store and is not stopping, so that shards may go to it.
+  auto can_own(const std::string& address) -> bool;
+
   /// Tells a daemon our configuration generation.
   auto tell_generation(const std::string& address) -> void;
 
--- a/birchlever/coordination/fleet_configuration.cpp
+++ b/birchlever/coordination/fleet_configuration.cpp
@@ -64,6 +64,7 @@
     auto body = json::parse(text);
     for (const auto& [name, account] : body.at("accounts").items()) {
       parsed.accounts_[name] = {account.at("key_sha256"), account.at("max_in_flight")};
+      parsed.account_by_digest_[account.at("key_sha256")] = name;
     }
     for (const auto& [name, policy] : body.at("policies").items()) {
       parsed.policies_[name] = policy_from_json(policy);
@@ -101,13 +102,8 @@
 }
 
 auto fleet_configuration::account_of(const std::string& key) const -> std::string {
-  auto digest = sha256_of(key);
-  for (const auto& [name, account] : accounts_) {
-    if (equal_secrets(account.key_digest_, digest)) {
-      return name;
-    }
-  }
-  return {};
+  auto found = account_by_digest_.find(sha256_of(key));  // Of digests, a lookup's time tells nothing useful.
+  return found == account_by_digest_.end() ? std::string{} : found->second;
 }
 
 auto fleet_configuration::policy_for(const std::string& account, const std::string& program) const
--- a/birchlever/coordination/fleet_configuration.h
+++ b/birchlever/coordination/fleet_configuration.h
@@ -31,6 +31,7 @@
 /// Everything operators change while the fleet runs.
 struct fleet_configuration {
   std::map<std::string, client_account> accounts_;
+  std::map<std::string, std::string> account_by_digest_;  ///< Follows accounts_ when parsed; not stored.
   std::map<std::string, fleet_policy> policies_;
   std::set<std::string> drained_upstreams_;
   std::set<std::string> drained_halls_;
--- a/birchlever/coordination/versioned_configuration.cpp
+++ b/birchlever/coordination/versioned_configuration.cpp
@@ -40,21 +40,34 @@
     : store_{std::move(store)}, clock_{std::move(clock)}, bound_{bound} {}
 
 auto versioned_configuration::observe(const std::optional<table_row>& row, milliseconds look_began) -> bool {
-  auto lock = std::lock_guard{mutex_};
-  if (!looked_at_ || look_began > *looked_at_) {
-    looked_at_ = look_began;
+  auto named = row ? parse_generation(row->value_) : std::nullopt;
+  {
+    auto lock = std::lock_guard{mutex_};
+    looked_at_ = std::max(looked_at_.value_or(look_began), look_began);
+    auto goes_back = named && !test_switches::instance().mechanism_on("configuration_order");
+    if (!named || (named->generation_ <= current_.generation_ && !goes_back)) {
+      return false;
+    }
+    heard_ = std::max(heard_, named->generation_);
   }
-  auto parsed = row ? parse_generation(row->value_) : std::nullopt;
-  auto newer = parsed && parsed->generation_ > current_.generation_;
-  auto goes_back = parsed && !test_switches::instance().mechanism_on("configuration_order");
-  if (!newer && !goes_back) {
-    return false;
+  auto document = store_->read(generation_key(named->generation_));
+  auto whole = ok(document) && value(document) ? parse_generation(value(document)->value_) : std::nullopt;
+  if (!whole) {
+    return false;  // Heard of but not known: not fresh, and the next look tries again.
   }
-  current_ = *parsed;
-  row_version_ = row->version_;
+  take(*whole, row->version_);
   return true;
 }
 
+auto versioned_configuration::take(const configuration_generation& next, std::int64_t row_version) -> void {
+  auto lock = std::lock_guard{mutex_};
+  auto forward = next.generation_ > current_.generation_;
+  if (forward || !test_switches::instance().mechanism_on("configuration_order")) {
+    current_ = next;
+    row_version_ = row_version;
+  }
+}
+
 auto versioned_configuration::heard(std::int64_t generation) -> bool {
   auto lock = std::lock_guard{mutex_};
   heard_ = std::max(heard_, generation);
@@ -104,16 +117,16 @@
     base_version = row_version_;
   }
   auto next = configuration_generation{expected + 1, text, author};
-  auto body =
-      nlohmann::json{{"generation", next.generation_}, {"text", next.text_}, {"author", next.author_}}.dump();
-  auto transaction = table_transaction{random_id(), {}, {{row_key(), body}}, {}};
+  auto name = nlohmann::json{{"generation", next.generation_}, {"author", next.author_}};
+  auto document = name;
+  document["text"] = next.text_;
+  auto transaction = table_transaction{random_id(), {}, {{row_key(), name.dump()}}, {}};
   if (test_switches::instance().mechanism_on("configuration_compare")) {
     transaction.conditions_.push_back({row_key(), base_version});
     transaction.conditions_.push_back({generation_key(next.generation_), 0});
   }
-  transaction.puts_.push_back({generation_key(next.generation_), body});
+  transaction.puts_.push_back({generation_key(next.generation_), document.dump()});
   transaction.deletes_.push_back(generation_key(next.generation_ - generations_kept));
-  auto began = clock_->now();
   auto outcome = store_->commit(transaction);
   if (!ok(outcome) && failure(outcome).code_ == error_code::store_conflict) {
     return conflict();
@@ -124,7 +137,7 @@
   if (!ok(outcome)) {
     return failure(outcome);
   }
-  observe(table_row{row_key(), body, value(outcome), transaction.write_id_}, began);
+  take(next, value(outcome));
   return next.generation_;
 }
 
--- a/birchlever/coordination/versioned_configuration.h
+++ b/birchlever/coordination/versioned_configuration.h
@@ -29,7 +29,9 @@
   /// The key of the row that holds the current generation.
   static auto row_key() -> std::string { return "control/configuration"; }
 
-  /// Takes in the row as read by a look that began at the given time. True when the generation rose.
+  /// Takes in the row as read by a look that began at the given time. The row only names the newest
+  /// generation, so that looks stay small; its document is read once, from the generation's own row. True
+  /// when the generation rose. While that read fails, the view is not fresh.
   auto observe(const std::optional<table_row>& row, milliseconds look_began) -> bool;
 
   /// Another process has seen this generation; true when it is newer than ours, so looking is worthwhile.
@@ -53,6 +55,7 @@
   versioned_configuration(std::shared_ptr<table_store_interface> store,
                           std::shared_ptr<clock_interface> clock, milliseconds bound);
 
+  auto take(const configuration_generation& next, std::int64_t row_version) -> void;
   auto resolve(std::int64_t proposed, const std::string& write_id) -> result<std::int64_t>;
   auto conflict() -> error;
 
--- a/birchlever/operators/operator_console.cpp
+++ b/birchlever/operators/operator_console.cpp
@@ -25,20 +25,23 @@
 using nlohmann::json;
 
 constexpr auto most_at_once = std::size_t{16};
+constexpr auto longest_question = std::chrono::seconds{10};
 constexpr auto most_rows = std::size_t{5000};
 
 auto dump(const json& body) -> std::string {
   return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-/// Runs the work for every index on a bounded number of threads.
+/// Runs the work for every index on a bounded number of threads; what has not begun in time is left out.
 template <class Work>
 auto for_each_bounded(std::size_t count, Work work) -> void {
+  auto give_up_at = std::chrono::steady_clock::now() + longest_question;
   auto next = std::atomic<std::size_t>{0};
   auto threads = std::vector<std::thread>{};
   for (auto thread = std::size_t{0}; thread < std::min(count, most_at_once); ++thread) {
     threads.emplace_back([&] {
-      for (auto index = next++; index < count; index = next++) {
+      for (auto index = next++; index < count && std::chrono::steady_clock::now() < give_up_at;
+           index = next++) {
         work(index);
       }
     });
@@ -135,20 +138,26 @@
   auto found = fleet_rows{};
   found.asked_ = static_cast<std::int64_t>(targets.size());
   auto mutex = std::mutex{};
+  auto answered = std::set<std::string>{};
   for_each_bounded(targets.size(), [&](std::size_t index) {
     const auto& target = targets[index];
     auto own = target.id_ == context_->daemon_id_;
     auto answer = own ? local_rows(text) : gateway_->query(target.address_.text(), text);
     auto rows = ok(answer) ? json::parse(value(answer), nullptr, false) : json{};
-    auto lock = std::lock_guard{mutex};
     if (!rows.is_array()) {
-      found.silent_.push_back(target.id_);
       return;
     }
+    auto lock = std::lock_guard{mutex};
+    answered.insert(target.id_);
     for (auto& row : rows) {
       found.rows_.push_back(std::move(row));
     }
   });
+  for (const auto& target : targets) {
+    if (answered.count(target.id_) == 0) {
+      found.silent_.push_back(target.id_);
+    }
+  }
   return found;
 }
 
--- a/birchlever/rpc/peer_server.cpp
+++ b/birchlever/rpc/peer_server.cpp
@@ -12,6 +12,7 @@
 
 #include "birchlever/controllers/daemon_context.h"
 #include "birchlever/controllers/fleet_view.h"
+#include "birchlever/controllers/owner_gateway.h"
 #include "birchlever/controllers/shard_set.h"
 #include "birchlever/controllers/upstream_watch.h"
 #include "birchlever/coordination/versioned_configuration.h"
@@ -107,7 +108,10 @@
   }
 
   auto hear_generation(rpc::text_reply& reply, const rpc::envelope& sender) -> void override {
-    answer_text(reply, sender, [] { return result<std::string>{std::string{}}; });
+    answer_text(reply, sender, [this] {
+      auto able = context_->configuration_->fresh() && !context_->stopping_;
+      return result<std::string>{std::string{able ? able_to_own : ""}};
+    });
   }
 
   auto share_views(const rpc::envelope& sender, const std::string& views) -> void override {
--- a/birchlever_daemon/daemon.cpp
+++ b/birchlever_daemon/daemon.cpp
@@ -147,7 +147,7 @@
 
 auto daemon::state::start() -> status {
   start_actors();
-  control_ = system_->spawn<control_controller, caf::detached>(context_, shards_);
+  control_ = system_->spawn<control_controller, caf::detached>(context_, shards_, gateway_);
   auto look_now = [control = control_] { caf::anon_send(control, look_atom::value); };
   auto peers = peer_server::create(
       context_, shard_set_,
--- a/performance_test/control_test.cpp
+++ b/performance_test/control_test.cpp
@@ -7,6 +7,7 @@
 
 #include "birchlever/operators/statistics.h"
 #include "performance_test/performance_tests.h"
+#include "performance_test/picture.h"
 #include "scenarios/test_fleet.h"
 
 namespace birchlever::performance {
@@ -120,6 +121,8 @@
        << " a daemon (residual " << read_fit.residual_ << "); store writes/s = " << write_fit.offset_ << " + "
        << write_fit.slope_ << " a daemon (residual " << write_fit.residual_ << ")\n";
   publish(settings, "control", text.str());
+  draw_lines(settings.tables_, "control", "store operations a second at rest, against daemons",
+             {{"reads/s", reads}, {"writes/s", writes}});
   return good || !settings.check_;
 }
 
--- a/performance_test/decisions_test.cpp
+++ b/performance_test/decisions_test.cpp
@@ -5,6 +5,7 @@
 
 #include "birchlever/upstream/upstream_table.h"
 #include "performance_test/performance_tests.h"
+#include "performance_test/picture.h"
 
 namespace birchlever::performance {
 namespace {
@@ -51,6 +52,7 @@
   text << "\nFit: " << fit.offset_ << " us + " << std::setprecision(4) << fit.slope_
        << " us an engine, residual " << fit.residual_ << " us\n";
   publish(settings, "decisions", text.str());
+  draw_lines(settings.tables_, "decisions", "one decision: us against engines", {{"us", points}});
   return !settings.check_ ||
          points.back().second <= bound_us * 4;  // Times vary; the target itself is in docs.
 }
--- a/performance_test/policies_test.cpp
+++ b/performance_test/policies_test.cpp
@@ -9,6 +9,7 @@
 #include "birchlever/core/hashing.h"
 #include "birchlever/operators/statistics.h"
 #include "performance_test/performance_tests.h"
+#include "performance_test/picture.h"
 #include "performance_test/policy_bench.h"
 
 namespace birchlever::performance {
@@ -57,6 +58,7 @@
   auto text = std::ostringstream{};
   text << std::fixed << std::setprecision(2);
   auto good = true;
+  auto bars = std::vector<std::pair<std::string, double>>{};
   for (auto load : {workload::map_viewer, workload::signing_house}) {
     for (auto fault : {bench_fault::none, bench_fault::engine_dies, bench_fault::engine_slows,
                        bench_fault::events_lost, bench_fault::reports_late, bench_fault::hot_account}) {
@@ -74,6 +76,10 @@
       auto baseline_waste = best_p95;
       for (auto kind : kinds) {
         row(text, kind, results[kind], own);
+        if (fault == bench_fault::none) {
+          auto label = std::string{name_of(load)} + " " + std::string{name_of(kind)};
+          bars.emplace_back(label, quantile_of(results[kind].latencies_, 0.95) / 1000);
+        }
         auto p95 = quantile_of(results[kind].latencies_, 0.95);
         auto baseline = kind == policy_kind::round_robin || kind == policy_kind::least_loaded;
         best_p95 = kind == policy_kind::program_aware ? best_p95 : std::min(best_p95, p95);
@@ -94,6 +100,7 @@
   }
   text << "\nHash of the tables: " << std::hex << hash_of(text.str()) << "\n";
   publish(settings, "policies", text.str());
+  draw_bars(settings.tables_, "policies", "program p95 in s at 80 % load, no fault", bars);
   return good || !settings.check_;
 }
 
--- a/performance_test/takeover_test.cpp
+++ b/performance_test/takeover_test.cpp
@@ -12,6 +12,7 @@
 #include "birchlever/coordination/program_ledger.h"
 #include "birchlever/platform/memory_table_store.h"
 #include "performance_test/performance_tests.h"
+#include "performance_test/picture.h"
 
 namespace birchlever::performance {
 namespace {
@@ -111,6 +112,7 @@
   text << "\nFit from a snapshot: " << fit.offset_ << " ms + " << std::setprecision(4) << fit.slope_
        << " ms a program, residual " << fit.residual_ << " ms\n";
   publish(settings, "takeover", text.str());
+  draw_lines(settings.tables_, "takeover", "takeover from a snapshot: ms against programs", {{"ms", points}});
   return good || !settings.check_;
 }
 
--- a/scenarios/scenario_runner.cpp
+++ b/scenarios/scenario_runner.cpp
@@ -17,6 +17,7 @@
 constexpr auto stop_patience_s = 20;
 constexpr auto configuration_patience_ms = 8000;
 constexpr auto racers = 6;
+constexpr auto longest_quote = std::size_t{200};
 
 auto now_us() -> std::int64_t {
   auto since_start = std::chrono::steady_clock::now().time_since_epoch();
@@ -308,9 +309,12 @@
   auto pool = value(http_connection_pool::create(http_pool_settings{}));
   auto page = pool->request(fleet_.daemon_address(whole(step, 0, 1)), "GET", "/metrics", "");
   auto wanted = "refusals_total{type=\"" + step.names_.front() + "\"}";
-  auto found = ok(page) && value(page).body_.find(wanted) != std::string::npos;
-  return found ? std::vector<std::string>{}
-               : std::vector<std::string>{"no refusal of type " + step.names_.front()};
+  auto body = ok(page) ? value(page).body_ : "no metrics page: " + failure(page).detail_;
+  if (body.find(wanted) != std::string::npos) {
+    return {};
+  }
+  return {"no refusal of type " + step.names_.front() + "; the page has " +
+          body.substr(std::min(body.size(), body.find("refusals_total")), longest_quote)};
 }
 
 auto scenario_runner::expect(const scenario_step& step) -> void {
--- a/unit_tests/coordination/configuration_test.cpp
+++ b/unit_tests/coordination/configuration_test.cpp
@@ -46,6 +46,24 @@
   CHECK(both.left_->generation() == 2);
 }
 
+TEST_CASE(
+    "a view that heard of a generation whose document it cannot read is not fresh, and then catches up") {
+  auto both = two_views{};
+  both.look(*both.left_);
+  both.look(*both.right_);
+  REQUIRE(ok(both.left_->propose(0, "a", "x")));
+  auto row = value(both.store_->read(versioned_configuration::row_key()));
+  CHECK(row->value_.find("\"text\"") == std::string::npos);
+  auto document = value(both.store_->read("generation/1"));
+  REQUIRE(ok(both.store_->commit({"hide", {}, {}, {"generation/1"}})));
+  CHECK(!both.look(*both.right_));
+  CHECK(!both.right_->fresh());
+  REQUIRE(ok(both.store_->commit({"show", {}, {{"generation/1", document->value_}}, {}})));
+  CHECK(both.look(*both.right_));
+  CHECK(both.right_->fresh());
+  CHECK(both.right_->current().text_ == "a");
+}
+
 TEST_CASE("a view is fresh within its bound, and not while a higher generation was heard of") {
   auto both = two_views{};
   CHECK(!both.left_->fresh());
