--- a/birchlever/controllers/shard_controller.cpp
+++ b/birchlever/controllers/shard_controller.cpp
@@ -1,4 +1,5 @@
 #include "birchlever/controllers/shard_controller.h"
+#include "birchlever/controllers/shard_replies.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -16,17 +17,7 @@
 namespace {
 
 constexpr auto tick_gap = std::chrono::milliseconds{50};
-constexpr auto probe_margin_ms = milliseconds{250};  // Past the time in which a ticket may still be used.
 constexpr auto ticket_memory_periods = 4;
-constexpr auto owner_retry_ms = std::int64_t{300};
-
-auto program_key(const std::string& account, const std::string& program) -> std::string {
-  return account + "/" + program;
-}
-
-auto make_open_reply(open_reply reply) -> shared<open_reply> {
-  return std::make_shared<open_reply>(std::move(reply));
-}
 
 }  // namespace
 
@@ -109,10 +100,6 @@
   return ledger_ && !handing_over_ && (in_time || !checked);
 }
 
-auto shard_controller::probe_gap() const -> milliseconds {
-  return context_->settings_.send_within_ms_ + probe_margin_ms;
-}
-
 auto shard_controller::not_owner() const -> error {
   return {error_code::not_owner, "this daemon does not own shard " + std::to_string(shard_),
           ran_state::not_run, owner_retry_ms};
@@ -214,86 +201,6 @@
   promise.deliver(make_open_reply(replayed_answer{value(text)}));
 }
 
-auto shard_controller::wait(const shared<open_request>& request, open_promise promise, bool own_answer)
-    -> void {
-  if (waiting_.size() >= static_cast<std::size_t>(context_->settings_.max_waiting_)) {
-    promise.deliver(make_open_reply(
-        error{error_code::overloaded, "too many calls wait for their turn", ran_state::not_run, 1000}));
-    return;
-  }
-  auto now = context_->clock_->now();
-  auto limit = own_answer ? request->order_.deadline_ : context_->settings_.order_wait_ms_;
-  waiting_.emplace(program_key(request->order_.account_, request->order_.program_),
-                   waiting_call{request, promise, now + limit, now + probe_gap(), own_answer});
-}
-
-auto shard_controller::wake(const std::string& account, const std::string& program) -> void {
-  auto range = waiting_.equal_range(program_key(account, program));
-  auto woken = std::vector<waiting_call>{};
-  for (auto next = range.first; next != range.second; ++next) {
-    woken.push_back(next->second);
-  }
-  waiting_.erase(range.first, range.second);
-  std::sort(woken.begin(), woken.end(), [](const waiting_call& left, const waiting_call& right) {
-    return left.request_->order_.number_ < right.request_->order_.number_;
-  });
-  for (auto& one : woken) {
-    open(one.request_, one.promise_);
-  }
-}
-
-auto shard_controller::give_up_waiting() -> void {
-  auto now = context_->clock_->now();
-  for (auto next = waiting_.begin(); next != waiting_.end();) {
-    auto& one = next->second;
-    const auto& order = one.request_->order_;
-    if (one.own_answer_ && now >= one.probe_at_) {
-      one.probe_at_ = now + probe_gap();
-      const auto* owner = ledger_->find(order.account_, order.program_);
-      auto call = owner == nullptr ? decltype(owner->calls_.end()){} : owner->calls_.find(order.number_);
-      if (owner != nullptr && call != owner->calls_.end() && !call->second.upstream_.empty()) {
-        auto question = std::make_shared<probe_message>();
-        *question = {order.account_,
-                     order.program_,
-                     order.number_,
-                     call->second.upstream_,
-                     call->second.key_,
-                     call->second.sequence_,
-                     !one.request_->service_.empty()};
-        send(upstream_worker_, probe_atom::value, shared<probe_message>{question});
-      }
-    }
-    if (now < one.give_up_at_) {
-      ++next;
-      continue;
-    }
-    auto code = one.own_answer_ ? error_code::call_in_progress : error_code::call_out_of_order;
-    auto state = one.own_answer_ ? ran_state::outcome_unknown : ran_state::not_run;
-    one.promise_.deliver(
-        make_open_reply(error{code, "call " + std::to_string(order.number_) + " waited too long for its turn",
-                              state, owner_retry_ms}));
-    next = waiting_.erase(next);
-  }
-}
-
-auto shard_controller::resolve(const shared<open_request>& request, open_promise promise,
-                               const open_resolve& question) -> void {
-  auto& asking = resolving_[question.key_];
-  asking.push_back(promise);
-  if (asking.size() > 1) {
-    return;
-  }
-  auto message = std::make_shared<probe_message>();
-  *message = {request->order_.account_,
-              request->order_.program_,
-              request->order_.number_,
-              question.upstream_,
-              question.key_,
-              0,
-              true};
-  send(upstream_worker_, probe_atom::value, shared<probe_message>{message});
-}
-
 auto shard_controller::accepted(const accepted_report& report) -> void {
   if (!ledger_) {
     return;
--- a/birchlever/controllers/shard_programs.cpp
+++ b/birchlever/controllers/shard_programs.cpp
@@ -5,6 +5,7 @@
 #include "birchlever/controllers/fleet_view.h"
 #include "birchlever/controllers/shard_controller.h"
 #include "birchlever/controllers/shard_placement.h"
+#include "birchlever/controllers/shard_replies.h"
 #include "birchlever/core/test_switches.h"
 #include "birchlever/telemetry/log.h"
 #include "birchlever/telemetry/metrics.h"
@@ -80,7 +81,7 @@
   const auto* owner = ledger_->find(record.account_, record.program_);
   if (record.kind_ == record_kind::program_ended && owner != nullptr) {
     release_memory(*owner);
-    explanations_.erase(record.account_ + "/" + record.program_);
+    explanations_.erase(program_key(record.account_, record.program_));
     if (record.reason_ == "done" && owner->began_at_ > 0) {
       auto latency = static_cast<double>(owner->last_answer_at_ - owner->began_at_);
       context_->comparison_->program_ended(owner->policy_, latency);
@@ -116,7 +117,7 @@
   if (!test_switches::instance().mechanism_on("memory_release")) {
     return;
   }
-  auto session = ended.account_ + "/" + ended.id_;
+  auto session = program_key(ended.account_, ended.id_);
   for (const auto& upstream : ended.upstreams_) {
     send(upstream_worker_, release_atom::value, upstream, session);
   }
@@ -210,7 +211,7 @@
   auto now = context_->clock_->now();
   ledger_->each([&](const program& one) {
     if (kind == "programs") {
-      auto explained = explanations_.find(one.account_ + "/" + one.id_);
+      auto explained = explanations_.find(program_key(one.account_, one.id_));
       list.push_back(
           {{"program", one.id_},
            {"account", one.account_},
@@ -277,13 +278,13 @@
   resolving_.erase(asking);
   for (auto& promise : promises) {
     if (answer.outcome_ == probe_outcome::executed) {
-      promise.deliver(shared<open_reply>{std::make_shared<open_reply>(replayed_answer{answer.answer_})});
+      promise.deliver(make_open_reply(replayed_answer{answer.answer_}));
       continue;
     }
     auto refusal = error{error_code::outcome_unknown,
                          "the call may have run and its upstream cannot tell; it is not sent again",
                          ran_state::outcome_unknown};
-    promise.deliver(shared<open_reply>{std::make_shared<open_reply>(refusal)});
+    promise.deliver(make_open_reply(refusal));
   }
 }
 
--- a/performance_test/policy_bench.cpp
+++ b/performance_test/policy_bench.cpp
@@ -10,60 +10,17 @@
 #include <set>
 
 #include "birchlever/policy/policy_interface.h"
+#include "performance_test/bench_load.h"
 
 namespace birchlever::performance {
 namespace {
 
 constexpr auto halls = 3;
-constexpr auto capacity = 8;
-constexpr auto prefill_per_ms = 8.0;
-constexpr auto token_ms = 24.0;  // An idle engine; a full one takes twice as long per token.
 constexpr auto report_gap_ms = 500.0;
 constexpr auto report_lag_ms = 300.0;
 constexpr auto late_lag_ms = 2000.0;
-constexpr auto system_tokens = 600;
 constexpr auto slow_factor = 4.0;
 
-/// What sets the two deployments apart.
-struct shape {
-  int engines_;
-  int accounts_;
-  int least_turns_;
-  int most_turns_;
-  double tool_share_;
-  double tool_ms_;
-  int user_tokens_;
-  int answer_tokens_;
-  double cache_tokens_;
-  int templates_;
-};
-
-constexpr auto shapes = std::array{
-    shape{12, 30, 6, 30, 0.6, 1500, 400, 120, 60000, 4},
-    shape{10, 120, 3, 14, 0.4, 900, 700, 90, 45000, 12},
-};
-
-struct bench_turn {
-  int user_tokens_;
-  int answer_tokens_;
-  double pause_ms_;
-};
-
-struct bench_program {
-  int account_ = 0;
-  int template_ = 0;
-  double starts_ms_ = 0;
-  std::vector<bench_turn> turns_;
-  // As it goes.
-  std::size_t turn_ = 0;
-  double history_tokens_ = 0;
-  int last_engine_ = -1;
-  std::set<int> holders_;
-  double attained_ = 0;
-  double asked_ms_ = 0;
-  double ideal_ms_ = 0;
-};
-
 struct held_prefix {
   double tokens_ = 0;
   double used_ms_ = 0;
@@ -109,7 +66,7 @@
  public:
   bench_run(const policy_settings& policy, const bench_settings& settings)
       : settings_{settings},
-        shape_{shapes.at(static_cast<std::size_t>(settings.workload_))},
+        shape_{shape_of(settings.workload_)},
         policy_{value(make_policy(policy))},
         aware_{policy.kind_ == policy_kind::program_aware},
         engines_(static_cast<std::size_t>(shape_.engines_)),
@@ -120,12 +77,15 @@
         attempt_(static_cast<std::size_t>(settings.programs_)) {}
 
   auto run() -> bench_outcome {
-    draw_programs();
+    programs_ = draw_programs(settings_);
+    for (auto index = 0; index < settings_.programs_; ++index) {
+      push(programs_[static_cast<std::size_t>(index)].starts_ms_, event_kind::ask, index, 0, 0);
+    }
     for (auto engine = 0; engine < shape_.engines_; ++engine) {
       auto& view = views_[static_cast<std::size_t>(engine)];
       view.id_ = "engine-" + std::to_string(engine);
       view.data_hall_ = "hall-" + std::to_string(engine % halls);
-      view.capacity_ = capacity;
+      view.capacity_ = engine_capacity;
       view.cache_capacity_ = shape_.cache_tokens_;
       push(static_cast<double>(engine), event_kind::report, engine, engine, 0);
     }
@@ -146,43 +106,10 @@
   }
 
   auto service_ms(int prompt_missing, int answer, const bench_engine& engine) const -> double {
-    auto crowding = 1 + static_cast<double>(engine.running_) / capacity;
+    auto crowding = 1 + static_cast<double>(engine.running_) / engine_capacity;
     return (prompt_missing / prefill_per_ms + answer * token_ms * crowding) * engine.slow_;
   }
 
-  auto draw_programs() -> void {
-    auto generator = std::mt19937_64{settings_.seed_};
-    auto uniform = std::uniform_real_distribution<double>{0, 1};
-    auto mean_turns = (shape_.least_turns_ + shape_.most_turns_) / 2.0;
-    auto mean_call_ms = shape_.user_tokens_ / prefill_per_ms + shape_.answer_tokens_ * token_ms * 1.8;
-    auto work_ms = mean_turns * mean_call_ms;
-    auto gap = work_ms / (settings_.load_ * shape_.engines_ * capacity);
-    auto at = 0.0;
-    for (auto index = 0; index < settings_.programs_; ++index) {
-      auto burst = settings_.workload_ == workload::signing_house && uniform(generator) < 0.3;
-      at += burst ? 0
-                  : -std::log(1 - uniform(generator)) * gap *
-                        (settings_.workload_ == workload::signing_house ? 1.43 : 1);
-      auto program = bench_program{};
-      auto skew = uniform(generator);
-      auto hot = settings_.fault_ == bench_fault::hot_account && uniform(generator) < 0.5;
-      program.account_ = hot ? 0 : static_cast<int>(skew * skew * shape_.accounts_);
-      program.template_ = program.account_ % shape_.templates_;
-      program.starts_ms_ = at;
-      auto spread = shape_.most_turns_ - shape_.least_turns_;
-      auto turns = shape_.least_turns_ + static_cast<int>(uniform(generator) * spread);
-      for (auto turn = 0; turn < turns; ++turn) {
-        auto tool = uniform(generator) < shape_.tool_share_;
-        program.turns_.push_back({static_cast<int>(shape_.user_tokens_ * (0.3 + 1.4 * uniform(generator))),
-                                  static_cast<int>(shape_.answer_tokens_ * (0.3 + 1.4 * uniform(generator))),
-                                  tool ? -std::log(1 - uniform(generator)) * shape_.tool_ms_ : 50});
-      }
-      program.history_tokens_ = system_tokens;
-      programs_.push_back(program);
-      push(at, event_kind::ask, index, 0, 0);
-    }
-  }
-
   auto handle(const bench_event& event) -> void {
     switch (event.kind_) {
       case event_kind::ask:
@@ -317,7 +244,7 @@
 
   auto start_next(int engine_index) -> void {
     auto& engine = engines_[static_cast<std::size_t>(engine_index)];
-    while (!engine.dead_ && engine.running_ < capacity && !engine.queue_.empty()) {
+    while (!engine.dead_ && engine.running_ < engine_capacity && !engine.queue_.empty()) {
       auto index = engine.queue_.begin()->program_;
       engine.queue_.erase(engine.queue_.begin());
       auto& program = programs_[static_cast<std::size_t>(index)];
