--- a/birchlever/coordination/program_ledger.cpp
+++ b/birchlever/coordination/program_ledger.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr auto epoch_shift = 32;
-constexpr auto order_retry_ms = 200;
 
 auto refuse(error_code code, std::string detail, std::int64_t retry_after_ms = 0) -> error {
   return error{code, std::move(detail), ran_state::not_run, retry_after_ms};
--- a/birchlever/filters/parse_filter.cpp
+++ b/birchlever/filters/parse_filter.cpp
@@ -82,7 +82,7 @@
 
 auto prefix_hashes_of(const std::string& prompt) -> std::vector<std::uint64_t> {
   auto hashes = std::vector<std::uint64_t>{};
-  auto block = static_cast<std::size_t>(upstream_table::block_tokens_) * bytes_per_token;
+  auto block = static_cast<std::size_t>(upstream_table::block_tokens) * bytes_per_token;
   auto running = std::uint64_t{0};
   for (auto offset = std::size_t{0}; offset + block <= prompt.size() && hashes.size() < most_prefix_hashes;
        offset += block) {
--- a/birchlever/filters/retry_budget.h
+++ b/birchlever/filters/retry_budget.h
@@ -15,7 +15,7 @@
   /// A first attempt was made.
   auto earn() -> void {
     auto lock = std::lock_guard{mutex_};
-    saved_ = std::min(most_saved_, saved_ + earned_per_attempt_);
+    saved_ = std::min(most_saved, saved_ + earned_per_attempt_);
   }
 
   /// Takes one retry; false when the budget is spent.
@@ -30,11 +30,11 @@
 
  private:
   static constexpr double hundred = 100;
-  static constexpr double most_saved_ = 20;
+  static constexpr double most_saved = 20;
 
   std::mutex mutex_;
   double earned_per_attempt_ = 0;
-  double saved_ = most_saved_ / 2;
+  double saved_ = most_saved / 2;
 };
 
 }  // namespace birchlever
--- a/birchlever/upstream/upstream_table.cpp
+++ b/birchlever/upstream/upstream_table.cpp
@@ -108,7 +108,7 @@
       break;
     }
     for (auto holder : found->second) {
-      cached[holder] = static_cast<double>(blocks * block_tokens_);
+      cached[holder] = static_cast<double>(blocks * block_tokens);
     }
   }
   auto own = index_of(wish.last_upstream_);
--- a/birchlever/upstream/upstream_table.h
+++ b/birchlever/upstream/upstream_table.h
@@ -56,7 +56,7 @@
 class upstream_table {
  public:
   /// Tokens that one prefix hash stands for.
-  static constexpr std::int64_t block_tokens_ = 256;
+  static constexpr std::int64_t block_tokens = 256;
 
   /// Takes in the platform's list and what operators drained.
   auto set_upstreams(const std::vector<vm_entry>& entries, const std::set<std::string>& drained,
--- a/scenarios/invariants.cpp
+++ b/scenarios/invariants.cpp
@@ -66,7 +66,9 @@
 auto invariants::history() const -> std::vector<std::string> {
   auto broken = std::vector<std::string>{};
   auto recorded = std::map<std::string, std::map<int, std::string>>{};
-  for (const auto& [account, program] : load_.programs()) {
+  for (const auto& named : load_.programs()) {
+    const auto& account = named.first;
+    const auto& program = named.second;
     auto headers = std::map<std::string, std::string>{{"Authorization", "Bearer " + account + "-key-1"}};
     auto pool = value(http_connection_pool::create(http_pool_settings{}));
     auto found = eventually(8000, [&] {
--- a/scenarios/program_load.cpp
+++ b/scenarios/program_load.cpp
@@ -229,7 +229,9 @@
 }
 
 auto program_load::run_program(int index, std::uint64_t seed) -> void {
-  auto [account, program] = programs()[static_cast<std::size_t>(index)];
+  const auto named = programs()[static_cast<std::size_t>(index)];
+  const auto& account = named.first;
+  const auto& program = named.second;
   for (auto number = 1; number <= plan_.calls_; ++number) {
     auto last = plan_.end_ && number == plan_.calls_;
     if (number % tool_every == 0 && !last) {
--- a/scenarios/test_fleet.cpp
+++ b/scenarios/test_fleet.cpp
@@ -23,7 +23,6 @@
 constexpr auto shard_count = 6;
 constexpr auto operator_key = "operator-key-1";
 constexpr auto ready_ms = 15000;
-constexpr auto kill_grace_ms = 200;
 const auto halls = std::vector<std::string>{"montevideo-a", "montevideo-b", "canelones"};
 
 auto hall_of(int index) -> std::string {
