A request that is given up on hears so at once, also when the store is down

Cause: the entry waited for the owner's record of a failed attempt before it told the caller, up to settle_wait_ms (3 s); the users ask for the final answer at once. Ruled out: the owner (it parks nothing for a failure), the upstream's wait. Change: an attempt without an answer that is not retried is settled in the background.

--- a/birchlever/controllers/owner_gateway.cpp
+++ b/birchlever/controllers/owner_gateway.cpp
@@ -125,8 +125,13 @@
   unused.report_.digest_ = request.order_.digest_;
   unused.report_.repeatable_ = request.order_.repeatable_;
   unused.report_.request_id_ = request.request_id_;
+  settle_later(unused);
+}
+
+auto owner_gateway::settle_later(const settle_request& request) -> void {
   auto lock = std::lock_guard{mutex_};
-  open_settlements_.push_back({unused, context_->clock_->now() + settlement_patience_ms});
+  under_way_.erase(request.report_.sequence_);
+  open_settlements_.push_back({request, context_->clock_->now() + settlement_patience_ms});
 }
 
 auto owner_gateway::send_accepted(const accepted_report& report) -> void {
--- a/birchlever/controllers/owner_gateway.h
+++ b/birchlever/controllers/owner_gateway.h
@@ -39,6 +39,9 @@
   /// Settles a call. Failures: answer_not_recorded when no owner confirmed it in time; it is tried on.
   auto settle(const settle_request& request) -> settle_reply;
 
+  /// Settles a call in the background; no one waits for it.
+  auto settle_later(const settle_request& request) -> void;
+
   /// Requests about whole programs; the answers are JSON.
   auto create_program(const program_request& request) -> result<std::string>;
   auto end_program(const program_request& request) -> result<std::string>;
--- a/birchlever/filters/caller_server.cpp
+++ b/birchlever/filters/caller_server.cpp
@@ -151,7 +151,7 @@
     auto patience = std::max<milliseconds>(1, context->deadline_at_ - context_->clock_->now());
     auto bytes = context->exchange_->read_all(std::min(patience, context_->settings_.upstream_wait_ms_));
     if (!ok(bytes)) {
-      (void)dispatcher_->settle(*context, call_outcome::failed, 0, 0, "");
+      dispatcher_->settle_later(*context, call_outcome::failed);
       auto code =
           context->open_.order_.repeatable_ ? error_code::upstream_failed : error_code::outcome_unknown;
       answer_error(response, {code, failure(bytes).detail_, ran_state::outcome_unknown});
--- a/birchlever/filters/chat_answer.cpp
+++ b/birchlever/filters/chat_answer.cpp
@@ -132,15 +132,16 @@
 }
 
 auto chat_answer::resume(const error& reason) -> result<std::string> {
-  (void)dispatcher_.settle(*context_, call_outcome::failed, 0, 0, "");
   daemon_->metrics_->count("streams_broken_total");
   context_->may_have_run_ = true;
   const auto& order = context_->open_.order_;
   if (!order.repeatable_) {
     stage_ = stage::ended;
+    dispatcher_.settle_later(*context_, call_outcome::failed);
     return error{error_code::outcome_unknown, reason.detail_ + "; the call may not be repeated",
                  ran_state::outcome_unknown};
   }
+  (void)dispatcher_.settle(*context_, call_outcome::failed, 0, 0, "");
   context_->open_.request_id_ += "+";
   buffer_.clear();
   auto verdict = dispatcher_.send_again(*context_, text_);
--- a/birchlever/filters/dispatch_filter.cpp
+++ b/birchlever/filters/dispatch_filter.cpp
@@ -147,7 +147,7 @@
     return attempt_end::accepted;  // The service's own word, whatever it says, is the answer.
   }
   if (value(status) == 404) {
-    (void)settle(context, call_outcome::not_run, 0, 0, "");
+    settle_later(context, call_outcome::not_run);
     refuse(context, {error_code::unknown_model, "no engine has the model " + context.open_.model_});
     return attempt_end::answered;
   }
@@ -156,13 +156,12 @@
 }
 
 auto dispatch_filter::refused(request_context& context, error reason) -> attempt_end {
-  (void)settle(context, call_outcome::not_run, 0, 0, "");
   context_->metrics_->count("upstream_refusals_total");
-  context.open_.avoid_.push_back(context.ticket_.upstream_);
-  context.open_.request_id_ += "+";
   if (context.attempts_left_ > 0 && retries_.spend()) {
+    prepare_retry(context, call_outcome::not_run);
     return attempt_end::try_again;  // Surely not run, so even a call that may not be repeated goes on.
   }
+  settle_later(context, call_outcome::not_run);
   reason.ran_ = ran_state::not_run;
   reason.retry_after_ms_ = 1000;
   refuse(context, std::move(reason));
@@ -171,15 +170,14 @@
 
 auto dispatch_filter::broken(request_context& context, error reason) -> attempt_end {
   context.may_have_run_ = true;
-  (void)settle(context, call_outcome::failed, 0, 0, "");
   context_->metrics_->count("upstream_failures_total");
-  context.open_.avoid_.push_back(context.ticket_.upstream_);
-  context.open_.request_id_ += "+";
   auto repeatable =
       context.open_.order_.repeatable_ || !test_switches::instance().mechanism_on("at_most_once");
   if (repeatable && context.attempts_left_ > 0 && retries_.spend()) {
+    prepare_retry(context, call_outcome::failed);
     return attempt_end::try_again;
   }
+  settle_later(context, call_outcome::failed);
   if (!context.open_.order_.repeatable_) {
     reason.code_ = error_code::outcome_unknown;
     reason.detail_ += "; the call may not be repeated and is not sent again";
@@ -189,6 +187,21 @@
   return attempt_end::answered;
 }
 
+/// The owner must know how the attempt ended before it gives a ticket for the next one.
+auto dispatch_filter::prepare_retry(request_context& context, call_outcome outcome) -> void {
+  (void)settle(context, outcome, 0, 0, "");
+  context.open_.avoid_.push_back(context.ticket_.upstream_);
+  context.open_.request_id_ += "+";
+}
+
+auto dispatch_filter::settle_later(const request_context& context, call_outcome outcome) -> void {
+  if (!test_switches::instance().mechanism_on("prompt_word")) {
+    (void)settle(context, outcome, 0, 0, "");
+    return;
+  }
+  gateway_->settle_later(report_of(context, outcome, 0, 0, ""));
+}
+
 auto dispatch_filter::report_accepted(const request_context& context) -> void {
   const auto& order = context.open_.order_;
   const auto& ticket = context.ticket_;
@@ -200,6 +213,12 @@
 auto dispatch_filter::settle(const request_context& context, call_outcome outcome, std::int64_t tokens,
                              std::int64_t cached_tokens, const std::string& answer) -> settle_reply {
   auto span = scoped_span{*context_->traces_, context.trace_, "entry.settle"};
+  return gateway_->settle(report_of(context, outcome, tokens, cached_tokens, answer));
+}
+
+auto dispatch_filter::report_of(const request_context& context, call_outcome outcome, std::int64_t tokens,
+                                std::int64_t cached_tokens, const std::string& answer) const
+    -> settle_request {
   const auto& order = context.open_.order_;
   const auto& ticket = context.ticket_;
   auto request = settle_request{};
@@ -210,7 +229,7 @@
   request.prompt_tokens_ = order.prompt_tokens_;
   request.cached_tokens_ = cached_tokens;
   request.last_ = context.last_ && outcome == call_outcome::answered;
-  return gateway_->settle(request);
+  return request;
 }
 
 }  // namespace birchlever
--- a/birchlever/filters/dispatch_filter.h
+++ b/birchlever/filters/dispatch_filter.h
@@ -26,6 +26,9 @@
   auto settle(const request_context& context, call_outcome outcome, std::int64_t tokens,
               std::int64_t cached_tokens, const std::string& answer) -> settle_reply;
 
+  /// Reports an attempt that has no answer without waiting: its caller hears its final word at once.
+  auto settle_later(const request_context& context, call_outcome outcome) -> void;
+
  private:
   enum class attempt_end { accepted, answered, try_again };
 
@@ -33,6 +36,9 @@
   auto send(request_context& context, const std::string& known_text) -> attempt_end;
   auto refused(request_context& context, error reason) -> attempt_end;
   auto broken(request_context& context, error reason) -> attempt_end;
+  auto prepare_retry(request_context& context, call_outcome outcome) -> void;
+  [[nodiscard]] auto report_of(const request_context& context, call_outcome outcome, std::int64_t tokens,
+                               std::int64_t cached_tokens, const std::string& answer) const -> settle_request;
   auto report_accepted(const request_context& context) -> void;
 
   std::shared_ptr<daemon_context> context_;
--- a/scenarios/invariants.cpp
+++ b/scenarios/invariants.cpp
@@ -206,6 +206,17 @@
   return broken;
 }
 
+auto invariants::prompt_words(int most_ms) const -> std::vector<std::string> {
+  auto broken = std::vector<std::string>{};
+  for (const auto& call : load_.seen()) {
+    if (call.longest_us_ > most_ms * std::int64_t{1000}) {
+      broken.push_back(name_of(call) + ": waited " + std::to_string(call.longest_us_ / 1000) +
+                       " ms for one word");
+    }
+  }
+  return broken;
+}
+
 auto invariants::served() const -> std::vector<std::string> {
   auto broken = std::vector<std::string>{};
   for (const auto& call : load_.seen()) {
--- a/scenarios/invariants.h
+++ b/scenarios/invariants.h
@@ -36,6 +36,8 @@
       -> std::vector<std::string>;
   /// No answer broke off.
   [[nodiscard]] auto uncut() const -> std::vector<std::string>;
+  /// No word about a tool call took longer than so many milliseconds.
+  [[nodiscard]] auto prompt_words(int most_ms) const -> std::vector<std::string>;
   /// Every call ended with an answer, or with outcome_unknown where that is the truth.
   [[nodiscard]] auto served() const -> std::vector<std::string>;
 
--- a/scenarios/program_load.cpp
+++ b/scenarios/program_load.cpp
@@ -201,8 +201,10 @@
   call.outcome_ = "gave_up";
   for (auto attempt = 0; now_us() < give_up_us_; ++attempt) {
     auto daemon = 1 + static_cast<int>(generator() % static_cast<std::uint64_t>(fleet_.daemons()));
+    auto asked_us = now_us();
     auto seen = send(fleet_.daemon_address(daemon), "/v1/services/registry/" + call.path_, headers, "{}",
                      false, true);
+    call.longest_us_ = std::max(call.longest_us_, now_us() - asked_us);
     call.cuts_ += seen.cut_ ? 1 : 0;
     call.last_ = seen.cut_ ? "cut" : seen.type_ + " " + seen.detail_;
     call.only_not_run_ = call.only_not_run_ && seen.ran_ == "not_run";
--- a/scenarios/program_load.h
+++ b/scenarios/program_load.h
@@ -27,6 +27,7 @@
   std::string last_;           ///< Why the newest attempt gave no answer.
   int cuts_ = 0;               ///< Answers that broke off or never came.
   std::int64_t finished_us_ = 0;
+  std::int64_t longest_us_ = 0;  ///< Longest wait for one word about a tool call.
 };
 
 /// What the load is made of.
--- a/scenarios/scenario_runner.cpp
+++ b/scenarios/scenario_runner.cpp
@@ -394,6 +394,8 @@
     violated(step, expect_counts(step));
   } else if (what == "refused") {
     violated(step, expect_refused(step));
+  } else if (what == "prompt") {
+    violated(step, invariants_.prompt_words(whole(step, 0, 1000)));
   } else if (what == "compared") {
     violated(step, expect_compared(step));
   } else if (what == "one_winner") {
