The fencing numbers' epoch shift stands once

Cause: two files of the ledger held the same constant, which must agree. Change: one private constant of program_ledger; behaviour as before.

--- a/birchlever/coordination/program_ledger.h
+++ b/birchlever/coordination/program_ledger.h
@@ -180,6 +180,9 @@
   [[nodiscard]] auto size() const -> std::size_t { return programs_.size(); }
 
  private:
+  /// Fencing numbers begin with their epoch, so that they rise across epochs.
+  static constexpr int epoch_shift = 32;
+
   /// An attempt whose cost this epoch has promised.
   struct attempt {
     std::string program_key_;
--- a/birchlever/coordination/program_ledger_settle.cpp
+++ b/birchlever/coordination/program_ledger_settle.cpp
@@ -4,12 +4,6 @@
 #include "birchlever/coordination/program_ledger.h"
 
 namespace birchlever {
-namespace {
-
-constexpr auto epoch_shift = 32;  // As in program_ledger.cpp: fencing numbers begin with their epoch.
-
-}  // namespace
-
 auto program_ledger::charge_of(const call_settlement& report) -> std::int64_t {
   if (report.epoch_ != epoch_) {
     return report.tokens_;  // Was held since the takeover.
