--- a/birchlever/coordination/program_ledger.cpp
+++ b/birchlever/coordination/program_ledger.cpp
@@ -7,7 +7,6 @@
 namespace birchlever {
 namespace {
 
-
 auto refuse(error_code code, std::string detail, std::int64_t retry_after_ms = 0) -> error {
   return error{code, std::move(detail), ran_state::not_run, retry_after_ms};
 }
