--- a/birchlever/controllers/actor_messages.h
+++ b/birchlever/controllers/actor_messages.h
@@ -10,7 +10,7 @@
 #include "birchlever/controllers/owner_messages.h"
 #include "birchlever/coordination/journal.h"
 #include "birchlever/core/clock.h"
-#include "birchlever/platform/table_store_interface.h"
+#include "birchlever/storage/table_store_interface.h"
 
 namespace birchlever {
 
--- a/birchlever/controllers/fleet_view.h
+++ b/birchlever/controllers/fleet_view.h
@@ -9,7 +9,7 @@
 
 #include "birchlever/coordination/fleet_configuration.h"
 #include "birchlever/coordination/lease.h"
-#include "birchlever/platform/vm_list.h"
+#include "birchlever/storage/vm_list.h"
 
 namespace birchlever {
 
--- a/birchlever/controllers/owner_messages.h
+++ b/birchlever/controllers/owner_messages.h
@@ -8,7 +8,7 @@
 
 #include "birchlever/coordination/program_ledger.h"
 #include "birchlever/core/result.h"
-#include "birchlever/platform/http_connection_pool.h"
+#include "birchlever/storage/http_connection_pool.h"
 
 namespace birchlever {
 
--- a/birchlever/controllers/shard_placement.cpp
+++ b/birchlever/controllers/shard_placement.cpp
@@ -4,8 +4,8 @@
 #include <nlohmann/json.hpp>
 
 #include "birchlever/controllers/daemon_context.h"
-#include "birchlever/platform/table_store_interface.h"
 #include "birchlever/policy/policy_book.h"
+#include "birchlever/storage/table_store_interface.h"
 #include "birchlever/telemetry/policy_comparison.h"
 #include "birchlever/upstream/upstream_table.h"
 
--- /dev/null
+++ b/birchlever/controllers/table_follower.cpp
@@ -0,0 +1,109 @@
+#include "birchlever/controllers/table_follower.h"
+
+#include "birchlever/telemetry/log.h"
+
+namespace birchlever {
+
+table_follower::table_follower(event_loop& loop, std::shared_ptr<row_store_interface> rows,
+                               table_follower_settings settings, table_follower_events events)
+    : loop_{&loop}, rows_{std::move(rows)}, settings_{std::move(settings)}, events_{std::move(events)} {}
+
+auto table_follower::create(event_loop& loop, std::shared_ptr<row_store_interface> rows,
+                            const table_follower_settings& settings, table_follower_events events)
+    -> std::shared_ptr<table_follower> {
+  auto made =
+      std::shared_ptr<table_follower>{new table_follower{loop, std::move(rows), settings, std::move(events)}};
+  start(loop, "follow_table", made->follow());
+  return made;
+}
+
+auto table_follower::follow() -> task<> {
+  auto self = shared_from_this();
+  while (!stopped_) {
+    auto good = false;
+    if (scan_needed_) {
+      good = co_await scan();
+    } else {
+      good = co_await look();
+    }
+    co_await pause_for(*loop_, good ? settings_.settle_ : settings_.retry_gap_);
+  }
+}
+
+auto table_follower::answered() -> void {
+  heard_at_ = clock_.now();
+  if (std::exchange(lost_, false)) {
+    regained_at_ = heard_at_;
+    log_event(log_level::info, "store_regained", {{"table", settings_.table_}, {"version", version_}});
+  }
+}
+
+auto table_follower::unanswered(const error& reason) -> void {
+  if (!std::exchange(lost_, true)) {
+    log_event(log_level::warning, "store_lost",
+              {{"table", settings_.table_},
+               {"version", version_},
+               {"reason", std::string{name_of(reason.code_)}},
+               {"detail", reason.detail_}});
+  }
+}
+
+auto table_follower::scan() -> task<bool> {
+  auto rows = std::vector<stored_row>{};
+  auto range = row_range{settings_.table_, "", "", ""};
+  auto version = std::int64_t{0};
+  auto more = true;
+  while (more) {
+    auto page = co_await rows_->read(range, settings_.scan_limit_);
+    if (!ok(page)) {
+      unanswered(failure(page));
+      co_return false;
+    }
+    auto& read = value(page);
+    version = version == 0 ? read.version_ : std::min(version, read.version_);
+    for (auto& row : read.rows_) {
+      rows.push_back(std::move(row));
+    }
+    more = read.more_ && !read.rows_.empty();
+    if (more) {
+      range.from_ = rows.back().key_.key_ + '\x01';
+    }
+  }
+  answered();
+  if (version < version_) {
+    log_event(log_level::warning, "scan_behind",
+              {{"table", settings_.table_}, {"version", version}, {"known", version_}});
+    co_await pause_for(*loop_, settings_.stale_gap_);
+    co_return false;
+  }
+  version_ = version;
+  scan_needed_ = false;
+  primed_ = true;
+  events_.snapshot_(rows);
+  co_return true;
+}
+
+auto table_follower::look() -> task<bool> {
+  auto page = co_await rows_->changes(settings_.table_, version_, settings_.wait_);
+  if (!ok(page)) {
+    if (failure(page).code_ == error_code::store_conflict) {
+      log_event(log_level::info, "feed_lost", {{"table", settings_.table_}, {"version", version_}});
+      scan_needed_ = true;
+      co_return true;
+    }
+    unanswered(failure(page));
+    co_return false;
+  }
+  answered();
+  const auto& read = value(page);
+  if (read.version_ < version_) {
+    co_return false;  // An answer from before what is known.
+  }
+  version_ = read.version_;
+  if (!read.rows_.empty()) {
+    events_.changes_(read.rows_);
+  }
+  co_return true;
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/controllers/table_follower.h
@@ -0,0 +1,79 @@
+/// Follows a table of the store: a scan first, then its feed, and a scan again when history was lost.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "birchlever/storage/row_store_interface.h"
+
+namespace birchlever {
+
+/// How a table is followed.
+struct table_follower_settings {
+  std::string table_;
+  milliseconds wait_ =
+      2000;  ///< ms that one look at the feed is held by the store; a lost one is noticed soon after.
+  milliseconds scan_limit_ = 1500;  ///< ms for one page of a scan.
+  milliseconds retry_gap_ = 300;    ///< ms between tries while the store does not answer.
+  milliseconds stale_gap_ = 200;    ///< ms until a scan is repeated that was older than what is known.
+  milliseconds settle_ = 20;        ///< ms between two looks, so that changes in a row come together.
+};
+
+/// What a follower tells.
+struct table_follower_events {
+  /// All rows as of one moment. Rows missing here are gone.
+  std::function<void(const std::vector<stored_row>&)> snapshot_;
+  /// Rows that changed since, in order.
+  std::function<void(const std::vector<stored_row>&)> changes_;
+};
+
+/// For coroutines of one loop. What it tells never goes back in time.
+class table_follower : public std::enable_shared_from_this<table_follower> {
+ public:
+  /// Starts to follow at once.
+  static auto create(event_loop& loop, std::shared_ptr<row_store_interface> rows,
+                     const table_follower_settings& settings, table_follower_events events)
+      -> std::shared_ptr<table_follower>;
+
+  /// True once a first scan was told.
+  [[nodiscard]] auto primed() const -> bool { return primed_; }
+
+  /// When the store last answered, on our clock; 0 when never.
+  [[nodiscard]] auto heard_at() const -> milliseconds { return heard_at_; }
+
+  /// When the store answered again after it had not, on our clock; 0 when it never failed.
+  [[nodiscard]] auto regained_at() const -> milliseconds { return regained_at_; }
+
+  /// True while the last look failed.
+  [[nodiscard]] auto lost() const -> bool { return lost_; }
+
+  /// Follows no longer.
+  auto stop() -> void { stopped_ = true; }
+
+ private:
+  table_follower(event_loop& loop, std::shared_ptr<row_store_interface> rows,
+                 table_follower_settings settings, table_follower_events events);
+
+  auto follow() -> task<>;
+  auto scan() -> task<bool>;
+  auto look() -> task<bool>;
+  auto answered() -> void;
+  auto unanswered(const error& reason) -> void;
+
+  event_loop* loop_;
+  std::shared_ptr<row_store_interface> rows_;
+  table_follower_settings settings_;
+  table_follower_events events_;
+  steady_clock clock_;
+  std::int64_t version_ = 0;
+  milliseconds heard_at_ = 0;
+  milliseconds regained_at_ = 0;
+  bool scan_needed_ = true;
+  bool primed_ = false;
+  bool lost_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/controllers/upstream_follower.cpp
@@ -0,0 +1,103 @@
+#include "birchlever/controllers/upstream_follower.h"
+
+#include <set>
+
+#include "birchlever/telemetry/log.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto lapse_check_gap = milliseconds{100};
+
+}  // namespace
+
+upstream_follower::upstream_follower(event_loop& loop, std::shared_ptr<upstream_directory> directory,
+                                     decode_function decode, milliseconds lapse_return)
+    : loop_{&loop},
+      directory_{std::move(directory)},
+      decode_{std::move(decode)},
+      lapse_return_{lapse_return} {}
+
+auto upstream_follower::create(event_loop& loop, std::shared_ptr<row_store_interface> rows,
+                               const std::string& table, std::shared_ptr<upstream_directory> directory,
+                               decode_function decode, milliseconds lapse_return)
+    -> std::shared_ptr<upstream_follower> {
+  auto made = std::shared_ptr<upstream_follower>{
+      new upstream_follower{loop, std::move(directory), std::move(decode), lapse_return}};
+  auto settings = table_follower_settings{};
+  settings.table_ = table;
+  auto* raw = made.get();  // The follower is made's own and ends with it.
+  auto events = table_follower_events{};
+  events.snapshot_ = [raw](const auto& listed) { raw->take_snapshot(listed); };
+  events.changes_ = [raw](const auto& changed) { raw->take_changes(changed); };
+  made->follower_ = table_follower::create(loop, std::move(rows), settings, std::move(events));
+  return made;
+}
+
+auto upstream_follower::put(const stored_row& row) -> void {
+  auto decoded = decode_(row.key_.key_, row.value_);
+  if (!ok(decoded)) {
+    log_event(log_level::error, "upstream_unreadable",
+              {{"upstream", row.key_.key_}, {"version", row.version_}, {"detail", failure(decoded).detail_}});
+    return;
+  }
+  lapsed_.erase(row.key_.key_);
+  directory_->put(std::move(value(decoded)));
+}
+
+auto upstream_follower::remove(const std::string& id) -> void {
+  auto returned = follower_ ? follower_->regained_at() : 0;
+  auto may_return = returned > 0 && clock_.now() < returned + lapse_return_;
+  if (!may_return) {
+    directory_->remove(id);
+    return;
+  }
+  auto inserted = lapsed_.emplace(id, returned + lapse_return_).second;
+  if (inserted && lapsed_.size() == 1) {
+    start(*loop_, "remove_lapsed", remove_lapsed());
+  }
+  if (inserted) {
+    log_event(log_level::info, "upstream_lapsed",
+              {{"upstream", id}, {"store_back_ms", clock_.now() - returned}});
+  }
+}
+
+auto upstream_follower::take_snapshot(const std::vector<stored_row>& rows) -> void {
+  auto listed = std::set<std::string>{};
+  for (const auto& row : rows) {
+    listed.insert(row.key_.key_);
+    put(row);
+  }
+  for (const auto& id : directory_->ids()) {
+    if (listed.count(id) == 0) {
+      remove(id);
+    }
+  }
+}
+
+auto upstream_follower::take_changes(const std::vector<stored_row>& rows) -> void {
+  for (const auto& row : rows) {
+    if (row.removed_) {
+      remove(row.key_.key_);
+    } else {
+      put(row);
+    }
+  }
+}
+
+auto upstream_follower::remove_lapsed() -> task<> {
+  auto self = shared_from_this();
+  while (!lapsed_.empty()) {
+    co_await pause_for(*loop_, lapse_check_gap);
+    for (auto next = lapsed_.begin(); next != lapsed_.end();) {
+      if (clock_.now() < next->second || follower_->lost()) {
+        ++next;
+        continue;
+      }
+      directory_->remove(next->first);
+      next = lapsed_.erase(next);
+    }
+  }
+}
+
+}  // namespace birchlever
--- a/birchlever/controllers/upstream_watch.cpp
+++ b/birchlever/controllers/upstream_watch.cpp
@@ -7,7 +7,7 @@
 #include "birchlever/controllers/fleet_view.h"
 #include "birchlever/controllers/owner_gateway.h"
 #include "birchlever/core/hashing.h"
-#include "birchlever/platform/http_connection_pool.h"
+#include "birchlever/storage/http_connection_pool.h"
 #include "birchlever/telemetry/metrics.h"
 #include "birchlever/upstream/upstream_table.h"
 
--- a/birchlever/coordination/journal.h
+++ b/birchlever/coordination/journal.h
@@ -8,7 +8,7 @@
 
 #include "birchlever/coordination/journal_record.h"
 #include "birchlever/core/result.h"
-#include "birchlever/platform/table_store_interface.h"
+#include "birchlever/storage/table_store_interface.h"
 
 namespace birchlever {
 
--- /dev/null
+++ b/birchlever/coordination/program_record.cpp
@@ -0,0 +1,86 @@
+#include "birchlever/coordination/program_record.h"
+
+#include <nlohmann/json.hpp>
+
+namespace birchlever {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr auto spent_key = "s";
+constexpr auto reserved_key = "r";
+constexpr auto touched_key = "t";
+constexpr auto previous_key = "p";
+constexpr auto input_key = "i";
+constexpr auto output_key = "o";
+constexpr auto upstream_key = "u";
+
+auto to_text(const json& value) -> std::string {
+  auto bytes = std::string{};
+  json::to_cbor(value, bytes);
+  return bytes;
+}
+
+auto binary(const std::string& bytes) -> json {
+  return json::binary(std::vector<std::uint8_t>{bytes.begin(), bytes.end()});
+}
+
+auto text_of(const json& value) -> std::string {
+  const auto& bytes = value.get_binary();
+  return std::string{bytes.begin(), bytes.end()};
+}
+
+/// CBOR lets a body be any bytes; a row that can't be read is a fault of its writer, never taken for empty.
+template <class Read>
+auto reading(std::string_view value, Read read) -> result<decltype(read(json{}))> {
+  try {
+    return read(json::from_cbor(value.begin(), value.end()));
+  } catch (const json::exception& fault) {
+    return error{error_code::malformed_json, std::string{"row of a program can't be read: "} + fault.what()};
+  }
+}
+
+}  // namespace
+
+auto program_record::committed() const -> std::int64_t {
+  auto total = spent_;
+  for (const auto& [turn, most] : reserved_) {
+    total += most;
+  }
+  return total;
+}
+
+auto encode(const program_record& record) -> std::string {
+  return to_text(
+      json{{spent_key, record.spent_}, {reserved_key, record.reserved_}, {touched_key, record.touched_at_}});
+}
+
+auto decode_program(std::string_view value) -> result<program_record> {
+  return reading(value, [](const json& row) {
+    auto record = program_record{};
+    row.at(spent_key).get_to(record.spent_);
+    row.at(reserved_key).get_to(record.reserved_);
+    row.at(touched_key).get_to(record.touched_at_);
+    return record;
+  });
+}
+
+auto encode(const turn_record& record) -> std::string {
+  return to_text(json{{previous_key, record.previous_},
+                      {input_key, binary(record.input_)},
+                      {output_key, binary(record.output_)},
+                      {upstream_key, record.upstream_}});
+}
+
+auto decode_turn(std::string_view value) -> result<turn_record> {
+  return reading(value, [](const json& row) {
+    auto record = turn_record{};
+    row.at(previous_key).get_to(record.previous_);
+    record.input_ = text_of(row.at(input_key));
+    record.output_ = text_of(row.at(output_key));
+    row.at(upstream_key).get_to(record.upstream_);
+    return record;
+  });
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/coordination/program_record.h
@@ -0,0 +1,45 @@
+/// What the store keeps of a program: one row with its budget, and each turn's input and answer.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "birchlever/core/clock.h"
+#include "birchlever/core/result.h"
+
+namespace birchlever {
+
+/// A program's budget: what its turns have spent and what those under way may still spend, in tokens.
+struct program_record {
+  std::int64_t spent_ = 0;
+  std::map<std::string, std::int64_t> reserved_;  ///< By turn: the most it can generate.
+  milliseconds touched_at_ = 0;                   ///< On the store's clock.
+
+  /// Spent and reserved together.
+  [[nodiscard]] auto committed() const -> std::int64_t;
+};
+
+/// A turn whose answer was delivered whole.
+struct turn_record {
+  std::string previous_;  ///< The turn it goes on from; empty at a program's start.
+  std::string input_;     ///< What the caller sent, byte for byte.
+  std::string output_;    ///< The data of each event, each followed by a line feed.
+  std::string upstream_;  ///< The engine that ran it and holds its prefix.
+};
+
+/// The row value of a program's budget.
+[[nodiscard]] auto encode(const program_record& record) -> std::string;
+
+/// Reads a program's row. Failures: malformed_json.
+[[nodiscard]] auto decode_program(std::string_view value) -> result<program_record>;
+
+/// The row value of a turn; longer ones are cut into pieces by the store's limit.
+[[nodiscard]] auto encode(const turn_record& record) -> std::string;
+
+/// Reads a turn's row, its pieces put together. Failures: malformed_json.
+[[nodiscard]] auto decode_turn(std::string_view value) -> result<turn_record>;
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/coordination/program_store.h
@@ -0,0 +1,112 @@
+/// Programs as all daemons share them: order of turns, budgets and histories, by compare-and-set on the
+/// program's own rows. Any daemon serves any turn; there is no owner.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "birchlever/coordination/program_record.h"
+#include "birchlever/core/clock.h"
+#include "birchlever/http/loop_signal.h"
+#include "birchlever/storage/row_store_interface.h"
+
+namespace birchlever {
+
+/// How programs are kept.
+struct program_store_settings {
+  std::string table_ = "programs";
+  std::size_t row_bytes_ = 48000;  ///< Longest piece of a turn in one row; the store takes 64 KiB of base64.
+  std::size_t cache_bytes_ = 4'000'000;  ///< Histories kept in memory; others are read again from the store.
+  milliseconds call_limit_ = 2500;       ///< ms for one call of the store, its repetitions included.
+  milliseconds begin_patience_ = 400;    ///< ms for which a new turn waits while the store answers nothing.
+  milliseconds cleanup_patience_ = 60000;  ///< ms for which a reservation that was not used is taken back.
+};
+
+/// A turn that wants to run.
+struct turn_order {
+  std::string program_;
+  std::string turn_;                    ///< Its request id, unique.
+  std::string previous_;                ///< The turn it goes on from; empty at a start.
+  std::optional<std::int64_t> budget_;  ///< Tokens that all turns of the program may generate together.
+  std::int64_t most_tokens_ = 0;        ///< The most that this turn generates.
+  std::string input_;
+};
+
+/// A turn that may be sent now: its budget is reserved.
+struct turn_grant {
+  std::string prompt_;         ///< History and new input, byte for byte.
+  std::string last_upstream_;  ///< The engine that ran the previous turn, if any.
+};
+
+/// How a turn ended.
+struct turn_end {
+  std::string program_;
+  std::string turn_;
+  std::int64_t tokens_ = 0;           ///< Handed to the caller.
+  std::optional<turn_record> whole_;  ///< Only of an answer that came whole.
+};
+
+/// For coroutines of one loop. Changes of one program that wait at the same time share one transaction.
+class program_store : public std::enable_shared_from_this<program_store> {
+ public:
+  /// A store of programs over rows.
+  static auto create(event_loop& loop, std::shared_ptr<row_store_interface> rows,
+                     const program_store_settings& settings) -> result<std::shared_ptr<program_store>>;
+
+  /// Reads the history and reserves the budget. Failures: budget_exhausted, unknown_turn (both sure: the
+  /// store was read after the request came), store_unavailable, malformed_json.
+  auto begin_turn(turn_order order, milliseconds time_left) -> task<result<turn_grant>>;
+
+  /// Settles what a turn spent and, when its answer is whole, keeps it. Returns when the store has it: only
+  /// then may the answer's end go out. Failures: store_unavailable; the change is tried on in the background.
+  auto end_turn(turn_end ended, milliseconds time_left) -> task<status>;
+
+  /// Gives back the reservation of a turn that surely did not run, in the background.
+  auto cancel_turn(std::string program, std::string turn) -> void;
+
+  /// Bytes of histories in memory.
+  [[nodiscard]] auto cached_bytes() const -> std::size_t { return cached_bytes_; }
+
+ private:
+  struct change;
+  struct entry;
+  struct batch_plan;
+  enum class verdict;
+  using change_pointer = std::shared_ptr<change>;
+  using entry_pointer = std::shared_ptr<entry>;
+
+  program_store(event_loop& loop, std::shared_ptr<row_store_interface> rows,
+                const program_store_settings& settings);
+
+  auto entry_of(const std::string& program) -> entry_pointer;
+  auto load(entry_pointer program, bool with_turns, milliseconds time_left) -> task<status>;
+  auto take_rows(entry& program, const std::vector<stored_row>& rows) -> status;
+  auto history(const entry& program, const std::string& previous) const -> std::optional<std::string>;
+  auto queue(const entry_pointer& program, change_pointer wanted) -> void;
+  auto wait_for(change_pointer wanted, milliseconds time_left) -> task<status>;
+  auto write_changes(entry_pointer program) -> task<>;
+  auto write_batch(entry_pointer program) -> task<status>;
+  static auto apply(const change& wanted, program_record& record) -> verdict;
+  auto plan(entry& program, bool fresh) -> batch_plan;
+  auto conclude(entry& program, const batch_plan& planned) -> void;
+  auto add_turn_rows(const entry& program, const change& wanted, row_transaction& transaction) const -> void;
+  static auto finish(const change_pointer& wanted, status outcome) -> void;
+  auto drop_overdue(entry& program, const error& reason) -> void;
+  auto row_of(const entry& program, std::string key) const -> row_key;
+  auto remember(entry& program, const std::string& turn, std::shared_ptr<const turn_record> record) -> void;
+  auto shrink() -> void;
+
+  event_loop* loop_;
+  std::shared_ptr<row_store_interface> rows_;
+  program_store_settings settings_;
+  steady_clock clock_;
+  std::unordered_map<std::string, entry_pointer> entries_;
+  std::size_t cached_bytes_ = 0;
+  milliseconds store_clock_ahead_ = 0;  ///< The store's clock less ours.
+};
+
+}  // namespace birchlever
--- a/birchlever/core/error.cpp
+++ b/birchlever/core/error.cpp
@@ -55,6 +55,11 @@
     error_row{error_code::invalid_setting, "invalid_setting", 400},
     error_row{error_code::invalid_command, "invalid_command", 400},
     error_row{error_code::peer_refused, "peer_refused", 403},
+    error_row{error_code::malformed_request, "malformed_request", 400},
+    error_row{error_code::header_too_large, "header_too_large", 431},
+    error_row{error_code::request_too_slow, "request_too_slow", 408},
+    error_row{error_code::unknown_turn, "unknown_turn", 404},
+    error_row{error_code::answer_cut, "answer_cut", 502},
     error_row{error_code::internal, "internal", 500},
 };
 
--- a/birchlever/core/error.h
+++ b/birchlever/core/error.h
@@ -54,6 +54,11 @@
   invalid_setting,
   invalid_command,
   peer_refused,
+  malformed_request,
+  header_too_large,
+  request_too_slow,
+  unknown_turn,
+  answer_cut,
   internal,
 };
 
--- /dev/null
+++ b/birchlever/gateway/gateway_context.cpp
@@ -0,0 +1,50 @@
+#include "birchlever/gateway/gateway_context.h"
+
+#include <array>
+#include <cstdio>
+
+#include "birchlever/telemetry/log.h"
+#include "birchlever/telemetry/metrics.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto ms_per_second = 1000.0;
+
+auto seconds_text(milliseconds duration) -> std::string {
+  auto text = std::array<char, 32>{};
+  std::snprintf(text.data(), text.size(), "%.3f", static_cast<double>(duration) / ms_per_second);
+  return text.data();
+}
+
+}  // namespace
+
+auto refuse(gateway_context& context, gateway_request& request, const error& reason) -> task<> {
+  auto status = http_status_of(reason.code_);
+  auto answer = http_response{static_cast<http::status>(status), 11};
+  answer.set(http::field::content_type, "application/json");
+  if (reason.retry_after_ms_ > 0) {
+    answer.set(http::field::retry_after, seconds_text(reason.retry_after_ms_));
+  }
+  answer.keep_alive(request.keep_alive_ && !context.stopping_);
+  request.keep_alive_ = answer.keep_alive();
+  answer.body() = to_json_text(reason);
+  answer.prepare_payload();
+  request.answered_ = true;
+  request.final_status_ = status;
+  context.metrics_->count("refusals_total{reason=\"" + std::string{name_of(reason.code_)} + "\"}");
+  log_event(log_level::info, "request_refused",
+            {{"request", request.facts_.request_id_},
+             {"program", request.facts_.program_},
+             {"route", request.route_ == nullptr ? std::string{} : request.route_->name_},
+             {"status", std::int64_t{status}},
+             {"reason", std::string{name_of(reason.code_)}},
+             {"detail", reason.detail_},
+             {"ran", std::string{name_of(reason.ran_)}},
+             {"retry_after_ms", reason.retry_after_ms_},
+             {"configuration", request.configuration_ ? request.configuration_->version_ : 0},
+             {"held_ms", context.clock_.now() - request.received_at_}});
+  co_await request.connection_->write(std::move(answer));
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/gateway/gateway_context.h
@@ -0,0 +1,48 @@
+/// What the gateway's filters share.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "birchlever/core/clock.h"
+#include "birchlever/gateway/gateway_request.h"
+
+namespace birchlever {
+
+class connection_pool;
+class metrics;
+class policy_book;
+class program_store;
+class upstream_directory;
+
+/// Settings of serving that no operator changes while it runs.
+struct gateway_limits {
+  milliseconds safety_ms_ = 20;  ///< An upstream is given so much less than is left, for the way back.
+  int most_offers_ = 6;          ///< Upstreams that may refuse a request before the caller is refused.
+  std::size_t most_answer_bytes_ = 16U << 20U;  ///< A longer whole answer is not the upstream's.
+  milliseconds streaming_most_idle_ =
+      3000;  ///< Kept connections older than this carry no request that may run only once.
+};
+
+/// Owned by the daemon; outlives every request.
+struct gateway_context {
+  event_loop* loop_ = nullptr;
+  std::shared_ptr<request_dialect> dialect_;
+  std::shared_ptr<connection_pool> upstream_connections_;
+  std::shared_ptr<upstream_directory> upstreams_;
+  std::shared_ptr<program_store> programs_;
+  std::shared_ptr<policy_book> policies_;
+  std::shared_ptr<metrics> metrics_;
+  std::shared_ptr<const serving_configuration> configuration_;  ///< None until the first was read.
+  std::string engine_policy_;                                   ///< Name of the policy that chooses engines.
+  std::string service_policy_;  ///< Name of the policy that chooses plain upstreams.
+  steady_clock clock_;
+  gateway_limits limits_;
+  bool stopping_ = false;
+  int under_way_ = 0;  ///< Requests that have no final answer yet.
+};
+
+/// Answers with a typed failure. The answer says whether the request ran and when to come back.
+auto refuse(gateway_context& context, gateway_request& request, const error& reason) -> task<>;
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/gateway/gateway_server.cpp
@@ -0,0 +1,111 @@
+#include "birchlever/gateway/gateway_server.h"
+
+#include "birchlever/gateway/route_filter.h"
+#include "birchlever/gateway/turn_filter.h"
+#include "birchlever/gateway/upstream_dispatch.h"
+#include "birchlever/telemetry/log.h"
+#include "birchlever/telemetry/metrics.h"
+
+namespace birchlever {
+namespace {
+
+auto error_of(read_fault fault) -> error {
+  switch (fault) {
+    case read_fault::header_too_large:
+      return error{error_code::header_too_large, "the request's head is longer than allowed"};
+    case read_fault::body_too_large:
+      return error{error_code::body_too_large, "the request's body is longer than allowed"};
+    case read_fault::too_slow:
+      return error{error_code::request_too_slow, "the request did not come in time"};
+    case read_fault::closed:
+    case read_fault::malformed:
+      break;
+  }
+  return error{error_code::malformed_request, "the request is not HTTP/1.1, or is ambiguous"};
+}
+
+}  // namespace
+
+gateway_server::gateway_server(std::shared_ptr<gateway_context> context) : context_{std::move(context)} {
+  filters_.push_back(std::make_unique<route_filter>(context_));
+  filters_.push_back(std::make_unique<turn_filter>(context_));
+  filters_.push_back(std::make_unique<upstream_dispatch>(context_));
+}
+
+auto gateway_server::create(std::shared_ptr<gateway_context> context, const std::string& address)
+    -> result<std::shared_ptr<gateway_server>> {
+  auto made = std::shared_ptr<gateway_server>{new gateway_server{std::move(context)}};
+  auto listening = http_listener::create(*made->context_->loop_, address, [made](auto connection) {
+    return made->serve(std::move(connection));
+  });
+  if (!ok(listening)) {
+    return failure(listening);
+  }
+  made->listener_ = std::move(value(listening));
+  return made;
+}
+
+auto gateway_server::stop_accepting() -> void {
+  listener_->stop();
+  for (const auto& connection : connections_) {
+    connection->stop_when_idle();
+  }
+}
+
+auto gateway_server::serve(std::shared_ptr<server_connection> connection) -> task<> {
+  connections_.insert(connection);
+  auto keep = true;
+  while (keep) {
+    auto limits = context_->configuration_ ? context_->configuration_->limits_ : request_limits{};
+    auto read = co_await connection->read_request(limits);
+    if (auto* fault = std::get_if<read_fault>(&read)) {
+      co_await answer_fault(*connection, *fault);
+      break;
+    }
+    keep = co_await handle(connection, std::move(std::get<http_request>(read)));
+  }
+  co_await connection->linger_and_close();
+  connections_.erase(connection);
+}
+
+auto gateway_server::handle(std::shared_ptr<server_connection> connection, http_request message)
+    -> task<bool> {
+  auto request = gateway_request{};
+  request.connection_ = std::move(connection);
+  request.configuration_ = context_->configuration_;
+  request.keep_alive_ = message.keep_alive();
+  request.message_ = std::move(message);
+  request.received_at_ = context_->clock_.now();
+  ++context_->under_way_;
+  co_await run_filters(0, request);
+  --context_->under_way_;
+  auto held = context_->clock_.now() - request.received_at_;
+  context_->metrics_->observe("request_ms", static_cast<double>(held));
+  context_->metrics_->count("requests_total{status=\"" + std::to_string(request.final_status_) + "\"}");
+  co_return request.keep_alive_;
+}
+
+auto gateway_server::run_filters(std::size_t index, gateway_request& request) -> task<> {
+  if (index >= filters_.size()) {
+    co_return;
+  }
+  auto next = next_filter{[this, index](gateway_request& passed) { return run_filters(index + 1, passed); }};
+  co_await filters_[index]->apply(request, std::move(next));
+}
+
+auto gateway_server::answer_fault(server_connection& connection, read_fault fault) -> task<> {
+  if (fault == read_fault::closed) {
+    co_return;
+  }
+  auto reason = error_of(fault);
+  auto answer = http_response{static_cast<http::status>(http_status_of(reason.code_)), 11};
+  answer.set(http::field::content_type, "application/json");
+  answer.keep_alive(false);
+  answer.body() = to_json_text(reason);
+  answer.prepare_payload();
+  context_->metrics_->count("unreadable_requests_total{fault=\"" + std::string{name_of(fault)} + "\"}");
+  log_event(log_level::info, "request_unreadable", {{"fault", std::string{name_of(fault)}}});
+  co_await connection.write(std::move(answer));
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/gateway/gateway_server.h
@@ -0,0 +1,41 @@
+/// Callers' connections: reads requests, runs each through the filters, keeps or closes the connection.
+#pragma once
+
+#include <memory>
+#include <unordered_set>
+#include <vector>
+
+#include "birchlever/gateway/gateway_context.h"
+#include "birchlever/gateway/gateway_filter.h"
+#include "birchlever/http/http_listener.h"
+
+namespace birchlever {
+
+/// The callers' side of a gateway.
+class gateway_server : public std::enable_shared_from_this<gateway_server> {
+ public:
+  /// Serves with the standard chain: route, turn, dispatch. Failures: invalid_setting.
+  static auto create(std::shared_ptr<gateway_context> context, const std::string& address)
+      -> result<std::shared_ptr<gateway_server>>;
+
+  /// Takes no new connection and closes those that are idle; requests under way go on.
+  auto stop_accepting() -> void;
+
+  /// Connections open now.
+  [[nodiscard]] auto connections() const -> std::size_t { return connections_.size(); }
+
+ private:
+  explicit gateway_server(std::shared_ptr<gateway_context> context);
+
+  auto serve(std::shared_ptr<server_connection> connection) -> task<>;
+  auto handle(std::shared_ptr<server_connection> connection, http_request message) -> task<bool>;
+  auto run_filters(std::size_t index, gateway_request& request) -> task<>;
+  auto answer_fault(server_connection& connection, read_fault fault) -> task<>;
+
+  std::shared_ptr<gateway_context> context_;
+  std::vector<std::unique_ptr<gateway_filter>> filters_;
+  std::shared_ptr<http_listener> listener_;
+  std::unordered_set<std::shared_ptr<server_connection>> connections_;
+};
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/gateway/gateway_settings.cpp
@@ -0,0 +1,114 @@
+#include "birchlever/gateway/gateway_settings.h"
+
+#include <charconv>
+#include <sstream>
+
+#include "birchlever/http/http_listener.h"
+
+namespace birchlever {
+namespace {
+
+auto check_address(std::vector<setting_fault>& faults, const char* name, const std::string& text,
+                   bool may_be_empty) -> void {
+  if (text.empty() && may_be_empty) {
+    return;
+  }
+  auto parsed = parse_address(text);
+  if (!ok(parsed)) {
+    faults.push_back({name, text, "is not ip:port"});
+  }
+}
+
+auto check_policy_text(std::vector<setting_fault>& faults, const char* name, const std::string& text)
+    -> void {
+  auto parsed = parse_policy(text);
+  if (!ok(parsed)) {
+    faults.push_back({name, text, failure(parsed).detail_});
+  }
+}
+
+auto check_level(std::vector<setting_fault>& faults, const std::string& level) -> void {
+  if (level != "debug" && level != "info" && level != "warning" && level != "error") {
+    faults.push_back({"log_level", level, "is not debug, info, warning or error"});
+  }
+}
+
+template <class Number>
+auto check_range(std::vector<setting_fault>& faults, const char* name, Number given, Number least,
+                 Number most, const char* unit) -> void {
+  if (given >= least && given <= most) {
+    return;
+  }
+  auto reason = std::ostringstream{};
+  reason << "must be from " << least << " to " << most << ' ' << unit;
+  faults.push_back({name, std::to_string(given), reason.str()});
+}
+
+}  // namespace
+
+auto parse_policy(const std::string& text) -> result<policy_settings> {
+  auto words = std::istringstream{text};
+  auto kind_name = std::string{};
+  words >> kind_name;
+  auto kind = parse_policy_kind(kind_name);
+  if (!ok(kind)) {
+    return failure(kind);
+  }
+  auto settings = policy_settings{value(kind), {}};
+  for (auto word = std::string{}; words >> word;) {
+    auto equals = word.find('=');
+    auto number = 0.0;
+    auto digits = equals == std::string::npos ? std::string{} : word.substr(equals + 1);
+    auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+    if (digits.empty() || parsed.ec != std::errc{} || parsed.ptr != digits.data() + digits.size()) {
+      return error{error_code::invalid_command, "'" + word + "' is not name=number"};
+    }
+    settings.parameters_[word.substr(0, equals)] = number;
+  }
+  auto checked = check_policy(settings);
+  if (!ok(checked)) {
+    return failure(checked);
+  }
+  return settings;
+}
+
+auto check_settings(const gateway_settings& settings) -> std::vector<setting_fault> {
+  auto faults = std::vector<setting_fault>{};
+  if (settings.data_hall_.empty()) {
+    faults.push_back({"data_hall", "", "must be given"});
+  }
+  check_level(faults, settings.log_level_);
+  check_address(faults, "store_address", settings.store_address_, false);
+  check_address(faults, "caller_address", settings.caller_address_, false);
+  check_address(faults, "readiness_address", settings.readiness_address_, false);
+  check_address(faults, "control_address", settings.control_address_, true);
+  check_policy_text(faults, "engine_policy", settings.engine_policy_);
+  check_policy_text(faults, "service_policy", settings.service_policy_);
+#define TEXT_SETTING(name, standard, purpose)
+#define REAL_SETTING(name, standard, least, most, unit, purpose) \
+  check_range<double>(faults, #name, settings.name##_, least, most, unit);
+#define NUMBER_SETTING(name, standard, least, most, unit, purpose) \
+  check_range<std::int64_t>(faults, #name, settings.name##_, least, most, unit);
+#include "birchlever/gateway/gateway_settings.def"
+#undef TEXT_SETTING
+#undef REAL_SETTING
+#undef NUMBER_SETTING
+  return faults;
+}
+
+auto describe_gateway_settings() -> std::string {
+  auto text = std::ostringstream{};
+#define TEXT_SETTING(name, standard, purpose) \
+  text << "  --" #name " (text, default '" standard "'): " purpose "\n";
+#define REAL_SETTING(name, standard, least, most, unit, purpose) \
+  text << "  --" #name " (" unit ", " #least " to " #most ", default " #standard "): " purpose "\n";
+#define NUMBER_SETTING(name, standard, least, most, unit, purpose) \
+  text << "  --" #name " (" unit ", " #least " to " #most ", default " #standard "): " purpose "\n";
+#include "birchlever/gateway/gateway_settings.def"
+#undef TEXT_SETTING
+#undef REAL_SETTING
+#undef NUMBER_SETTING
+  return text.str();
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/gateway/request_dialect.h
@@ -0,0 +1,62 @@
+/// What a deployment's headers say, and what it wants to read in ours. The names live with the deployment.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "birchlever/core/result.h"
+#include "birchlever/http/http_message.h"
+#include "birchlever/upstream/prompt_cache.h"
+
+namespace birchlever {
+
+/// What a caller says of a request beside method, path and body.
+struct request_facts {
+  std::string request_id_;
+  std::optional<milliseconds> time_left_;  ///< How long the caller waits.
+  std::string program_;                    ///< Empty for a request outside programs.
+  std::string session_;
+  std::optional<milliseconds> program_time_left_;
+  std::optional<std::int64_t> budget_;  ///< Tokens of the whole program.
+  std::string previous_turn_;           ///< Empty at a start.
+  std::string model_;
+  std::int64_t prompt_tokens_ = 0;
+  std::int64_t most_tokens_ = 0;  ///< The most that is generated.
+  std::vector<prompt_part> parts_;
+};
+
+/// What an upstream is told with a request.
+struct upstream_marks {
+  milliseconds time_left_ = 0;
+  std::string expected_upstream_;  ///< Another server at the same address must refuse.
+  int urgency_ = 5;                ///< 0 first, 9 last.
+};
+
+/// What an upstream's answer says beside its status.
+struct answer_facts {
+  bool surely_not_run_ = false;
+  bool proven_ = false;  ///< Carries the upstream's proof that the answer is its own.
+  std::string request_id_;
+};
+
+/// What a deployment supplies: reading and writing its headers. No decisions.
+class request_dialect {
+ public:
+  virtual ~request_dialect() = default;
+
+  /// Reads a caller's headers. Failures: malformed_request, naming the header.
+  [[nodiscard]] virtual auto read(const http_request& request) const -> result<request_facts> = 0;
+
+  /// Removes what only the system may set, then sets it.
+  virtual auto mark(http_request& request, const upstream_marks& marks) const -> void = 0;
+
+  /// Reads an upstream's headers.
+  [[nodiscard]] virtual auto read_answer(const http_response& answer) const -> answer_facts = 0;
+
+  /// Removes from an answer what is meant for us only.
+  virtual auto strip_answer(http_response& answer) const -> void = 0;
+};
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/gateway/turn_filter.cpp
@@ -0,0 +1,88 @@
+#include "birchlever/gateway/turn_filter.h"
+
+#include "birchlever/coordination/program_store.h"
+#include "birchlever/telemetry/log.h"
+#include "birchlever/telemetry/metrics.h"
+
+namespace birchlever {
+namespace {
+
+/// Tokens that were handed to the caller.
+auto tokens_of(const gateway_request& request) -> std::int64_t {
+  const auto* service = request.configuration_->find_service(request.service_);
+  auto known = service != nullptr && service->engine_;
+  auto tokens = request.relayed_.events_ * (known ? service->engine_->tokens_per_event_ : 1);
+  return std::min(tokens, std::max<std::int64_t>(request.facts_.most_tokens_, 0));
+}
+
+/// A turn outside a program stands alone under its own id.
+auto program_of(const request_facts& facts) -> std::string {
+  return facts.program_.empty() ? "single-" + facts.request_id_ : facts.program_;
+}
+
+}  // namespace
+
+auto turn_filter::apply(gateway_request& request, next_filter next) -> task<> {
+  if (!request.route_->keeps_turns_) {
+    co_await next(request);
+    co_return;
+  }
+  auto program = program_of(request.facts_);
+  auto order = turn_order{program,
+                          request.facts_.request_id_,
+                          request.facts_.previous_turn_,
+                          request.facts_.budget_,
+                          request.facts_.most_tokens_,
+                          request.message_.body()};
+  auto input = request.message_.body();
+  auto began = context_->clock_.now();
+  auto granted = co_await context_->programs_->begin_turn(std::move(order), request.due_ - began);
+  context_->metrics_->observe("turn_begin_ms", static_cast<double>(context_->clock_.now() - began));
+  if (!ok(granted)) {
+    auto reason = failure(granted);
+    co_await refuse(*context_, request, reason);
+    co_return;
+  }
+  request.message_.body() = std::move(value(granted).prompt_);
+  request.last_upstream_ = std::move(value(granted).last_upstream_);
+  request.before_end_ = [this, program, input = std::move(input)](gateway_request& ended) {
+    return keep_answer(ended, program, input);
+  };
+  co_await next(request);
+  if (!request.relayed_.reached_upstream_) {
+    context_->programs_->cancel_turn(program, request.facts_.request_id_);
+  } else if (!request.relayed_.whole_) {
+    settle_broken(request, program);
+  }
+}
+
+auto turn_filter::keep_answer(gateway_request& request, const std::string& program, std::string input)
+    -> task<bool> {
+  auto ended = turn_end{program, request.facts_.request_id_, tokens_of(request), std::nullopt};
+  ended.whole_ = turn_record{request.facts_.previous_turn_, std::move(input), request.relayed_.output_,
+                             request.relayed_.upstream_};
+  auto began = context_->clock_.now();
+  auto kept = co_await context_->programs_->end_turn(std::move(ended), request.due_ - began);
+  context_->metrics_->observe("turn_end_ms", static_cast<double>(context_->clock_.now() - began));
+  if (!ok(kept)) {
+    log_event(
+        log_level::warning, "answer_not_kept",
+        {{"request", request.facts_.request_id_}, {"program", program}, {"detail", failure(kept).detail_}});
+  }
+  co_return ok(kept);
+}
+
+auto turn_filter::settle_broken(gateway_request& request, const std::string& program) -> void {
+  auto ended = turn_end{program, request.facts_.request_id_, tokens_of(request), std::nullopt};
+  auto programs = context_->programs_;
+  auto settle = [](std::shared_ptr<program_store> store, turn_end end) -> task<> {
+    constexpr auto patience_ms = milliseconds{60000};
+    auto settled = co_await store->end_turn(std::move(end), patience_ms);
+    if (!ok(settled)) {
+      log_failure(log_level::warning, "broken_turn_not_settled", failure(settled));
+    }
+  };
+  start(*context_->loop_, "settle_broken", settle(programs, std::move(ended)));
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/gateway/turn_filter.h
@@ -0,0 +1,24 @@
+/// Turns of agent programs: history in front of the new input, budget before the send, answer kept before its
+/// end goes out.
+#pragma once
+
+#include "birchlever/gateway/gateway_context.h"
+#include "birchlever/gateway/gateway_filter.h"
+
+namespace birchlever {
+
+/// Requests of routes that keep no turns pass unchanged.
+class turn_filter final : public gateway_filter {
+ public:
+  explicit turn_filter(std::shared_ptr<gateway_context> context) : context_{std::move(context)} {}
+
+  auto apply(gateway_request& request, next_filter next) -> task<> override;
+
+ private:
+  auto keep_answer(gateway_request& request, const std::string& program, std::string input) -> task<bool>;
+  auto settle_broken(gateway_request& request, const std::string& program) -> void;
+
+  std::shared_ptr<gateway_context> context_;
+};
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/gateway/upstream_dispatch.cpp
@@ -0,0 +1,154 @@
+#include "birchlever/gateway/upstream_dispatch.h"
+
+#include "birchlever/core/hashing.h"
+#include "birchlever/policy/policy_book.h"
+#include "birchlever/telemetry/log.h"
+#include "birchlever/telemetry/metrics.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto full_retry_ms =
+    milliseconds{250};  // About one tool call or turn: a place is free again by then.
+
+auto evidence_of(offer_outcome outcome) -> upstream_evidence {
+  switch (outcome) {
+    case offer_outcome::refused_full:
+      return upstream_evidence::full;
+    case offer_outcome::not_reached:
+    case offer_outcome::refused:
+    case offer_outcome::unknown:
+    case offer_outcome::out_of_time:
+      return upstream_evidence::failed;
+    case offer_outcome::relayed:
+    case offer_outcome::cut:
+    case offer_outcome::caller_gone:
+      break;
+  }
+  return upstream_evidence::served;
+}
+
+}  // namespace
+
+auto upstream_dispatch::wish_of(const gateway_request& request) const -> upstream_wish {
+  auto wish = upstream_wish{};
+  wish.service_ = request.service_;
+  wish.model_ = request.facts_.model_;
+  wish.prompt_tokens_ = request.facts_.prompt_tokens_;
+  wish.most_tokens_ = request.facts_.most_tokens_;
+  wish.parts_ = request.facts_.parts_;
+  wish.last_upstream_ = request.last_upstream_;
+  wish.seed_ = hash_of(request.facts_.request_id_);
+  const auto* service = request.configuration_->find_service(request.service_);
+  if (service != nullptr && service->engine_) {
+    wish.cache_room_ = service->engine_->cache_tokens_;
+  }
+  return wish;
+}
+
+auto upstream_dispatch::policy_of(const gateway_request& request) const
+    -> std::shared_ptr<const policy_interface> {
+  const auto* service = request.configuration_->find_service(request.service_);
+  auto engines = service != nullptr && service->engine_;
+  return context_->policies_->find(engines ? context_->engine_policy_ : context_->service_policy_);
+}
+
+auto upstream_dispatch::try_once(gateway_request& request, upstream_wish& wish, tries& so_far)
+    -> task<offer_outcome> {
+  auto choice = context_->upstreams_->choose(*policy_of(request), wish);
+  if (!ok(choice)) {
+    co_return offer_outcome::refused_full;
+  }
+  auto target = value(choice).chosen_;
+  auto began = context_->clock_.now();
+  context_->upstreams_->begin(*target, wish);
+  auto offer = upstream_offer{*context_, request, *target};
+  auto outcome = co_await offer.run();
+  request.connection_->on_gone(nullptr);
+  context_->upstreams_->end(*target, evidence_of(outcome));
+  wish.excluded_.insert(target->entry().id_);
+  ++so_far.offers_;
+  auto took = context_->clock_.now() - began;
+  context_->metrics_->observe("upstream_ms{outcome=\"" + std::string{name_of(outcome)} + "\"}",
+                              static_cast<double>(took));
+  log_event(log_level::info, "request_offered",
+            {{"request", request.facts_.request_id_},
+             {"program", request.facts_.program_},
+             {"route", request.route_->name_},
+             {"upstream", target->entry().id_},
+             {"candidates", static_cast<std::int64_t>(value(choice).candidates_)},
+             {"held_tokens", value(choice).held_tokens_},
+             {"prompt_tokens", request.facts_.prompt_tokens_},
+             {"running_there", std::int64_t{target->running()}},
+             {"waited_ms", began - request.received_at_},
+             {"took_ms", took},
+             {"events", request.relayed_.events_},
+             {"configuration", request.configuration_->version_},
+             {"outcome", std::string{name_of(outcome)}}});
+  co_return outcome;
+}
+
+auto upstream_dispatch::may_go_on(const gateway_request& request, offer_outcome last,
+                                  const tries& so_far) const -> bool {
+  auto time_left = request.due_ - context_->clock_.now() > context_->limits_.safety_ms_;
+  if (!time_left || so_far.offers_ >= context_->limits_.most_offers_ || request.connection_->gone()) {
+    return false;
+  }
+  switch (last) {
+    case offer_outcome::not_reached:
+    case offer_outcome::refused_full:
+    case offer_outcome::refused:
+      return true;
+    case offer_outcome::unknown:
+      return request.route_->kind_ == route_kind::safe &&
+             so_far.may_have_run_ < request.route_->max_upstreams_;
+    case offer_outcome::relayed:
+    case offer_outcome::out_of_time:
+    case offer_outcome::cut:
+    case offer_outcome::caller_gone:
+      break;
+  }
+  return false;
+}
+
+auto upstream_dispatch::final_error(offer_outcome last, const tries& so_far) -> error {
+  if (so_far.may_have_run_ == 0) {
+    return error{error_code::no_upstream, "no upstream took the request", ran_state::not_run, full_retry_ms};
+  }
+  if (last == offer_outcome::out_of_time) {
+    return error{error_code::upstream_timeout, "the upstream did not answer in time",
+                 ran_state::outcome_unknown};
+  }
+  return error{error_code::outcome_unknown, "the upstream's answer was lost", ran_state::outcome_unknown};
+}
+
+auto upstream_dispatch::apply(gateway_request& request, next_filter /*next*/) -> task<> {
+  auto wish = wish_of(request);
+  auto so_far = tries{};
+  auto last = offer_outcome::refused_full;
+  auto go_on = true;
+  while (go_on) {
+    auto before = so_far.offers_;
+    request.relayed_.reached_upstream_ = so_far.may_have_run_ > 0;
+    last = co_await try_once(request, wish, so_far);
+    auto may_have_run = last == offer_outcome::unknown || last == offer_outcome::out_of_time ||
+                        (last == offer_outcome::caller_gone && request.relayed_.reached_upstream_);
+    if (may_have_run) {
+      ++so_far.may_have_run_;
+    }
+    go_on = so_far.offers_ > before && may_go_on(request, last, so_far);
+  }
+  if (last == offer_outcome::relayed || last == offer_outcome::cut) {
+    co_return;
+  }
+  request.relayed_.reached_upstream_ = so_far.may_have_run_ > 0;
+  if (last == offer_outcome::caller_gone || request.connection_->gone()) {
+    request.connection_->close();
+    request.keep_alive_ = false;
+    co_return;
+  }
+  auto reason = final_error(last, so_far);
+  co_await refuse(*context_, request, reason);
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/gateway/upstream_offer.cpp
@@ -0,0 +1,242 @@
+#include "birchlever/gateway/upstream_offer.h"
+
+#include <array>
+
+#include "birchlever/http/connection_pool.h"
+#include "birchlever/telemetry/log.h"
+#include "birchlever/telemetry/metrics.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto any_age = milliseconds{3'600'000};  // A request that may run twice takes any kept connection.
+constexpr auto most_refusal_bytes = std::size_t{65536};
+
+auto is_success(const http_response& head) -> bool {
+  return http::to_status_class(head.result()) == http::status_class::successful;
+}
+
+/// Statuses that promise a caller that nothing ran; only a refusal that says so may carry them on.
+auto promises_not_run(unsigned status) -> bool {
+  return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+auto has_no_body(const http_response& head) -> bool {
+  return head.result() == http::status::no_content || head.result() == http::status::not_modified;
+}
+
+}  // namespace
+
+auto name_of(offer_outcome outcome) -> std::string_view {
+  constexpr auto names = std::array<std::string_view, 8>{
+      "relayed", "not_reached", "refused_full", "refused", "unknown", "out_of_time", "cut", "caller_gone"};
+  return names.at(static_cast<std::size_t>(outcome));
+}
+
+auto upstream_offer::message() const -> std::shared_ptr<const http_request> {
+  auto copy = std::make_shared<http_request>(request_->message_);
+  remove_hop_by_hop(*copy);
+  auto marks = upstream_marks{};
+  marks.time_left_ =
+      std::max<milliseconds>(request_->due_ - context_->clock_.now() - context_->limits_.safety_ms_, 1);
+  marks.expected_upstream_ = target_->entry().id_;
+  marks.urgency_ = std::clamp(request_->route_->rank_, 0, 9);
+  context_->dialect_->mark(*copy, marks);
+  copy->version(11);
+  copy->erase(http::field::expect);
+  auto had_length = request_->message_.has_content_length() || request_->message_.chunked();
+  copy->erase(http::field::content_length);
+  if (had_length || !copy->body().empty()) {
+    copy->content_length(copy->body().size());
+  }
+  return copy;
+}
+
+auto upstream_offer::judge(exchange_fault fault) const -> offer_outcome {
+  switch (fault) {
+    case exchange_fault::not_connected:
+      return offer_outcome::not_reached;
+    case exchange_fault::timed_out:
+      return offer_outcome::out_of_time;
+    case exchange_fault::aborted:
+      return offer_outcome::caller_gone;
+    case exchange_fault::closed_unasked:
+    case exchange_fault::broken:
+    case exchange_fault::malformed:
+      break;
+  }
+  return offer_outcome::unknown;
+}
+
+auto upstream_offer::run() -> task<offer_outcome> {
+  auto may_repeat = request_->route_->kind_ == route_kind::safe;
+  auto most_idle = may_repeat ? any_age : context_->limits_.streaming_most_idle_;
+  auto left = request_->due_ - context_->clock_.now();
+  auto address = target_->entry().address_;
+  auto taken = co_await context_->upstream_connections_->take(address, most_idle, left);
+  if (auto* fault = std::get_if<exchange_fault>(&taken)) {
+    co_return judge(*fault);
+  }
+  connection_ = std::get<0>(taken);
+  if (!target_->takes_requests() || request_->connection_->gone()) {
+    context_->upstream_connections_->give_back(address, connection_);
+    co_return target_->takes_requests() ? offer_outcome::caller_gone : offer_outcome::refused;
+  }
+  request_->connection_->on_gone([connection = connection_] { connection->abort(); });
+  connection_->send(message(), request_->due_ - context_->clock_.now());
+  request_->relayed_.reached_upstream_ = true;
+  auto read = co_await connection_->read_head();
+  if (auto* fault = std::get_if<exchange_fault>(&read)) {
+    connection_->abort();
+    co_return judge(*fault);
+  }
+  auto& head = std::get<http_response>(read);
+  auto facts = context_->dialect_->read_answer(head);
+  if (facts.surely_not_run_) {
+    auto rest = co_await connection_->read_rest(most_refusal_bytes);
+    if (std::holds_alternative<exchange_fault>(rest)) {
+      connection_->abort();
+    } else {
+      context_->upstream_connections_->give_back(address, connection_);
+    }
+    auto full = head.result_int() == 503 || head.result_int() == 429;
+    co_return full ? offer_outcome::refused_full : offer_outcome::refused;
+  }
+  auto ours = facts.request_id_ == request_->facts_.request_id_;
+  auto believable = is_success(head) ? facts.proven_ : !promises_not_run(head.result_int());
+  if (!ours || !believable) {
+    log_event(log_level::warning, "answer_not_ours",
+              {{"request", request_->facts_.request_id_},
+               {"upstream", target_->entry().id_},
+               {"status", std::int64_t{head.result_int()}},
+               {"answers", facts.request_id_},
+               {"proven", facts.proven_}});
+    connection_->abort();
+    co_return offer_outcome::unknown;
+  }
+  auto keep = connection_;
+  auto outcome = offer_outcome::relayed;
+  if (is_success(head) && request_->route_->kind_ == route_kind::streaming) {
+    outcome = co_await relay_stream(std::move(head));
+  } else {
+    outcome = co_await relay_whole(std::move(head));
+  }
+  if (outcome == offer_outcome::relayed) {
+    context_->upstream_connections_->give_back(address, keep);
+  } else {
+    keep->abort();
+  }
+  co_return outcome;
+}
+
+auto upstream_offer::relay_whole(http_response head) -> task<offer_outcome> {
+  auto rest = co_await connection_->read_rest(context_->limits_.most_answer_bytes_);
+  if (auto* fault = std::get_if<exchange_fault>(&rest)) {
+    co_return judge(*fault);
+  }
+  remove_hop_by_hop(head);
+  context_->dialect_->strip_answer(head);
+  head.version(11);
+  head.body() = std::move(std::get<std::string>(rest));
+  if (request_->message_.method() != http::verb::head && !has_no_body(head)) {
+    head.content_length(head.body().size());
+  }
+  head.keep_alive(request_->keep_alive_ && !context_->stopping_);
+  request_->keep_alive_ = head.keep_alive();
+  request_->answered_ = true;
+  request_->final_status_ = static_cast<int>(head.result_int());
+  request_->relayed_.whole_ = is_success(head);
+  request_->connection_->on_gone(nullptr);
+  co_await request_->connection_->write(std::move(head));
+  co_return offer_outcome::relayed;
+}
+
+auto upstream_offer::take_events(std::string_view bytes, std::string& out) -> bool {
+  for (auto& event : events_.feed(bytes)) {
+    auto gap = event.id_ && last_event_ && *event.id_ != *last_event_ + 1;
+    if (gap) {
+      return false;
+    }
+    if (event.id_) {
+      last_event_ = event.id_;
+    }
+    out += event.bytes_;
+    request_->relayed_.output_ += event.data_;
+    request_->relayed_.output_ += '\n';
+    ++request_->relayed_.events_;
+  }
+  return true;
+}
+
+auto upstream_offer::cut(const char* reason) -> offer_outcome {
+  log_event(log_level::warning, "stream_cut",
+            {{"request", request_->facts_.request_id_},
+             {"program", request_->facts_.program_},
+             {"upstream", target_->entry().id_},
+             {"events", request_->relayed_.events_},
+             {"reason", std::string{reason}}});
+  context_->metrics_->count("streams_cut_total{reason=\"" + std::string{reason} + "\"}");
+  auto gone = request_->connection_->gone();
+  request_->connection_->on_gone(nullptr);
+  request_->connection_->close();
+  request_->keep_alive_ = false;
+  return gone ? offer_outcome::caller_gone : offer_outcome::cut;
+}
+
+auto upstream_offer::relay_stream(http_response head) -> task<offer_outcome> {
+  remove_hop_by_hop(head);
+  context_->dialect_->strip_answer(head);
+  head.version(11);
+  head.erase(http::field::content_length);
+  head.keep_alive(request_->keep_alive_ && !context_->stopping_);
+  request_->keep_alive_ = head.keep_alive();
+  request_->answered_ = true;
+  request_->final_status_ = static_cast<int>(head.result_int());
+  request_->relayed_.upstream_ = target_->entry().id_;
+  auto head_written = co_await request_->connection_->write_head(std::move(head));
+  if (!head_written) {
+    co_return cut("caller_gone");
+  }
+  auto last = false;
+  while (!last) {
+    auto read = co_await connection_->read_piece();
+    if (auto* fault = std::get_if<exchange_fault>(&read)) {
+      auto name = name_of(*fault);
+      co_return cut(name.data());
+    }
+    auto& piece = std::get<body_piece>(read);
+    last = piece.last_;
+    auto out = std::string{};
+    auto in_order = take_events(piece.bytes_, out);
+    auto written = true;
+    if (!out.empty()) {
+      written = co_await request_->connection_->write_piece(out);
+    }
+    if (!written) {
+      co_return cut("caller_gone");
+    }
+    if (!in_order) {
+      co_return cut("events_out_of_order");
+    }
+  }
+  co_return co_await finish_stream();
+}
+
+auto upstream_offer::finish_stream() -> task<offer_outcome> {
+  if (events_.has_rest()) {
+    co_return cut("event_not_whole");
+  }
+  request_->relayed_.whole_ = true;
+  request_->connection_->on_gone(nullptr);  // What is whole is kept even if the caller leaves now.
+  auto kept = true;
+  if (request_->before_end_) {
+    kept = co_await request_->before_end_(*request_);
+  }
+  if (!kept) {
+    co_return cut("answer_not_kept");
+  }
+  co_await request_->connection_->write_end();
+  co_return offer_outcome::relayed;
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/gateway/upstream_offer.h
@@ -0,0 +1,54 @@
+/// One request offered to one upstream: sent, judged, and its answer relayed if it is the upstream's own.
+#pragma once
+
+#include <memory>
+
+#include "birchlever/gateway/gateway_context.h"
+#include "birchlever/http/event_stream.h"
+#include "birchlever/http/outgoing_connection.h"
+#include "birchlever/upstream/upstream_directory.h"
+
+namespace birchlever {
+
+/// How an offer ended.
+enum class offer_outcome {
+  relayed,       ///< The caller has the whole answer, or a success that can't be taken back.
+  not_reached,   ///< No connection: surely not run.
+  refused_full,  ///< The upstream says that it did not run it.
+  refused,       ///< Likewise, for another reason than load.
+  unknown,       ///< It may have run; nothing went to the caller.
+  out_of_time,   ///< The deadline passed; it may have run.
+  cut,           ///< The caller's answer was broken off midway.
+  caller_gone,
+};
+
+/// The stable name of an outcome.
+[[nodiscard]] auto name_of(offer_outcome outcome) -> std::string_view;
+
+/// Used once.
+class upstream_offer {
+ public:
+  upstream_offer(gateway_context& context, gateway_request& request, upstream& target)
+      : context_{&context}, request_{&request}, target_{&target} {}
+
+  /// Sends the request and relays its answer.
+  auto run() -> task<offer_outcome>;
+
+ private:
+  auto message() const -> std::shared_ptr<const http_request>;
+  auto judge(exchange_fault fault) const -> offer_outcome;
+  auto relay_whole(http_response head) -> task<offer_outcome>;
+  auto relay_stream(http_response head) -> task<offer_outcome>;
+  auto take_events(std::string_view bytes, std::string& out) -> bool;
+  auto finish_stream() -> task<offer_outcome>;
+  auto cut(const char* reason) -> offer_outcome;
+
+  gateway_context* context_;
+  gateway_request* request_;
+  upstream* target_;
+  std::shared_ptr<outgoing_connection> connection_;
+  event_stream events_;
+  std::optional<std::int64_t> last_event_;
+};
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/http/http_message.cpp
@@ -0,0 +1,66 @@
+#include "birchlever/http/http_message.h"
+
+#include <array>
+#include <charconv>
+#include <vector>
+
+namespace birchlever {
+namespace {
+
+constexpr auto connection_fields = std::array<std::string_view, 9>{
+    "Connection", "Keep-Alive",         "Proxy-Connection",   "TE", "Trailer", "Transfer-Encoding",
+    "Upgrade",    "Proxy-Authenticate", "Proxy-Authorization"};
+
+}  // namespace
+
+auto field_of(const http::fields& fields, std::string_view name) -> std::string_view {
+  auto found = fields.find(to_beast(name));
+  if (found == fields.end()) {
+    return {};
+  }
+  return {found->value().data(), found->value().size()};
+}
+
+auto remove_hop_by_hop(http::fields& fields) -> void {
+  auto named = std::vector<std::string>{};
+  auto range = fields.equal_range(http::field::connection);
+  for (auto next = range.first; next != range.second; ++next) {
+    for (auto token : http::token_list{next->value()}) {
+      named.emplace_back(token);
+    }
+  }
+  for (const auto& name : named) {
+    fields.erase(name);
+  }
+  for (auto name : connection_fields) {
+    fields.erase(to_beast(name));
+  }
+}
+
+auto keep_alive_ms(const http::fields& fields) -> std::optional<milliseconds> {
+  constexpr auto label = std::string_view{"timeout="};
+  constexpr auto ms_per_second = milliseconds{1000};
+  auto text = field_of(fields, "Keep-Alive");
+  auto at = text.find(label);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  auto digits = text.substr(at + label.size());
+  auto seconds = parse_count(digits.substr(0, digits.find_first_not_of("0123456789")));
+  if (!seconds) {
+    return std::nullopt;
+  }
+  return *seconds * ms_per_second;
+}
+
+auto parse_count(std::string_view text) -> std::optional<std::int64_t> {
+  auto number = std::int64_t{0};
+  const auto* end = text.data() + text.size();
+  auto parsed = std::from_chars(text.data(), end, number);
+  if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != end || number < 0) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/http/http_message.h
@@ -0,0 +1,38 @@
+/// HTTP messages as the event loop's connections read and write them.
+#pragma once
+
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "birchlever/core/clock.h"
+
+namespace birchlever {
+
+namespace http = boost::beast::http;
+
+/// A whole request: method, target and body stay byte for byte as they were read.
+using http_request = http::request<http::string_body>;
+
+/// A whole answer.
+using http_response = http::response<http::string_body>;
+
+/// A text as Beast takes it.
+[[nodiscard]] inline auto to_beast(std::string_view text) -> boost::beast::string_view {
+  return {text.data(), text.size()};
+}
+
+/// The value of a field, or an empty text.
+[[nodiscard]] auto field_of(const http::fields& fields, std::string_view name) -> std::string_view;
+
+/// Removes what concerns one connection only: Connection, what it names, Transfer-Encoding and their kin.
+auto remove_hop_by_hop(http::fields& fields) -> void;
+
+/// The seconds of a Keep-Alive field's timeout, in ms; nothing when it has none.
+[[nodiscard]] auto keep_alive_ms(const http::fields& fields) -> std::optional<milliseconds>;
+
+/// A whole number of at least 0; nothing when the text is anything else.
+[[nodiscard]] auto parse_count(std::string_view text) -> std::optional<std::int64_t>;
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/http/outgoing_connection.cpp
@@ -0,0 +1,178 @@
+#include "birchlever/http/outgoing_connection.h"
+
+#include <array>
+#include <limits>
+
+#include "birchlever/http/socket_options.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto peer_silence_limit = milliseconds{4000};  // Unacknowledged bytes for so long: peer is lost.
+constexpr auto standard_keep_alive =
+    milliseconds{4000};  // When the peer names none; servers' usual least is 5 s.
+constexpr auto no_limit = std::numeric_limits<std::uint64_t>::max();  // Readers bound what they keep.
+constexpr auto most_header_bytes = std::uint32_t{65536};
+
+}  // namespace
+
+auto name_of(exchange_fault fault) -> std::string_view {
+  constexpr auto names = std::array<std::string_view, 6>{"not_connected", "closed_unasked", "broken",
+                                                         "malformed",     "timed_out",      "aborted"};
+  return names.at(static_cast<std::size_t>(fault));
+}
+
+outgoing_connection::outgoing_connection(event_loop& loop, milliseconds keep_alive)
+    : loop_{&loop}, socket_{loop}, deadline_{loop}, keep_alive_{keep_alive} {}
+
+auto outgoing_connection::open(event_loop& loop, const asio::ip::tcp::endpoint& address, milliseconds limit)
+    -> task<exchanged<std::shared_ptr<outgoing_connection>>> {
+  auto made = std::shared_ptr<outgoing_connection>{new outgoing_connection{loop, standard_keep_alive}};
+  made->arm(limit);
+  auto code = boost::system::error_code{};
+  co_await made->socket_.async_connect(address, resume_with(code));
+  made->deadline_.cancel();
+  if (code || made->timed_out_) {
+    co_return exchange_fault::not_connected;
+  }
+  set_socket_options(made->socket_, peer_silence_limit);
+  co_return made;
+}
+
+auto outgoing_connection::arm(milliseconds time_left) -> void {
+  deadline_.expires_after(std::chrono::milliseconds{std::max<milliseconds>(time_left, 0)});
+  deadline_.async_wait([weak = weak_from_this()](const boost::system::error_code& code) {
+    auto self = weak.lock();
+    if (code || !self) {
+      return;
+    }
+    self->timed_out_ = true;
+    self->abort();
+  });
+}
+
+auto outgoing_connection::abort() -> void {
+  aborted_ = true;
+  auto ignored = boost::system::error_code{};  // It may be closed already.
+  socket_.close(ignored);
+  deadline_.cancel();
+}
+
+auto outgoing_connection::fault_of(const boost::system::error_code& code) const -> exchange_fault {
+  if (timed_out_) {
+    return exchange_fault::timed_out;
+  }
+  if (aborted_) {
+    return exchange_fault::aborted;
+  }
+  auto protocol = code.category() == http::make_error_code(http::error::need_more).category();
+  if (protocol) {
+    log_event(log_level::debug, "answer_ended", {{"detail", code.message()}, {"begun", answer_begun_}});
+  }
+  if (protocol && code != http::error::partial_message && code != http::error::end_of_stream) {
+    return exchange_fault::malformed;
+  }
+  return answer_begun_ ? exchange_fault::broken : exchange_fault::closed_unasked;
+}
+
+auto outgoing_connection::send(std::shared_ptr<const http_request> request, milliseconds time_left) -> void {
+  ++exchanges_;
+  written_ = false;
+  whole_ = false;
+  answer_begun_ = false;
+  head_request_ = request->method() == http::verb::head;
+  parser_ = std::make_unique<http::response_parser<http::string_body>>();
+  parser_->header_limit(most_header_bytes);
+  parser_->body_limit(no_limit);
+  parser_->eager(true);
+  parser_->skip(head_request_);
+  arm(time_left);
+  start(*loop_, "write_request", write_request(std::move(request)));
+}
+
+auto outgoing_connection::write_request(std::shared_ptr<const http_request> request) -> task<> {
+  auto self = shared_from_this();
+  auto code = boost::system::error_code{};
+  co_await http::async_write(socket_, *request, resume_with(code));
+  written_ = !code;
+  write_failed_ = static_cast<bool>(code);  // The reader sees the same end and says why.
+}
+
+auto outgoing_connection::read_head() -> task<exchanged<http_response>> {
+  auto self = shared_from_this();
+  auto code = boost::system::error_code{};
+  auto continued = true;
+  while (continued) {
+    auto read = co_await http::async_read_header(socket_, buffer_, *parser_, resume_with(code));
+    answer_begun_ = answer_begun_ || read > 0 || buffer_.size() > 0;
+    if (code) {
+      co_return fault_of(code);
+    }
+    continued = http::to_status_class(parser_->get().result()) == http::status_class::informational;
+    if (continued) {
+      parser_ = std::make_unique<http::response_parser<http::string_body>>();
+      parser_->header_limit(most_header_bytes);
+      parser_->body_limit(no_limit);
+      parser_->eager(true);
+      parser_->skip(head_request_);
+    }
+  }
+  keep_alive_ = keep_alive_ms(parser_->get()).value_or(standard_keep_alive);
+  auto head = http_response{};
+  head.base() = parser_->get().base();
+  co_return head;
+}
+
+auto outgoing_connection::read_piece() -> task<exchanged<body_piece>> {
+  auto self = shared_from_this();
+  auto piece = body_piece{};
+  while (piece.bytes_.empty() && !parser_->is_done()) {
+    auto code = boost::system::error_code{};
+    if (parser_->get().body().empty()) {
+      co_await http::async_read_some(socket_, buffer_, *parser_, resume_with(code));
+    }
+    if (code) {
+      co_return fault_of(code);
+    }
+    piece.bytes_ = std::exchange(parser_->get().body(), {});
+  }
+  if (piece.bytes_.empty()) {
+    piece.bytes_ = std::exchange(parser_->get().body(), {});
+  }
+  if (parser_->is_done()) {
+    whole_ = true;
+    piece.last_ = true;
+    deadline_.cancel();
+  }
+  co_return piece;
+}
+
+auto outgoing_connection::read_rest(std::size_t most) -> task<exchanged<std::string>> {
+  auto all = std::string{};
+  while (true) {
+    auto read = co_await read_piece();
+    if (auto* fault = std::get_if<exchange_fault>(&read)) {
+      co_return *fault;
+    }
+    auto& piece = std::get<body_piece>(read);
+    all += piece.bytes_;
+    if (all.size() > most) {
+      abort();
+      co_return exchange_fault::malformed;
+    }
+    if (piece.last_) {
+      co_return all;
+    }
+  }
+}
+
+auto outgoing_connection::reusable() const -> bool {
+  return whole_ && written_ && !aborted_ && !write_failed_ && parser_->get().keep_alive() &&
+         !parser_->get().need_eof() && buffer_.size() == 0;
+}
+
+auto outgoing_connection::spoiled() -> bool {
+  return aborted_ || !socket_.is_open() || has_unasked_input(socket_);
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/http/outgoing_connection.h
@@ -0,0 +1,97 @@
+/// The side of an HTTP/1.1 connection that asks: one request at a time, its answer read piece by piece.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <memory>
+#include <string>
+
+#include "birchlever/core/result.h"
+#include "birchlever/http/http_message.h"
+#include "birchlever/http/task.h"
+
+namespace birchlever {
+
+/// Why an exchange on a connection ended early.
+enum class exchange_fault {
+  not_connected,   ///< Nothing was sent.
+  closed_unasked,  ///< The connection ended before any byte of an answer.
+  broken,          ///< The answer ended before its end.
+  malformed,       ///< The bytes are not an answer in the protocol.
+  timed_out,       ///< The time given was over.
+  aborted,         ///< Our own side closed it.
+};
+
+/// The stable name of a fault.
+[[nodiscard]] auto name_of(exchange_fault fault) -> std::string_view;
+
+/// Success, or what went wrong on the connection.
+template <class T>
+using exchanged = std::variant<T, exchange_fault>;
+
+/// A piece of an answer's body.
+struct body_piece {
+  std::string bytes_;
+  bool last_ = false;  ///< The body is whole with this piece.
+};
+
+/// One connection to an upstream, the store or a peer. For coroutines of one loop; kept alive by its user and
+/// by its own writer.
+class outgoing_connection : public std::enable_shared_from_this<outgoing_connection> {
+ public:
+  /// Connects within the limit.
+  static auto open(event_loop& loop, const asio::ip::tcp::endpoint& address, milliseconds limit)
+      -> task<exchanged<std::shared_ptr<outgoing_connection>>>;
+
+  /// Starts an exchange: writes the request beside reading, since a server may answer before it has read a
+  /// long body. The deadline holds for the whole exchange.
+  auto send(std::shared_ptr<const http_request> request, milliseconds time_left) -> void;
+
+  /// Reads the answer's head.
+  auto read_head() -> task<exchanged<http_response>>;
+
+  /// Reads the next piece of the body.
+  auto read_piece() -> task<exchanged<body_piece>>;
+
+  /// Reads what is left of the body, up to `most` bytes (malformed beyond that).
+  auto read_rest(std::size_t most) -> task<exchanged<std::string>>;
+
+  /// True when the exchange is over and another may follow on this connection.
+  [[nodiscard]] auto reusable() const -> bool;
+
+  /// How long the peer keeps the connection when idle, in ms.
+  [[nodiscard]] auto keep_alive() const -> milliseconds { return keep_alive_; }
+
+  /// True when a kept connection was closed by the peer or carries bytes nobody asked for.
+  [[nodiscard]] auto spoiled() -> bool;
+
+  /// True when this connection has carried an exchange before the present one.
+  [[nodiscard]] auto reused() const -> bool { return exchanges_ > 1; }
+
+  /// Closes at once; what waits on it ends with `aborted`.
+  auto abort() -> void;
+
+ private:
+  outgoing_connection(event_loop& loop, milliseconds standard_keep_alive);
+
+  auto write_request(std::shared_ptr<const http_request> request) -> task<>;
+  auto fault_of(const boost::system::error_code& code) const -> exchange_fault;
+  auto arm(milliseconds time_left) -> void;
+
+  event_loop* loop_;
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer deadline_;
+  boost::beast::flat_buffer buffer_;
+  std::unique_ptr<http::response_parser<http::string_body>> parser_;
+  milliseconds keep_alive_;
+  int exchanges_ = 0;
+  bool written_ = false;
+  bool write_failed_ = false;
+  bool whole_ = false;
+  bool timed_out_ = false;
+  bool aborted_ = false;
+  bool answer_begun_ = false;
+  bool head_request_ = false;
+};
+
+}  // namespace birchlever
--- a/birchlever/operators/local_rows.cpp
+++ b/birchlever/operators/local_rows.cpp
@@ -8,7 +8,7 @@
 #include "birchlever/controllers/fleet_view.h"
 #include "birchlever/controllers/shard_set.h"
 #include "birchlever/coordination/versioned_configuration.h"
-#include "birchlever/platform/table_store_interface.h"
+#include "birchlever/storage/table_store_interface.h"
 #include "birchlever/telemetry/metrics.h"
 #include "birchlever/telemetry/policy_comparison.h"
 #include "birchlever/upstream/upstream_table.h"
--- a/birchlever/operators/operator_console.cpp
+++ b/birchlever/operators/operator_console.cpp
@@ -16,7 +16,7 @@
 #include "birchlever/operators/local_rows.h"
 #include "birchlever/operators/policy_report.h"
 #include "birchlever/operators/row_filter.h"
-#include "birchlever/platform/http_connection_pool.h"
+#include "birchlever/storage/http_connection_pool.h"
 #include "birchlever/telemetry/log.h"
 
 namespace birchlever {
--- a/birchlever/operators/operator_console.h
+++ b/birchlever/operators/operator_console.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "birchlever/operators/statement.h"
-#include "birchlever/platform/vm_list.h"
+#include "birchlever/storage/vm_list.h"
 
 namespace birchlever {
 
--- a/birchlever/rpc/peer_client_pool.cpp
+++ b/birchlever/rpc/peer_client_pool.cpp
@@ -8,8 +8,8 @@
 #include <cerrno>
 
 #include "birchlever/core/test_switches.h"
-#include "birchlever/platform/http_connection_pool.h"
 #include "birchlever/rpc/generated/peer.h"
+#include "birchlever/storage/http_connection_pool.h"
 
 namespace birchlever {
 
--- a/birchlever/platform/http_connection_pool.cpp
+++ b/birchlever/storage/http_connection_pool.cpp
@@ -1,4 +1,4 @@
-#include "birchlever/platform/http_connection_pool.h"
+#include "birchlever/storage/http_connection_pool.h"
 
 #include <httplib.h>
 
--- a/birchlever/platform/http_table_store.cpp
+++ b/birchlever/storage/http_table_store.cpp
@@ -1,4 +1,4 @@
-#include "birchlever/platform/http_table_store.h"
+#include "birchlever/storage/http_table_store.h"
 
 #include <nlohmann/json.hpp>
 
--- a/birchlever/platform/http_table_store.h
+++ b/birchlever/storage/http_table_store.h
@@ -3,8 +3,8 @@
 
 #include <memory>
 
-#include "birchlever/platform/http_connection_pool.h"
-#include "birchlever/platform/table_store_interface.h"
+#include "birchlever/storage/http_connection_pool.h"
+#include "birchlever/storage/table_store_interface.h"
 
 namespace birchlever {
 
--- a/birchlever/platform/memory_table_store.cpp
+++ b/birchlever/storage/memory_table_store.cpp
@@ -1,4 +1,4 @@
-#include "birchlever/platform/memory_table_store.h"
+#include "birchlever/storage/memory_table_store.h"
 
 namespace birchlever {
 
--- a/birchlever/platform/memory_table_store.h
+++ b/birchlever/storage/memory_table_store.h
@@ -4,7 +4,7 @@
 #include <map>
 #include <mutex>
 
-#include "birchlever/platform/table_store_interface.h"
+#include "birchlever/storage/table_store_interface.h"
 
 namespace birchlever {
 
--- a/birchlever/platform/vm_list.cpp
+++ b/birchlever/storage/vm_list.cpp
@@ -1,4 +1,4 @@
-#include "birchlever/platform/vm_list.h"
+#include "birchlever/storage/vm_list.h"
 
 #include <array>
 #include <nlohmann/json.hpp>
--- a/birchlever/platform/vm_list.h
+++ b/birchlever/storage/vm_list.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "birchlever/platform/http_connection_pool.h"
+#include "birchlever/storage/http_connection_pool.h"
 
 namespace birchlever {
 
--- a/birchlever/telemetry/log.cpp
+++ b/birchlever/telemetry/log.cpp
@@ -45,6 +45,19 @@
   el::Loggers::addFlag(el::LoggingFlag::ImmediateFlush);
 }
 
+auto level_of(std::string_view name) -> log_level {
+  for (auto level : {log_level::debug, log_level::info, log_level::warning}) {
+    if (name_of(level) == name) {
+      return level;
+    }
+  }
+  return log_level::error;
+}
+
+auto set_log_level(log_level lowest) -> void {
+  state().lowest_ = lowest;
+}
+
 auto log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields) -> void {
   if (level < state().lowest_ || state().process_name_.empty()) {
     return;
--- a/birchlever/telemetry/log.h
+++ b/birchlever/telemetry/log.h
@@ -24,6 +24,9 @@
 /// Prepares logging for this process. Lines go to standard output; the name tells processes apart.
 auto start_log(const std::string& process_name, log_level lowest) -> void;
 
+/// Changes the lowest level that is written.
+auto set_log_level(log_level lowest) -> void;
+
 /// Writes one line. Secrets are never passed as fields.
 auto log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields = {}) -> void;
 
@@ -33,4 +36,7 @@
 /// The stable name of a level.
 [[nodiscard]] auto name_of(log_level level) -> std::string_view;
 
+/// The level of a name; `error` for an unknown one.
+[[nodiscard]] auto level_of(std::string_view name) -> log_level;
+
 }  // namespace birchlever
--- /dev/null
+++ b/birchlever/upstream/upstream_directory.h
@@ -0,0 +1,128 @@
+/// The upstreams as the platform's list and this daemon's own traffic show them, and the choice among them.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "birchlever/core/clock.h"
+#include "birchlever/policy/policy_interface.h"
+#include "birchlever/upstream/prompt_cache.h"
+
+namespace birchlever {
+
+/// One upstream as listed. Every start of a server is a new upstream with a new id.
+struct upstream_entry {
+  std::string id_;
+  std::string service_;
+  boost::asio::ip::tcp::endpoint address_;
+  std::string data_hall_;
+  std::int64_t slots_ = 1;  ///< Requests that run at once.
+  bool leaving_ = false;    ///< Takes no new request.
+  std::vector<std::string> models_;
+};
+
+/// What one request tells of an upstream.
+enum class upstream_evidence { served, full, failed };
+
+/// An upstream and what this daemon knows of it.
+class upstream {
+ public:
+  explicit upstream(upstream_entry entry) : entry_{std::move(entry)} {}
+
+  [[nodiscard]] auto entry() const -> const upstream_entry& { return entry_; }
+  [[nodiscard]] auto running() const -> int { return running_; }
+
+  /// False from the moment it was told to leave or its entry is gone.
+  [[nodiscard]] auto takes_requests() const -> bool { return listed_ && !entry_.leaving_; }
+
+ private:
+  friend class upstream_directory;
+
+  upstream_entry entry_;
+  bool listed_ = true;
+  int running_ = 0;               ///< Requests of this daemon there now.
+  double running_elsewhere_ = 0;  ///< Requests of other daemons, as they last said.
+  int failures_ = 0;              ///< In a row.
+  milliseconds avoid_until_ = 0;
+  milliseconds full_until_ = 0;
+  prompt_cache cache_;
+};
+
+using upstream_pointer = std::shared_ptr<upstream>;
+
+/// What a request wants of an upstream.
+struct upstream_wish {
+  std::string service_;
+  std::string model_;
+  std::int64_t prompt_tokens_ = 0;
+  std::int64_t most_tokens_ = 0;
+  std::vector<prompt_part> parts_;
+  std::string last_upstream_;       ///< Where the previous turn ran; empty when there was none.
+  std::int64_t cache_room_ = 0;     ///< Tokens an engine of the service holds; 0 for plain services.
+  std::set<std::string> excluded_;  ///< Upstreams that refused or failed this request.
+  std::uint64_t seed_ = 0;
+};
+
+/// A choice with what it rests on, for the log.
+struct upstream_choice {
+  upstream_pointer chosen_;
+  std::size_t candidates_ = 0;
+  double cost_ = 0;
+  std::int64_t held_tokens_ = 0;
+};
+
+/// How evidence is weighed.
+struct upstream_directory_settings {
+  std::string data_hall_;               ///< Where this daemon stands.
+  milliseconds first_avoidance_ = 500;  ///< ms for which an upstream is avoided after failing twice in a row.
+  milliseconds longest_avoidance_ = 8000;  ///< Doubled with each further failure up to this many ms.
+  milliseconds full_memory_ = 60;          ///< ms for which an upstream that refused as full counts as full.
+};
+
+/// For coroutines of one loop.
+class upstream_directory {
+ public:
+  explicit upstream_directory(upstream_directory_settings settings);
+
+  /// Adds or changes an upstream.
+  auto put(upstream_entry entry) -> void;
+
+  /// The upstream has left the list.
+  auto remove(const std::string& id) -> void;
+
+  /// All listed ids.
+  [[nodiscard]] auto ids() const -> std::vector<std::string>;
+
+  /// The upstream of an id, or none.
+  [[nodiscard]] auto find(const std::string& id) const -> upstream_pointer;
+
+  /// Chooses by the policy. Failures: no_upstream.
+  auto choose(const policy_interface& policy, const upstream_wish& wish) -> result<upstream_choice>;
+
+  /// A request is sent there.
+  auto begin(upstream& one, const upstream_wish& wish) -> void;
+
+  /// The request has ended.
+  auto end(upstream& one, upstream_evidence evidence) -> void;
+
+  /// Requests that other daemons have running there, as they say.
+  auto set_running_elsewhere(const std::string& id, double running) -> void;
+
+  /// Calls back for each listed upstream.
+  auto each(const std::function<void(const upstream&)>& visit) const -> void;
+
+ private:
+  auto candidates(const upstream_wish& wish, bool also_avoided) const -> std::vector<upstream_pointer>;
+  auto view_of(const upstream& one, const upstream_wish& wish) const -> engine_view;
+
+  upstream_directory_settings settings_;
+  steady_clock clock_;
+  std::map<std::string, upstream_pointer> upstreams_;
+};
+
+}  // namespace birchlever
--- a/birchlever/upstream/upstream_exchange.h
+++ b/birchlever/upstream/upstream_exchange.h
@@ -11,7 +11,7 @@
 
 #include "birchlever/core/clock.h"
 #include "birchlever/core/result.h"
-#include "birchlever/platform/http_connection_pool.h"
+#include "birchlever/storage/http_connection_pool.h"
 
 namespace birchlever {
 
--- a/birchlever/upstream/upstream_table.h
+++ b/birchlever/upstream/upstream_table.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "birchlever/core/clock.h"
-#include "birchlever/platform/vm_list.h"
 #include "birchlever/policy/policy_interface.h"
+#include "birchlever/storage/vm_list.h"
 
 namespace birchlever {
 
--- /dev/null
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -0,0 +1,289 @@
+#include "birchlever_daemon/gateway_daemon.h"
+
+#include <csignal>
+#include <fstream>
+#include <iterator>
+
+#include "birchlever/coordination/program_store.h"
+#include "birchlever/http/connection_pool.h"
+#include "birchlever/policy/policy_book.h"
+#include "birchlever/telemetry/log.h"
+#include "birchlever/telemetry/metrics.h"
+#include "birchlever_daemon/gateway_flags.h"
+#include "platform/decode.h"
+#include "platform/header_dialect.h"
+#include "platform/names.h"
+#include "platform/store_client.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto engine_policy_name = "engines";
+constexpr auto service_policy_name = "services";
+constexpr auto housekeeping_gap = milliseconds{1000};
+constexpr auto ms_per_second = 1000.0;
+constexpr auto balancer_looks_ms =
+    milliseconds{2600};                              // It looks every second and takes out after two misses.
+constexpr auto leave_margin_ms = milliseconds{700};  // Kept free of the time until the platform kills.
+constexpr auto finish_check_gap = milliseconds{20};
+
+auto read_text(const std::string& file) -> std::string {
+  auto stream = std::ifstream{file};
+  return std::string{std::istreambuf_iterator<char>{stream}, {}};
+}
+
+}  // namespace
+
+gateway_daemon::gateway_daemon(const gateway_settings& settings, std::string settings_file)
+    : settings_{settings},
+      settings_file_{std::move(settings_file)},
+      stop_signals_{loop_, SIGTERM, SIGINT},
+      reload_signals_{loop_, SIGHUP},
+      context_{std::make_shared<gateway_context>()} {}
+
+gateway_daemon::~gateway_daemon() = default;
+
+auto gateway_daemon::create(const gateway_settings& settings, const std::string& settings_file)
+    -> result<std::unique_ptr<gateway_daemon>> {
+  auto made = std::unique_ptr<gateway_daemon>{new gateway_daemon{settings, settings_file}};
+  auto opened = made->open();
+  if (!ok(opened)) {
+    return failure(opened);
+  }
+  return made;
+}
+
+auto gateway_daemon::open() -> status {
+  auto store_address = parse_address(settings_.store_address_);
+  if (!ok(store_address)) {
+    return failure(store_address);
+  }
+  auto store_settings = platform::store_client_settings{};
+  store_settings.address_ = value(store_address);
+  store_ = platform::store_client::create(loop_, store_settings);
+  auto program_settings = program_store_settings{};
+  program_settings.cache_bytes_ = static_cast<std::size_t>(settings_.history_cache_bytes_);
+  auto programs = program_store::create(loop_, store_, program_settings);
+  if (!ok(programs)) {
+    return failure(programs);
+  }
+  auto directory_settings = upstream_directory_settings{};
+  directory_settings.data_hall_ = settings_.data_hall_;
+  context_->loop_ = &loop_;
+  context_->dialect_ = std::make_shared<platform::header_dialect>();
+  context_->upstream_connections_ = connection_pool::create(loop_, {});
+  context_->upstreams_ = std::make_shared<upstream_directory>(directory_settings);
+  context_->programs_ = value(programs);
+  context_->policies_ = std::make_shared<policy_book>();
+  context_->metrics_ = std::make_shared<metrics>();
+  context_->engine_policy_ = engine_policy_name;
+  context_->service_policy_ = service_policy_name;
+  auto loaded = load_policies();
+  if (!ok(loaded)) {
+    return loaded;
+  }
+  auto listening = open_ports();
+  if (!ok(listening)) {
+    return listening;
+  }
+  follow_store();
+  start(loop_, "wait_for_stop", wait_for_stop());
+  start(loop_, "wait_for_reload", wait_for_reload());
+  start(loop_, "keep_house", keep_house());
+  return success;
+}
+
+auto gateway_daemon::load_policies() -> status {
+  auto engines = parse_policy(settings_.engine_policy_);
+  auto services = parse_policy(settings_.service_policy_);
+  if (!ok(engines)) {
+    return failure(engines);
+  }
+  if (!ok(services)) {
+    return failure(services);
+  }
+  context_->policies_->load({{engine_policy_name, value(engines)}, {service_policy_name, value(services)}},
+                            {});
+  return success;
+}
+
+auto gateway_daemon::open_ports() -> status {
+  auto readiness = http_listener::create(
+      loop_, settings_.readiness_address_,
+      serve_pages([this](const http_request& request) { return readiness_page(request); }));
+  if (!ok(readiness)) {
+    return failure(readiness);
+  }
+  readiness_listener_ = std::move(value(readiness));
+  auto server = gateway_server::create(context_, settings_.caller_address_);
+  if (!ok(server)) {
+    return failure(server);
+  }
+  server_ = std::move(value(server));
+  if (settings_.control_address_.empty()) {
+    return success;
+  }
+  auto control = http_listener::create(
+      loop_, settings_.control_address_,
+      serve_pages([this](const http_request& request) { return control_page(request); }));
+  if (!ok(control)) {
+    return failure(control);
+  }
+  control_listener_ = std::move(value(control));
+  return success;
+}
+
+auto gateway_daemon::follow_store() -> void {
+  auto settings = table_follower_settings{};
+  settings.table_ = platform::names::operator_table;
+  auto take_all = [this](const std::vector<stored_row>& rows) {
+    for (const auto& row : rows) {
+      take_configuration(row);
+    }
+  };
+  configuration_follower_ = table_follower::create(loop_, store_, settings, {take_all, take_all});
+  upstream_follower_ = upstream_follower::create(
+      loop_, store_, platform::names::upstream_table, context_->upstreams_, platform::decode_upstream,
+      static_cast<milliseconds>(settings_.lapse_return_s_ * ms_per_second));
+}
+
+auto gateway_daemon::take_configuration(const stored_row& row) -> void {
+  if (row.key_.key_ != platform::names::configuration_key || row.removed_) {
+    return;
+  }
+  auto decoded = platform::decode_configuration(row.value_);
+  if (!ok(decoded)) {
+    log_failure(log_level::error, "configuration_unreadable", failure(decoded));  // The last good one stays.
+    return;
+  }
+  auto known = context_->configuration_ ? context_->configuration_->version_ : -1;
+  if (value(decoded).version_ <= known) {
+    return;
+  }
+  log_event(log_level::info, "configuration_taken",
+            {{"version", value(decoded).version_},
+             {"before", known},
+             {"routes", static_cast<std::int64_t>(value(decoded).routes_.size())}});
+  context_->configuration_ = std::make_shared<const serving_configuration>(std::move(value(decoded)));
+}
+
+auto gateway_daemon::ready() const -> bool {
+  return !context_->stopping_ && context_->configuration_ && upstream_follower_->primed();
+}
+
+auto gateway_daemon::readiness_page(const http_request& request) const -> http_response {
+  auto known = request.target() == platform::names::readiness_path;
+  auto status = ready() ? http::status::ok : http::status::service_unavailable;
+  return http_response{known ? status : http::status::not_found, 11};
+}
+
+auto gateway_daemon::control_page(const http_request& request) -> http_response {
+  auto answer = http_response{http::status::not_found, 11};
+  if (request.target() != "/metrics") {
+    return answer;
+  }
+  auto& counters = *context_->metrics_;
+  counters.gauge("requests_under_way", context_->under_way_);
+  counters.gauge("caller_connections", static_cast<double>(server_->connections()));
+  counters.gauge("store_calls", static_cast<double>(store_->calls()));
+  counters.gauge("store_reachable", store_->reachable() ? 1 : 0);
+  counters.gauge("history_cache_bytes", static_cast<double>(context_->programs_->cached_bytes()));
+  counters.gauge("upstream_connections_opened",
+                 static_cast<double>(context_->upstream_connections_->opened()));
+  counters.gauge("configuration_version",
+                 context_->configuration_ ? static_cast<double>(context_->configuration_->version_) : 0);
+  answer.result(http::status::ok);
+  answer.set(http::field::content_type, "text/plain; version=0.0.4");
+  answer.body() = counters.to_prometheus();
+  return answer;
+}
+
+auto gateway_daemon::keep_house() -> task<> {
+  settings_text_ = settings_file_.empty() ? std::string{} : read_text(settings_file_);
+  while (true) {
+    co_await pause_for(loop_, housekeeping_gap);
+    context_->upstream_connections_->sweep();
+    if (ready() && !std::exchange(announced_ready_, true)) {
+      log_event(log_level::info, "ready", {{"configuration", context_->configuration_->version_}});
+    }
+    if (!settings_file_.empty() && read_text(settings_file_) != settings_text_) {
+      reload("file_changed");
+    }
+  }
+}
+
+auto gateway_daemon::reload(const char* cause) -> void {
+  if (settings_file_.empty()) {
+    return;
+  }
+  settings_text_ = read_text(settings_file_);
+  auto faults = std::vector<setting_fault>{};
+  auto fresh = read_gateway_settings(settings_file_, faults);
+  auto more = check_settings(fresh);
+  faults.insert(faults.end(), more.begin(), more.end());
+  for (const auto& fault : faults) {
+    log_event(log_level::error, "setting_not_taken",
+              {{"setting", fault.name_}, {"value", fault.value_}, {"reason", fault.reason_}});
+  }
+  if (!faults.empty()) {
+    return;  // The settings in force stay.
+  }
+  auto needs_restart = fresh.caller_address_ != settings_.caller_address_ ||
+                       fresh.readiness_address_ != settings_.readiness_address_ ||
+                       fresh.store_address_ != settings_.store_address_;
+  settings_ = fresh;
+  set_log_level(level_of(fresh.log_level_));
+  auto loaded = load_policies();
+  log_event(
+      log_level::info, "reload",
+      {{"cause", std::string{cause}}, {"policies_loaded", ok(loaded)}, {"needs_restart", needs_restart}});
+}
+
+auto gateway_daemon::wait_for_reload() -> task<> {
+  while (true) {
+    auto code = boost::system::error_code{};
+    co_await reload_signals_.async_wait(resume_with(code));
+    if (code) {
+      co_return;
+    }
+    reload("signal");
+  }
+}
+
+auto gateway_daemon::wait_for_stop() -> task<> {
+  auto code = boost::system::error_code{};
+  co_await stop_signals_.async_wait(resume_with(code));
+  if (!code) {
+    co_await stop();
+  }
+}
+
+auto gateway_daemon::stop() -> task<> {
+  auto began = context_->clock_.now();
+  auto leave_at =
+      began + static_cast<milliseconds>(settings_.stop_grace_s_ * ms_per_second) - leave_margin_ms;
+  log_event(log_level::info, "stop", {{"under_way", std::int64_t{context_->under_way_}}});
+  context_->stopping_ = true;
+  // The balancer goes on sending connections until it has looked twice; they are served.
+  auto quiet_at = std::min(began + balancer_looks_ms, leave_at);
+  co_await pause_for(loop_, quiet_at - began);
+  server_->stop_accepting();
+  while ((context_->under_way_ > 0 || server_->connections() > 0) && context_->clock_.now() < leave_at) {
+    co_await pause_for(loop_, finish_check_gap);
+  }
+  finished_all_ = context_->under_way_ == 0;
+  log_event(log_level::info, "stopped",
+            {{"under_way", std::int64_t{context_->under_way_}}, {"took_ms", context_->clock_.now() - began}});
+  loop_.stop();
+}
+
+auto gateway_daemon::run() -> bool {
+  log_event(log_level::info, "start",
+            {{"data_hall", settings_.data_hall_},
+             {"caller_address", settings_.caller_address_},
+             {"store_address", settings_.store_address_}});
+  loop_.run();
+  return finished_all_;
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever_daemon/gateway_daemon.h
@@ -0,0 +1,66 @@
+/// The gateway: one process on one event loop that serves callers through the platform's store.
+#pragma once
+
+#include <boost/asio/signal_set.hpp>
+#include <memory>
+#include <string>
+
+#include "birchlever/controllers/table_follower.h"
+#include "birchlever/controllers/upstream_follower.h"
+#include "birchlever/gateway/gateway_server.h"
+#include "birchlever/gateway/gateway_settings.h"
+
+namespace birchlever {
+
+namespace platform {
+class store_client;
+}
+
+/// Built from checked settings; runs until SIGTERM or SIGINT has been carried out.
+class gateway_daemon {
+ public:
+  /// Opens the ports and starts to follow the store. `settings_file` is read again on SIGHUP and when it
+  /// changes. Failures: invalid_setting.
+  static auto create(const gateway_settings& settings, const std::string& settings_file)
+      -> result<std::unique_ptr<gateway_daemon>>;
+
+  ~gateway_daemon();
+
+  /// Serves until stopped. True when every request under way was finished.
+  auto run() -> bool;
+
+ private:
+  gateway_daemon(const gateway_settings& settings, std::string settings_file);
+
+  auto open() -> status;
+  auto open_ports() -> status;
+  auto load_policies() -> status;
+  auto follow_store() -> void;
+  auto take_configuration(const stored_row& row) -> void;
+  auto ready() const -> bool;
+  auto readiness_page(const http_request& request) const -> http_response;
+  auto control_page(const http_request& request) -> http_response;
+  auto wait_for_stop() -> task<>;
+  auto wait_for_reload() -> task<>;
+  auto keep_house() -> task<>;
+  auto reload(const char* cause) -> void;
+  auto stop() -> task<>;
+
+  gateway_settings settings_;
+  std::string settings_file_;
+  std::string settings_text_;
+  event_loop loop_{1};
+  asio::signal_set stop_signals_;
+  asio::signal_set reload_signals_;
+  std::shared_ptr<gateway_context> context_;
+  std::shared_ptr<platform::store_client> store_;
+  std::shared_ptr<table_follower> configuration_follower_;
+  std::shared_ptr<upstream_follower> upstream_follower_;
+  std::shared_ptr<gateway_server> server_;
+  std::shared_ptr<http_listener> readiness_listener_;
+  std::shared_ptr<http_listener> control_listener_;
+  bool announced_ready_ = false;
+  bool finished_all_ = true;
+};
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever_daemon/gateway_flags.h
@@ -0,0 +1,19 @@
+/// A gateway's settings as gflags and environment variables give them.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "birchlever/gateway/gateway_settings.h"
+
+namespace birchlever {
+
+/// The settings as flags, environment and, if its path is not empty, a flag file give them. The file goes
+/// first. Faults of the file and of environment variables are added; ranges are not checked here.
+[[nodiscard]] auto read_gateway_settings(const std::string& file, std::vector<setting_fault>& faults)
+    -> gateway_settings;
+
+/// Sets a flag from its environment variable BIRCHLEVER_<NAME> unless the command line gave it.
+auto take_from_environment(const std::string& name, std::vector<setting_fault>& faults) -> void;
+
+}  // namespace birchlever
--- a/birchlever_daemon/main.cpp
+++ b/birchlever_daemon/main.cpp
@@ -1,4 +1,4 @@
-/// The one binary: `serve`, `query`, `check-config` and `version`.
+/// The one binary: `serve`, `gateway`, `query`, `check-config` and `version`.
 #include <gflags/gflags.h>
 #include <signal.h>
 
@@ -9,7 +9,10 @@
 #include "birchlever/core/daemon_settings.h"
 #include "birchlever/telemetry/log.h"
 #include "birchlever_daemon/daemon.h"
+#include "birchlever_daemon/gateway_daemon.h"
+#include "birchlever_daemon/gateway_flags.h"
 #include "birchlever_daemon/operator_client.h"
+#include "platform/settings_location.h"
 
 #define NUMBER_SETTING(name, standard, least, most, unit, purpose) DEFINE_int64(name, standard, purpose);
 #define TEXT_SETTING(name, standard, shape, purpose) DEFINE_string(name, standard, purpose);
@@ -20,6 +23,7 @@
 #undef SECRET_SETTING
 
 DEFINE_string(daemon, "127.0.0.1:8080", "HTTP address of any daemon, for query");
+DEFINE_string(settings_file, "", "flag file of the gateway; the platform's own when empty");
 DEFINE_string(format, "table", "answers of query: table or json");
 DEFINE_string(plot, "", "file for a plot of `compare policies` (SVG), for query");
 DEFINE_string(csv, "", "file for the rows as CSV, for query");
@@ -35,7 +39,9 @@
   return "birchlever: a scheduler for agent programs\n"
          "\n"
          "  birchlever serve [settings]                 run a daemon until SIGTERM or SIGINT\n"
-         "  birchlever check-config [settings]          check the settings and print every fault\n"
+         "  birchlever gateway [settings]               serve callers on the platform until SIGTERM or "
+         "SIGINT\n"
+         "  birchlever check-config [gateway] [...]     check the settings and print every fault\n"
          "  birchlever query --daemon=ip:port [TEXT]    run a statement, or a prompt without TEXT\n"
          "  birchlever version                          print the version\n"
          "  birchlever --help                           print this page with all settings\n"
@@ -44,36 +50,20 @@
          "Every setting is a flag --name=value or an environment variable BIRCHLEVER_NAME.\n"
          "\n"
          "Settings:\n" +
-         birchlever::describe_settings();
-}
-
-/// Sets a flag from its environment variable unless the command line gave it.
-auto take_from_environment(const std::string& name, std::vector<birchlever::setting_fault>& faults) -> void {
-  auto variable = "BIRCHLEVER_" + name;
-  for (auto& letter : variable) {
-    letter = static_cast<char>(std::toupper(static_cast<unsigned char>(letter)));
-  }
-  const auto* content = std::getenv(variable.c_str());
-  auto info = gflags::CommandLineFlagInfo{};
-  auto given = gflags::GetCommandLineFlagInfo(name.c_str(), &info) && !info.is_default;
-  if (content == nullptr || given) {
-    return;
-  }
-  if (gflags::SetCommandLineOption(name.c_str(), content).empty()) {
-    faults.push_back({name, content, "environment variable " + variable + " does not hold a fitting value"});
-  }
+         birchlever::describe_settings() + "\nSettings of a gateway:\n" +
+         birchlever::describe_gateway_settings();
 }
 
 auto read_settings(std::vector<birchlever::setting_fault>& faults) -> birchlever::daemon_settings {
   auto settings = birchlever::daemon_settings{};
 #define NUMBER_SETTING(name, standard, least, most, unit, purpose) \
-  take_from_environment(#name, faults);                            \
+  birchlever::take_from_environment(#name, faults);                \
   settings.name##_ = FLAGS_##name;
 #define TEXT_SETTING(name, standard, shape, purpose) \
-  take_from_environment(#name, faults);              \
+  birchlever::take_from_environment(#name, faults);  \
   settings.name##_ = FLAGS_##name;
-#define SECRET_SETTING(name, purpose)   \
-  take_from_environment(#name, faults); \
+#define SECRET_SETTING(name, purpose)               \
+  birchlever::take_from_environment(#name, faults); \
   settings.name##_ = FLAGS_##name;
 #include "birchlever/core/settings.def"
 #undef NUMBER_SETTING
@@ -89,16 +79,6 @@
   return exit_usage;
 }
 
-auto level_of(const std::string& name) -> birchlever::log_level {
-  for (auto level :
-       {birchlever::log_level::debug, birchlever::log_level::info, birchlever::log_level::warning}) {
-    if (birchlever::name_of(level) == name) {
-      return level;
-    }
-  }
-  return birchlever::log_level::error;
-}
-
 auto serve() -> int {
   auto signals = sigset_t{};
   sigemptyset(&signals);
@@ -114,7 +94,7 @@
     return report(faults);
   }
   birchlever::start_log(settings.vm_id_.empty() ? "birchlever" : settings.vm_id_,
-                        level_of(settings.log_level_));
+                        birchlever::level_of(settings.log_level_));
   auto running = birchlever::daemon::create(settings);
   if (!birchlever::ok(running)) {
     birchlever::log_failure(birchlever::log_level::error, "daemon_not_started", birchlever::failure(running));
@@ -125,6 +105,41 @@
   return birchlever::value(running)->stop() ? exit_good : exit_calls_cut;
 }
 
+/// Serves callers on the platform. Its settings file is named by the platform, or by --settings_file.
+auto gateway_file() -> std::string {
+  return FLAGS_settings_file.empty() ? birchlever::platform::settings_path() : FLAGS_settings_file;
+}
+
+auto gateway() -> int {
+  signal(SIGPIPE, SIG_IGN);
+  auto faults = std::vector<birchlever::setting_fault>{};
+  auto settings = birchlever::read_gateway_settings(gateway_file(), faults);
+  auto more = birchlever::check_settings(settings);
+  faults.insert(faults.end(), more.begin(), more.end());
+  if (!faults.empty()) {
+    return report(faults);
+  }
+  birchlever::start_log(settings.vm_id_.empty() ? "birchlever" : settings.vm_id_,
+                        birchlever::level_of(settings.log_level_));
+  auto running = birchlever::gateway_daemon::create(settings, gateway_file());
+  if (!birchlever::ok(running)) {
+    birchlever::log_failure(birchlever::log_level::error, "daemon_not_started", birchlever::failure(running));
+    return exit_usage;
+  }
+  return birchlever::value(running)->run() ? exit_good : exit_calls_cut;
+}
+
+auto check_gateway_config() -> int {
+  auto faults = std::vector<birchlever::setting_fault>{};
+  auto more = birchlever::check_settings(birchlever::read_gateway_settings(gateway_file(), faults));
+  faults.insert(faults.end(), more.begin(), more.end());
+  if (!faults.empty()) {
+    return report(faults);
+  }
+  std::cout << "settings are good\n";
+  return exit_good;
+}
+
 auto check_config() -> int {
   auto faults = std::vector<birchlever::setting_fault>{};
   auto more = birchlever::check_settings(read_settings(faults));
@@ -170,8 +185,11 @@
   if (command == "serve") {
     return serve();
   }
+  if (command == "gateway") {
+    return gateway();
+  }
   if (command == "check-config") {
-    return check_config();
+    return text == "gateway" ? check_gateway_config() : check_config();
   }
   if (command == "query") {
     return query(text);
--- a/birchlever_daemon/operator_client.cpp
+++ b/birchlever_daemon/operator_client.cpp
@@ -10,7 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "birchlever/operators/statement.h"
-#include "birchlever/platform/http_connection_pool.h"
+#include "birchlever/storage/http_connection_pool.h"
 #include "birchlever_daemon/comparison_plot.h"
 
 namespace birchlever {
--- a/performance_test/takeover_test.cpp
+++ b/performance_test/takeover_test.cpp
@@ -10,7 +10,7 @@
 #include "birchlever/coordination/journal.h"
 #include "birchlever/coordination/lease.h"
 #include "birchlever/coordination/program_ledger.h"
-#include "birchlever/platform/memory_table_store.h"
+#include "birchlever/storage/memory_table_store.h"
 #include "performance_test/performance_tests.h"
 #include "performance_test/picture.h"
 
--- a/scenarios/test_fleet.h
+++ b/scenarios/test_fleet.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "birchlever/platform/http_connection_pool.h"
+#include "birchlever/storage/http_connection_pool.h"
 #include "scenarios/scenario.h"
 
 namespace birchlever::scenarios {
--- a/stand_ins/platform_stand_in.h
+++ b/stand_ins/platform_stand_in.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "birchlever/platform/memory_table_store.h"
+#include "birchlever/storage/memory_table_store.h"
 #include "stand_ins/stand_in_server.h"
 
 namespace birchlever::stand_ins {
--- a/unit_tests/coordination/configuration_test.cpp
+++ b/unit_tests/coordination/configuration_test.cpp
@@ -2,7 +2,7 @@
 
 #include "birchlever/coordination/fleet_configuration.h"
 #include "birchlever/coordination/versioned_configuration.h"
-#include "birchlever/platform/memory_table_store.h"
+#include "birchlever/storage/memory_table_store.h"
 
 namespace birchlever {
 namespace {
--- a/unit_tests/coordination/exploration_test.cpp
+++ b/unit_tests/coordination/exploration_test.cpp
@@ -8,7 +8,7 @@
 #include "birchlever/coordination/lease.h"
 #include "birchlever/coordination/program_ledger.h"
 #include "birchlever/core/test_switches.h"
-#include "birchlever/platform/memory_table_store.h"
+#include "birchlever/storage/memory_table_store.h"
 
 namespace birchlever {
 namespace {
--- a/unit_tests/coordination/journal_test.cpp
+++ b/unit_tests/coordination/journal_test.cpp
@@ -4,7 +4,7 @@
 #include <catch2/trompeloeil.hpp>
 
 #include "birchlever/coordination/lease.h"
-#include "birchlever/platform/memory_table_store.h"
+#include "birchlever/storage/memory_table_store.h"
 #include "unit_tests/coordination/store_mock.h"
 
 namespace birchlever {
--- a/unit_tests/coordination/store_mock.h
+++ b/unit_tests/coordination/store_mock.h
@@ -3,7 +3,7 @@
 
 #include <catch2/trompeloeil.hpp>
 
-#include "birchlever/platform/table_store_interface.h"
+#include "birchlever/storage/table_store_interface.h"
 
 namespace birchlever {
 
--- /dev/null
+++ b/unit_tests/gateway/gateway_fixture.cpp
@@ -0,0 +1,294 @@
+#include "unit_tests/gateway/gateway_fixture.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+namespace birchlever::test {
+namespace {
+
+constexpr auto engine_service = "chat";
+constexpr auto tool_service = "tool";
+constexpr auto most_body = std::size_t{1U << 22U};
+
+/// A port that is free now. Two tests at once may draw the same; the loser fails to listen and draws again.
+auto free_port(event_loop& loop) -> unsigned short {
+  auto acceptor = asio::ip::tcp::acceptor{loop, asio::ip::tcp::endpoint{asio::ip::address_v4::loopback(), 0}};
+  return acceptor.local_endpoint().port();
+}
+
+auto make_route(const std::string& prefix, route_kind kind, const std::string& service, bool keeps) -> route {
+  auto made = route{};
+  made.name_ = prefix;
+  made.host_ = "h.example";
+  made.path_prefix_ = prefix;
+  made.kind_ = kind;
+  made.services_ = {{service, 1}};
+  made.time_limit_ = 1500;
+  made.max_upstreams_ = 2;
+  made.keeps_turns_ = keeps;
+  made.retention_ = 60000;
+  return made;
+}
+
+auto event_text(int number) -> std::string {
+  return "id: " + std::to_string(number) + "\ndata: e" + std::to_string(number) + "\n\n";
+}
+
+}  // namespace
+
+gateway_fixture::gateway_fixture()
+    : rows_{std::make_shared<memory_row_store>(loop_)}, context_{std::make_shared<gateway_context>()} {
+  configuration_.version_ = 1;
+  configuration_.routes_ = {make_route("/turn/", route_kind::streaming, engine_service, true),
+                            make_route("/safe/", route_kind::safe, tool_service, false),
+                            make_route("/unsafe/", route_kind::unsafe, tool_service, false)};
+  auto engines = service_description{};
+  engines.name_ = engine_service;
+  engines.engine_ = engine_capacity{8, 100000, 4};
+  configuration_.services_[engine_service] = engines;
+  configuration_.services_[tool_service] = service_description{tool_service, "/healthz", 8, std::nullopt};
+  context_->loop_ = &loop_;
+  context_->dialect_ = std::make_shared<platform::header_dialect>();
+  context_->upstream_connections_ = connection_pool::create(loop_, {});
+  context_->upstreams_ = std::make_shared<upstream_directory>(upstream_directory_settings{"hall-a"});
+  auto programs = program_store::create(loop_, rows_, {});
+  REQUIRE(ok(programs));
+  context_->programs_ = value(programs);
+  context_->policies_ = std::make_shared<policy_book>();
+  context_->metrics_ = std::make_shared<metrics>();
+  context_->engine_policy_ = "engines";
+  context_->service_policy_ = "services";
+  context_->policies_->load({{"engines", policy_settings{policy_kind::program_aware, {}}},
+                             {"services", policy_settings{policy_kind::least_loaded, {}}}},
+                            {});
+  context_->configuration_ = std::make_shared<const serving_configuration>(configuration_);
+  for (const auto* name : {"engine-1", "engine-2", "tool-1", "tool-2"}) {
+    auto port = free_port(loop_);
+    auto listening = http_listener::create(
+        loop_, "127.0.0.1:" + std::to_string(port),
+        [this, name](auto connection) { return serve_upstream(name, std::move(connection)); });
+    REQUIRE(ok(listening));
+    upstreams_.push_back(value(listening));
+    list(name, std::string{name}.substr(0, 4) == "tool" ? tool_service : engine_service, port);
+  }
+  address_ = "127.0.0.1:" + std::to_string(free_port(loop_));
+  auto server = gateway_server::create(context_, address_);
+  REQUIRE(ok(server));
+  server_ = value(server);
+}
+
+gateway_fixture::~gateway_fixture() {
+  server_->stop_accepting();
+  for (const auto& one : upstreams_) {
+    one->stop();
+  }
+  run_for(20);
+}
+
+auto gateway_fixture::list(const std::string& id, const std::string& service, unsigned short port,
+                           bool leaving) -> void {
+  auto entry = upstream_entry{};
+  entry.id_ = id;
+  entry.service_ = service;
+  entry.address_ = {asio::ip::address_v4::loopback(), port};
+  entry.data_hall_ = "hall-a";
+  entry.slots_ = 8;
+  entry.leaving_ = leaving;
+  context_->upstreams_->put(std::move(entry));
+}
+
+auto gateway_fixture::run_for(milliseconds duration) -> void {
+  loop_.restart();
+  loop_.run_for(std::chrono::milliseconds{duration});
+}
+
+auto gateway_fixture::play(script what, const http_request& request, server_connection& connection)
+    -> task<bool> {
+  auto id = std::string{field_of(request, "X-Request-Id")};
+  auto answer = http_response{static_cast<http::status>(what.status_), 11};
+  answer.set("X-Request-Id", what.kind_ == script::kind::wrong_id ? "another" : id);
+  if (what.kind_ != script::kind::no_proof) {
+    answer.set("X-Response-Signature", "proof-of-" + id);
+  }
+  answer.keep_alive(true);
+  switch (what.kind_) {
+    case script::kind::refuse:
+      answer.result(http::status::service_unavailable);
+      answer.set("X-Not-Executed", "1");
+      answer.erase("X-Response-Signature");
+      break;
+    case script::kind::silence:
+      co_await pause_for(loop_, 3000);
+      co_return false;
+    case script::kind::reset:
+      co_return false;
+    case script::kind::garbage:
+      co_await connection.write_piece("this is no answer");
+      co_return false;
+    case script::kind::cut_body:
+      answer.content_length(100);
+      co_await connection.write(std::move(answer));
+      co_return false;
+    case script::kind::stream:
+    case script::kind::cut_stream:
+    case script::kind::skip_event: {
+      answer.set(http::field::content_type, "text/event-stream");
+      co_await connection.write_head(std::move(answer));
+      for (auto number = 1; number <= what.events_; ++number) {
+        auto skipped = what.kind_ == script::kind::skip_event && number == 2;
+        if (!skipped) {
+          co_await connection.write_piece(event_text(number));
+        }
+      }
+      if (what.kind_ == script::kind::cut_stream) {
+        co_await connection.write_piece("id: 9\ndata: ha");
+        co_return false;
+      }
+      co_return co_await connection.write_end();
+    }
+    case script::kind::answer:
+    case script::kind::no_proof:
+    case script::kind::wrong_id:
+      break;
+  }
+  answer.body() = "answer to " + id;
+  answer.prepare_payload();
+  co_return co_await connection.write(std::move(answer));
+}
+
+auto gateway_fixture::serve_upstream(std::string name, std::shared_ptr<server_connection> connection)
+    -> task<> {
+  auto limits = request_limits{};
+  auto keep = true;
+  while (keep) {
+    auto read = co_await connection->read_request(limits);
+    auto* request = std::get_if<http_request>(&read);
+    if (request == nullptr) {
+      break;
+    }
+    auto seen = seen_request{name, std::string{request->target()}, request->body(), {}};
+    for (const auto& field : *request) {
+      seen.headers_[std::string{field.name_string()}] = std::string{field.value()};
+    }
+    seen_.push_back(std::move(seen));
+    auto what = script{};
+    what.kind_ = name[0] == 'e' ? script::kind::stream : script::kind::answer;
+    if (!scripts_.empty()) {
+      what = scripts_.front();
+      scripts_.pop_front();
+    }
+    keep = co_await play(what, *request, *connection);
+  }
+  connection->close();
+}
+
+auto gateway_fixture::exchange(http_request request) -> task<seen_answer> {
+  auto seen = seen_answer{};
+  auto parsed = parse_address(address_);
+  auto opened = co_await outgoing_connection::open(loop_, value(parsed), 500);
+  if (std::holds_alternative<exchange_fault>(opened)) {
+    co_return seen;
+  }
+  auto connection = std::get<0>(opened);
+  connection->send(std::make_shared<const http_request>(std::move(request)), 4000);
+  auto head = co_await connection->read_head();
+  if (std::holds_alternative<exchange_fault>(head)) {
+    co_return seen;
+  }
+  auto& answer = std::get<http_response>(head);
+  seen.status_ = static_cast<int>(answer.result_int());
+  for (const auto& field : answer) {
+    seen.headers_[std::string{field.name_string()}] = std::string{field.value()};
+  }
+  auto last = false;
+  while (!last && seen.body_.size() < most_body) {
+    auto read = co_await connection->read_piece();
+    if (std::holds_alternative<exchange_fault>(read)) {
+      break;
+    }
+    seen.body_ += std::get<body_piece>(read).bytes_;
+    last = std::get<body_piece>(read).last_;
+  }
+  seen.whole_ = last;
+  connection->abort();
+  co_return seen;
+}
+
+auto gateway_fixture::ask(const std::string& target, const std::map<std::string, std::string>& headers,
+                          const std::string& body) -> seen_answer {
+  auto request = http_request{body.empty() ? http::verb::get : http::verb::post, target, 11};
+  request.set(http::field::host, "h.example");
+  for (const auto& [name, content] : headers) {
+    request.set(name, content);
+  }
+  request.body() = body;
+  if (!body.empty()) {
+    request.prepare_payload();
+  }
+  auto seen = seen_answer{};
+  auto done = false;
+  auto run = [](gateway_fixture& self, http_request sent, seen_answer& into, bool& finished) -> task<> {
+    into = co_await self.exchange(std::move(sent));
+    finished = true;
+  };
+  start(loop_, "ask", run(*this, std::move(request), seen, done));
+  auto clock = steady_clock{};
+  auto give_up = clock.now() + 6000;
+  loop_.restart();
+  while (!done && clock.now() < give_up) {
+    loop_.run_one_for(std::chrono::milliseconds{100});
+  }
+  REQUIRE(done);
+  return seen;
+}
+
+auto gateway_fixture::ask_raw(const std::string& bytes, milliseconds quiet) -> std::string {
+  auto text = std::string{};
+  auto done = false;
+  auto run = [](event_loop& loop, std::string address, std::string sent, std::string& into,
+                bool& finished) -> task<> {
+    auto parsed = parse_address(address);
+    auto socket = asio::ip::tcp::socket{loop};
+    auto code = boost::system::error_code{};
+    co_await socket.async_connect(value(parsed), resume_with(code));
+    co_await asio::async_write(socket, asio::buffer(sent), resume_with(code));
+    auto buffer = std::array<char, 4096>{};
+    while (!code) {
+      auto read = co_await socket.async_read_some(asio::buffer(buffer), resume_with(code));
+      into.append(buffer.data(), read);
+    }
+    finished = true;
+  };
+  start(loop_, "ask_raw", run(loop_, address_, bytes, text, done));
+  auto clock = steady_clock{};
+  auto quiet_until = clock.now() + quiet;
+  auto size = text.size();
+  loop_.restart();
+  while (!done && clock.now() < quiet_until) {
+    loop_.run_one_for(std::chrono::milliseconds{20});
+    if (text.size() != size) {
+      size = text.size();
+      quiet_until = clock.now() + quiet;
+    }
+  }
+  return text;
+}
+
+auto gateway_fixture::turn(const std::string& id, const std::string& previous, const std::string& input,
+                           const std::string& program, std::int64_t budget, std::int64_t most)
+    -> seen_answer {
+  auto headers = std::map<std::string, std::string>{{"X-Request-Id", id},
+                                                    {"X-Program-Id", program},
+                                                    {"X-Session-Id", "s1"},
+                                                    {"X-Deadline-Ms", "1500"},
+                                                    {"X-Token-Budget", std::to_string(budget)},
+                                                    {"X-Token-Usage", "100," + std::to_string(most)}};
+  if (!previous.empty()) {
+    headers["X-Previous-Turn"] = previous;
+  }
+  return ask("/turn/x", headers, input);
+}
+
+}  // namespace birchlever::test
