Turns are found by their id alone; log lines never wait; the gateway's own tests

After a stop of all daemons some new programs go on from turns of other programs; a turn was looked for in the asking program's rows only, so the answer was a false 404.

Change: programs share 32 parts; a turn's row of the index goes into the transaction that keeps the turn, so it costs no call; a turn of unknown program is asked for in every part. A turn whose chain crosses programs keeps the other program's name.

Ruled out: an index row in a part of its own (one more call a turn); following the feed of all turns on every daemon (7 MB/s at the grown sites' rate).

--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -1,5 +1,12 @@
 /// Programs as all daemons share them: order of turns, budgets and histories, by compare-and-set on the
 /// program's own rows. Any daemon serves any turn; there is no owner.
+///
+/// Programs are spread over a fixed number of parts by hash. A part's rows, all changed in one transaction:
+///   programs:      PROGRAM!                  budget
+///                  PROGRAM/TURN/PIECE        a turn's input and answer, in pieces
+///   turn_programs: TURN                      the program of a turn, for callers that name only the turn
+/// A turn of unknown program is looked for in every part, which is rare: some programs go on from turns of
+/// others after a stop.
 #pragma once
 
 #include <deque>
@@ -8,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "birchlever/coordination/program_record.h"
 #include "birchlever/core/clock.h"
@@ -19,6 +27,9 @@
 /// How programs are kept.
 struct program_store_settings {
   std::string table_ = "programs";
+  std::string index_table_ = "turn_programs";
+  int parts_ = 32;  ///< The same on every daemon and never changed. One part takes 150 writes/s; 1,200 are
+                    ///< needed at most.
   std::size_t row_bytes_ = 48000;  ///< Longest piece of a turn in one row; the store takes 64 KiB of base64.
   std::size_t cache_bytes_ = 4'000'000;  ///< Histories kept in memory; others are read again from the store.
   milliseconds call_limit_ = 2500;       ///< ms for one call of the store, its repetitions included.
@@ -38,8 +49,9 @@
 
 /// A turn that may be sent now: its budget is reserved.
 struct turn_grant {
-  std::string prompt_;         ///< History and new input, byte for byte.
-  std::string last_upstream_;  ///< The engine that ran the previous turn, if any.
+  std::string prompt_;            ///< History and new input, byte for byte.
+  std::string last_upstream_;     ///< The engine that ran the previous turn, if any.
+  std::string previous_program_;  ///< The program of the previous turn, when it is another one.
 };
 
 /// How a turn ended.
@@ -82,29 +94,47 @@
   program_store(event_loop& loop, std::shared_ptr<row_store_interface> rows,
                 const program_store_settings& settings);
 
+  using record_pointer = std::shared_ptr<const turn_record>;
+
+  /// A chain of turns, newest first.
+  struct chain {
+    std::vector<record_pointer> turns_;
+    std::string first_program_;  ///< Of the newest turn.
+  };
+
+  // program_store.cpp: what callers ask for.
   auto entry_of(const std::string& program) -> entry_pointer;
-  auto load(entry_pointer program, bool with_turns, milliseconds time_left) -> task<status>;
-  auto take_rows(entry& program, const std::vector<stored_row>& rows) -> status;
-  auto history(const entry& program, const std::string& previous) const -> std::optional<std::string>;
+  auto entry_named(const std::string& name) -> entry_pointer;
+  auto reserve(entry_pointer program, const turn_order& order, milliseconds time_left) -> task<status>;
   auto queue(const entry_pointer& program, change_pointer wanted) -> void;
   auto wait_for(change_pointer wanted, milliseconds time_left) -> task<status>;
+  auto shrink() -> void;
+
+  // program_store_read.cpp: rows into memory.
+  auto load(entry_pointer program, bool with_turns, milliseconds time_left) -> task<status>;
+  auto take_rows(entry& program, const std::vector<stored_row>& rows) -> status;
+  auto remember(entry& program, const std::string& turn, record_pointer record) -> void;
+  [[nodiscard]] auto cached(const std::string& turn) const -> record_pointer;
+  auto collect(std::string program, std::string newest, milliseconds time_left) -> task<result<chain>>;
+  auto fetch(std::string program, std::string turn, milliseconds time_left) -> task<result<record_pointer>>;
+  auto find_program(std::string turn, milliseconds time_left) -> task<result<std::optional<std::string>>>;
+
+  // program_store_write.cpp: changes into rows.
   auto write_changes(entry_pointer program) -> task<>;
   auto write_batch(entry_pointer program) -> task<status>;
   static auto apply(const change& wanted, program_record& record) -> verdict;
   auto plan(entry& program, bool fresh) -> batch_plan;
   auto conclude(entry& program, const batch_plan& planned) -> void;
   auto add_turn_rows(const entry& program, const change& wanted, row_transaction& transaction) const -> void;
-  static auto finish(const change_pointer& wanted, status outcome) -> void;
   auto drop_overdue(entry& program, const error& reason) -> void;
-  auto row_of(const entry& program, std::string key) const -> row_key;
-  auto remember(entry& program, const std::string& turn, std::shared_ptr<const turn_record> record) -> void;
-  auto shrink() -> void;
+  static auto finish(const change_pointer& wanted, status outcome) -> void;
 
   event_loop* loop_;
   std::shared_ptr<row_store_interface> rows_;
   program_store_settings settings_;
   steady_clock clock_;
   std::unordered_map<std::string, entry_pointer> entries_;
+  std::unordered_map<std::string, std::string> homes_;  ///< The program of each turn in memory.
   std::size_t cached_bytes_ = 0;
   milliseconds store_clock_ahead_ = 0;  ///< The store's clock less ours.
 };
--- /dev/null
+++ b/birchlever/coordination/program_store_read.cpp
@@ -0,0 +1,194 @@
+/// The half of program_store that brings rows into memory.
+#include <algorithm>
+#include <set>
+
+#include "birchlever/coordination/program_store_state.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto entry_overhead = std::size_t{512};  // Bytes a record costs beside its texts, roughly.
+constexpr auto behind_turns = '0';                 // The next letter after the slash of turns_prefix.
+constexpr auto behind_key = '\x01';                // Makes the next key after a given one.
+
+auto begins_with(const std::string& text, const std::string& start) -> bool {
+  return text.compare(0, start.size(), start) == 0;
+}
+
+/// What the parts answered to the question for a turn's program.
+struct part_search {
+  explicit part_search(event_loop& loop) : answered_{loop} {}
+
+  int open_ = 0;
+  std::optional<std::string> program_;
+  std::optional<error> failure_;
+  loop_signal answered_;
+};
+
+auto ask_part(std::shared_ptr<row_store_interface> rows, row_range range, milliseconds time_left,
+              std::shared_ptr<part_search> search) -> task<> {
+  auto page = co_await rows->read(range, time_left);
+  --search->open_;
+  if (!ok(page)) {
+    search->failure_ = failure(page);
+  } else if (!value(page).rows_.empty()) {
+    search->program_ = value(page).rows_.front().value_;
+  }
+  search->answered_.notify();
+}
+
+}  // namespace
+
+auto program_store::remember(entry& program, const std::string& turn, record_pointer record) -> void {
+  auto bytes = record->input_.size() + record->output_.size() + entry_overhead;
+  if (program.turns_.emplace(turn, std::move(record)).second) {
+    homes_[turn] = program.name_;
+    cached_bytes_ += bytes;
+  }
+}
+
+auto program_store::cached(const std::string& turn) const -> record_pointer {
+  auto home = homes_.find(turn);
+  if (home == homes_.end()) {
+    return nullptr;
+  }
+  return entries_.at(home->second)->turns_.at(turn);
+}
+
+auto program_store::take_rows(entry& program, const std::vector<stored_row>& rows) -> status {
+  auto prefix = turns_prefix(program.name_);
+  auto pieces = std::map<std::string, std::string>{};
+  for (const auto& row : rows) {
+    if (row.version_ == version_absent || row.removed_) {
+      continue;  // A condition's row that is not there.
+    }
+    if (row.key_.key_ == budget_key(program.name_)) {
+      auto decoded = decode_program(row.value_);
+      if (!ok(decoded)) {
+        return failure(decoded);
+      }
+      program.record_ = std::move(value(decoded));
+      program.version_ = row.version_;
+    } else if (begins_with(row.key_.key_, prefix)) {
+      auto name = row.key_.key_.substr(prefix.size());
+      pieces[name.substr(0, name.rfind('/'))] += row.value_;
+    }
+  }
+  for (const auto& [turn, bytes] : pieces) {
+    if (program.turns_.count(turn) != 0) {
+      continue;
+    }
+    auto decoded = decode_turn(bytes);
+    if (!ok(decoded)) {
+      return failure(decoded);
+    }
+    remember(program, turn, std::make_shared<const turn_record>(std::move(value(decoded))));
+  }
+  return success;
+}
+
+auto program_store::load(entry_pointer program, bool with_turns, milliseconds time_left) -> task<status> {
+  auto until = clock_.now() + time_left;
+  auto first = budget_key(program->name_);
+  auto range = row_range{settings_.table_, program->part_, first, first + behind_key};
+  if (with_turns) {
+    range.until_ = program->name_ + behind_turns;
+  }
+  auto rows = std::vector<stored_row>{};
+  auto more = true;
+  while (more) {
+    auto page = co_await rows_->read(range, std::min(settings_.call_limit_, until - clock_.now()));
+    if (!ok(page)) {
+      co_return failure(page);
+    }
+    auto& read = value(page);
+    store_clock_ahead_ = read.store_now_ - clock_.now();
+    more = read.more_ && !read.rows_.empty();
+    for (auto& row : read.rows_) {
+      rows.push_back(std::move(row));
+    }
+    if (more) {
+      range.from_ = rows.back().key_.key_ + behind_key;
+    }
+  }
+  // A transaction under way may have moved the budget on since; its condition then tells.
+  program->version_ = version_absent;
+  program->record_ = program_record{};
+  co_return take_rows(*program, rows);
+}
+
+auto program_store::collect(std::string program, std::string newest, milliseconds time_left)
+    -> task<result<chain>> {
+  auto due = clock_.now() + time_left;
+  auto found = chain{};
+  auto home = std::move(program);
+  auto next = std::move(newest);
+  while (!next.empty()) {
+    auto record = cached(next);
+    if (!record) {
+      auto fetched = co_await fetch(home, next, due - clock_.now());
+      if (!ok(fetched)) {
+        co_return failure(fetched);
+      }
+      record = value(fetched);
+    }
+    auto at = homes_.find(next);
+    home = at == homes_.end() ? home : at->second;
+    if (found.turns_.empty()) {
+      found.first_program_ = home;
+    }
+    home = record->previous_program_.empty() ? home : record->previous_program_;
+    next = record->previous_.empty() ? std::string{} : key_name(record->previous_);
+    found.turns_.push_back(std::move(record));
+  }
+  co_return found;
+}
+
+auto program_store::fetch(std::string program, std::string turn, milliseconds time_left)
+    -> task<result<record_pointer>> {
+  auto due = clock_.now() + time_left;
+  auto loaded = co_await load(entry_named(program), true, time_left);
+  if (!ok(loaded)) {
+    co_return store_away("the history can't be read: " + failure(loaded).detail_);
+  }
+  if (auto record = cached(turn)) {
+    co_return record;
+  }
+  auto home = co_await find_program(turn, due - clock_.now());
+  if (!ok(home)) {
+    co_return store_away("the turn's program can't be looked up: " + failure(home).detail_);
+  }
+  if (value(home)) {
+    loaded = co_await load(entry_named(*value(home)), true, due - clock_.now());
+    if (!ok(loaded)) {
+      co_return store_away("the history can't be read: " + failure(loaded).detail_);
+    }
+  }
+  if (auto record = cached(turn)) {
+    co_return record;
+  }
+  co_return error{error_code::unknown_turn, "no turn " + turn + " is kept"};
+}
+
+auto program_store::find_program(std::string turn, milliseconds time_left)
+    -> task<result<std::optional<std::string>>> {
+  auto due = clock_.now() + time_left;
+  auto search = std::make_shared<part_search>(*loop_);
+  search->open_ = settings_.parts_;
+  for (auto part = 0; part < settings_.parts_; ++part) {
+    auto range = row_range{settings_.index_table_, "p" + std::to_string(part), turn, turn + behind_key, 1};
+    start(*loop_, "ask_part", ask_part(rows_, std::move(range), time_left, search));
+  }
+  while (search->open_ > 0 && !search->program_ && clock_.now() < due) {
+    co_await search->answered_.wait_for(due - clock_.now());
+  }
+  if (search->program_) {
+    co_return search->program_;
+  }
+  if (search->failure_ || search->open_ > 0) {
+    co_return search->failure_.value_or(store_away("a part of the index does not answer"));
+  }
+  co_return std::optional<std::string>{};
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/coordination/program_store_state.h
@@ -0,0 +1,70 @@
+/// What program_store keeps to itself, shared by its three source files.
+#pragma once
+
+#include "birchlever/coordination/program_store.h"
+
+namespace birchlever {
+
+/// The version of a row that was not read yet.
+inline constexpr auto version_not_read = std::int64_t{-1};
+
+/// The version that stands for no row.
+inline constexpr auto version_absent = std::int64_t{0};
+
+/// An identity as part of a key: itself when it is short and plain, else its hash.
+[[nodiscard]] auto key_name(const std::string& identity) -> std::string;
+
+/// The key of a program's budget.
+[[nodiscard]] auto budget_key(const std::string& program) -> std::string;
+
+/// What the keys of all turns of a program begin with.
+[[nodiscard]] auto turns_prefix(const std::string& program) -> std::string;
+
+/// A refusal because the store does not answer.
+[[nodiscard]] auto store_away(const std::string& detail) -> error;
+
+/// One wanted change of a program's rows, and what became of it.
+struct program_store::change {
+  enum class kind { reserve, settle, release };
+
+  explicit change(event_loop& loop) : finished_{loop} {}
+
+  kind kind_ = kind::reserve;
+  std::string turn_;
+  std::int64_t tokens_ = 0;
+  std::optional<std::int64_t> budget_;
+  std::shared_ptr<const turn_record> whole_;
+  milliseconds give_up_at_ = 0;
+  bool sent_ = false;     ///< A transaction with it went out, so it may have been done.
+  bool expired_ = false;  ///< Its caller has left.
+  bool done_ = false;
+  status outcome_ = success;
+  loop_signal finished_;
+};
+
+/// What this daemon knows of a program.
+struct program_store::entry {
+  std::string name_;  ///< As it stands in keys.
+  std::string part_;
+  program_record record_;
+  std::int64_t version_ = version_not_read;
+  std::unordered_map<std::string, std::shared_ptr<const turn_record>> turns_;
+  std::deque<change_pointer> queue_;
+  bool writing_ = false;
+  int users_ = 0;
+  milliseconds last_used_ = 0;
+};
+
+/// What a change does to a record.
+enum class program_store::verdict { applied, done_before, over_budget, expired };
+
+/// The transaction that makes the next changes of a program.
+struct program_store::batch_plan {
+  program_record record_;
+  row_transaction transaction_;
+  std::vector<std::pair<change_pointer, verdict>> changes_;
+  bool writes_ = false;
+  bool needs_fresh_ = false;  ///< A refusal would rest on a record that others may have changed.
+};
+
+}  // namespace birchlever
--- a/birchlever/gateway/gateway_request.h
+++ b/birchlever/gateway/gateway_request.h
@@ -28,7 +28,8 @@
   request_facts facts_;
   const route* route_ = nullptr;  ///< Within configuration_.
   std::string service_;
-  std::string last_upstream_;  ///< Where the previous turn ran.
+  std::string last_upstream_;     ///< Where the previous turn ran.
+  std::string previous_program_;  ///< The program of the previous turn, when it is another one.
   milliseconds received_at_ = 0;
   milliseconds due_ = 0;  ///< When the caller must have its final answer.
   bool keep_alive_ = true;
--- a/birchlever/gateway/turn_filter.cpp
+++ b/birchlever/gateway/turn_filter.cpp
@@ -45,6 +45,7 @@
   }
   request.message_.body() = std::move(value(granted).prompt_);
   request.last_upstream_ = std::move(value(granted).last_upstream_);
+  request.previous_program_ = std::move(value(granted).previous_program_);
   request.before_end_ = [this, program, input = std::move(input)](gateway_request& ended) {
     return keep_answer(ended, program, input);
   };
@@ -60,7 +61,7 @@
     -> task<bool> {
   auto ended = turn_end{program, request.facts_.request_id_, tokens_of(request), std::nullopt};
   ended.whole_ = turn_record{request.facts_.previous_turn_, std::move(input), request.relayed_.output_,
-                             request.relayed_.upstream_};
+                             request.relayed_.upstream_, request.previous_program_};
   auto began = context_->clock_.now();
   auto kept = co_await context_->programs_->end_turn(std::move(ended), request.due_ - began);
   context_->metrics_->observe("turn_end_ms", static_cast<double>(context_->clock_.now() - began));
--- a/birchlever/http/task.h
+++ b/birchlever/http/task.h
@@ -1,6 +1,7 @@
 /// Coroutines on the event loop: one thread runs all of them, so state between two awaits needs no lock.
-/// GCC 12 compiles `x && co_await y` and `c ? co_await x : y` into code that traps: an await stands alone in
-/// its statement, its value in a variable. tools/lint looks for these forms.
+/// GCC 12 compiles an await within a condition or an operand of a logical operator into code that traps: an
+/// await stands alone in its statement, and what a conditional expression yields is named before it becomes
+/// an argument of an awaited call. tools/check_structure looks for the first form.
 #pragma once
 
 #include <utility>  // Asio's coroutine support needs it first.
--- a/birchlever/storage/row_store_interface.h
+++ b/birchlever/storage/row_store_interface.h
@@ -28,14 +28,14 @@
 };
 
 /// The row must have this version for the transaction to commit; 0 means absent.
-struct row_condition {
+struct version_condition {
   row_key key_;
   std::int64_t version_ = 0;
 };
 
 /// All conditions hold and all changes are made, or nothing is. All keys share one part.
 struct row_transaction {
-  std::vector<row_condition> conditions_;
+  std::vector<version_condition> conditions_;
   std::vector<stored_row> puts_;  ///< Versions are ignored.
   std::vector<row_key> removals_;
 };
--- a/birchlever/telemetry/log.cpp
+++ b/birchlever/telemetry/log.cpp
@@ -1,11 +1,14 @@
 #include "birchlever/telemetry/log.h"
 
 #include <easylogging++.h>
+#include <unistd.h>
 
 #include <array>
 #include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "birchlever/telemetry/log_sink.h"
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace birchlever {
@@ -23,6 +26,19 @@
   return current;
 }
 
+auto standard_output() -> log_sink& {
+  static auto sink = log_sink{STDOUT_FILENO};
+  return sink;
+}
+
+/// Hands lines to the sink in place of the library's own writing, which waits for the reader.
+class sink_dispatch final : public el::LogDispatchCallback {
+ protected:
+  auto handle(const el::LogDispatchData* data) -> void override {
+    standard_output().write(data->logMessage()->message());
+  }
+};
+
 auto wall_milliseconds() -> std::int64_t {
   auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
@@ -42,7 +58,13 @@
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
   configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
   el::Loggers::reconfigureAllLoggers(configuration);
-  el::Loggers::addFlag(el::LoggingFlag::ImmediateFlush);
+  el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+      "DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<sink_dispatch>("sink_dispatch");
+}
+
+auto dropped_log_lines() -> std::int64_t {
+  return standard_output().dropped();
 }
 
 auto level_of(std::string_view name) -> log_level {
--- a/birchlever/telemetry/log.h
+++ b/birchlever/telemetry/log.h
@@ -30,6 +30,9 @@
 /// Writes one line. Secrets are never passed as fields.
 auto log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields = {}) -> void;
 
+/// Lines that were dropped because nobody read them in time.
+[[nodiscard]] auto dropped_log_lines() -> std::int64_t;
+
 /// Writes one line about a failure.
 auto log_failure(log_level level, std::string_view event, const error& failure) -> void;
 
--- a/unit_tests/gateway/gateway_fixture.cpp
+++ b/unit_tests/gateway/gateway_fixture.cpp
@@ -244,36 +244,46 @@
   return seen;
 }
 
+namespace {
+
+/// What came back on a connection that may outlive the call that opened it.
+struct heard_bytes {
+  std::string text_;
+  bool done_ = false;
+};
+
+auto send_raw(event_loop& loop, std::string address, std::string sent, std::shared_ptr<heard_bytes> into)
+    -> task<> {
+  auto parsed = parse_address(address);
+  auto socket = asio::ip::tcp::socket{loop};
+  auto code = boost::system::error_code{};
+  co_await socket.async_connect(value(parsed), resume_with(code));
+  co_await asio::async_write(socket, asio::buffer(sent), resume_with(code));
+  auto buffer = std::array<char, 4096>{};
+  while (!code) {
+    auto read = co_await socket.async_read_some(asio::buffer(buffer), resume_with(code));
+    into->text_.append(buffer.data(), read);
+  }
+  into->done_ = true;
+}
+
+}  // namespace
+
 auto gateway_fixture::ask_raw(const std::string& bytes, milliseconds quiet) -> std::string {
-  auto text = std::string{};
-  auto done = false;
-  auto run = [](event_loop& loop, std::string address, std::string sent, std::string& into,
-                bool& finished) -> task<> {
-    auto parsed = parse_address(address);
-    auto socket = asio::ip::tcp::socket{loop};
-    auto code = boost::system::error_code{};
-    co_await socket.async_connect(value(parsed), resume_with(code));
-    co_await asio::async_write(socket, asio::buffer(sent), resume_with(code));
-    auto buffer = std::array<char, 4096>{};
-    while (!code) {
-      auto read = co_await socket.async_read_some(asio::buffer(buffer), resume_with(code));
-      into.append(buffer.data(), read);
-    }
-    finished = true;
-  };
-  start(loop_, "ask_raw", run(loop_, address_, bytes, text, done));
+  auto heard = std::make_shared<heard_bytes>();
+  start(loop_, "ask_raw", send_raw(loop_, address_, bytes, heard));
   auto clock = steady_clock{};
   auto quiet_until = clock.now() + quiet;
-  auto size = text.size();
+  auto size = std::size_t{0};
   loop_.restart();
-  while (!done && clock.now() < quiet_until) {
+  while (!heard->done_ && clock.now() < quiet_until) {
     loop_.run_one_for(std::chrono::milliseconds{20});
-    if (text.size() != size) {
-      size = text.size();
+    if (heard->text_.size() != size) {
+      size = heard->text_.size();
       quiet_until = clock.now() + quiet;
     }
   }
-  return text;
+  return heard->text_;
 }
 
 auto gateway_fixture::turn(const std::string& id, const std::string& previous, const std::string& input,
