New turns wait a second for a store that is away; callers hear 1.5 s; a daemon it turns away is not ready

A daemon that alone was turned away stayed in the balancer.

Change: begin_turn waits up to 1 s for the store's return (one wait, no calls), then answers 503 with 1.5 s; readyz is 503 after 1 s without the store.

--- a/birchlever/coordination/program_store.cpp
+++ b/birchlever/coordination/program_store.cpp
@@ -10,9 +10,10 @@
 namespace birchlever {
 namespace {
 
-constexpr auto longest_name = std::size_t{64};      // Longer identities are hashed into a row's key.
-constexpr auto entry_overhead = std::size_t{512};   // Bytes an entry costs beside its histories, roughly.
-constexpr auto retry_later_ms = milliseconds{500};  // What a refused turn is told.
+constexpr auto longest_name = std::size_t{64};     // Longer identities are hashed into a row's key.
+constexpr auto entry_overhead = std::size_t{512};  // Bytes an entry costs beside its histories, roughly.
+constexpr auto retry_later_ms =
+    milliseconds{1500};  // An outage lasts seconds; sooner tries would only use up the caller's.
 
 auto part_name(const std::string& program, int parts) -> std::string {
   return "p" + std::to_string(hash_of(program) % static_cast<std::uint64_t>(parts));
@@ -98,10 +99,11 @@
 
 auto program_store::begin_turn(turn_order order, milliseconds time_left) -> task<result<turn_grant>> {
   auto self = shared_from_this();
-  if (!rows_->reachable()) {
+  auto due = clock_.now() + time_left;
+  auto reachable = co_await rows_->wait_until_reachable(std::min(settings_.begin_patience_, time_left));
+  if (!reachable) {
     co_return store_away("the store does not answer");
   }
-  auto due = clock_.now() + time_left;
   auto program = entry_of(order.program_);
   ++program->users_;
   auto newest = order.previous_.empty() ? std::string{} : key_name(order.previous_);
--- a/birchlever/coordination/program_store_write.cpp
+++ b/birchlever/coordination/program_store_write.cpp
@@ -56,6 +56,7 @@
     }
     drop_overdue(*program, failure(written));
     co_await pause_for(*loop_, pause);
+    co_await rows_->wait_until_reachable(longest_pause_ms);
     pause = std::min(2 * pause, longest_pause_ms);
   }
   program->writing_ = false;
--- a/birchlever/storage/memory_row_store.cpp
+++ b/birchlever/storage/memory_row_store.cpp
@@ -53,6 +53,15 @@
   apply(transaction);
 }
 
+auto memory_row_store::wait_until_reachable(milliseconds limit) -> task<bool> {
+  constexpr auto look_gap = milliseconds{5};
+  auto due = clock_.now() + limit;
+  while (faults_.down_ && clock_.now() < due) {
+    co_await pause_for(*loop_, look_gap);
+  }
+  co_return !faults_.down_;
+}
+
 auto memory_row_store::commit(row_transaction transaction, milliseconds /*time_left*/)
     -> task<result<commit_outcome>> {
   ++commits_;
--- a/birchlever/storage/memory_row_store.h
+++ b/birchlever/storage/memory_row_store.h
@@ -28,6 +28,7 @@
   explicit memory_row_store(event_loop& loop) : loop_{&loop}, changed_{loop} {}
 
   [[nodiscard]] auto reachable() const -> bool override { return !faults_.down_; }
+  auto wait_until_reachable(milliseconds limit) -> task<bool> override;
   auto commit(row_transaction transaction, milliseconds time_left) -> task<result<commit_outcome>> override;
   auto read(row_range range, milliseconds time_left) -> task<result<row_page>> override;
   auto changes(std::string table, std::int64_t after, milliseconds wait) -> task<result<row_page>> override;
--- a/birchlever/storage/row_store_interface.h
+++ b/birchlever/storage/row_store_interface.h
@@ -72,9 +72,12 @@
  public:
   virtual ~row_store_interface() = default;
 
-  /// False while the store answers nobody here, so that callers can be refused at once.
+  /// False while the store answers nobody here: tries would only add to the calls that fail.
   [[nodiscard]] virtual auto reachable() const -> bool = 0;
 
+  /// Waits until the store answers again, at most so long. True when it does.
+  virtual auto wait_until_reachable(milliseconds limit) -> task<bool> = 0;
+
   /// Applies a transaction within the time given.
   virtual auto commit(row_transaction transaction, milliseconds time_left)
       -> task<result<commit_outcome>> = 0;
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -25,6 +25,8 @@
 constexpr auto balancer_looks_ms =
     milliseconds{2600};                              // It looks every second and takes out after two misses.
 constexpr auto leave_margin_ms = milliseconds{700};  // Kept free of the time until the platform kills.
+constexpr auto unready_after_ms =
+    milliseconds{1000};  // A store that is away for so long has turned us away or is down.
 constexpr auto finish_check_gap = milliseconds{20};
 
 auto read_text(const std::string& file) -> std::string {
@@ -168,7 +170,9 @@
 }
 
 auto gateway_daemon::ready() const -> bool {
-  return !context_->stopping_ && context_->configuration_ && upstream_follower_->primed();
+  // A daemon that the store turns away sends callers to others; when all are, the balancer uses them all.
+  auto store_answers = store_->away_for() < unready_after_ms;
+  return !context_->stopping_ && context_->configuration_ && upstream_follower_->primed() && store_answers;
 }
 
 auto gateway_daemon::readiness_page(const http_request& request) const -> http_response {
