--- a/birchlever/coordination/program_store.cpp
+++ b/birchlever/coordination/program_store.cpp
@@ -12,8 +12,6 @@
 
 constexpr auto longest_name = std::size_t{64};     // Longer identities are hashed into a row's key.
 constexpr auto entry_overhead = std::size_t{512};  // Bytes an entry costs beside its histories, roughly.
-constexpr auto retry_later_ms =
-    milliseconds{1500};  // An outage lasts seconds; sooner tries would only use up the caller's.
 
 auto part_name(const std::string& program, int parts) -> std::string {
   return "p" + std::to_string(hash_of(program) % static_cast<std::uint64_t>(parts));
@@ -44,8 +42,8 @@
   return program + "/";
 }
 
-auto store_away(const std::string& detail) -> error {
-  return error{error_code::store_unavailable, detail, ran_state::not_run, retry_later_ms};
+auto program_store::store_away(const std::string& detail) const -> error {
+  return error{error_code::store_unavailable, detail, ran_state::not_run, settings_.retry_after_};
 }
 
 auto program_store::create(event_loop& loop, std::shared_ptr<row_store_interface> rows,
@@ -99,6 +97,7 @@
 
 auto program_store::begin_turn(turn_order order, milliseconds time_left) -> task<result<turn_grant>> {
   auto self = shared_from_this();
+  time_left = std::min(time_left, settings_.begin_limit_);
   auto due = clock_.now() + time_left;
   auto reachable = co_await rows_->wait_until_reachable(std::min(settings_.begin_patience_, time_left));
   if (!reachable) {
@@ -107,7 +106,7 @@
   auto program = entry_of(order.program_);
   ++program->users_;
   auto newest = order.previous_.empty() ? std::string{} : key_name(order.previous_);
-  auto read_limit = std::min(settings_.call_limit_, time_left);
+  auto read_limit = due - clock_.now();
   auto past = co_await collect(program->name_, newest, read_limit);
   auto reserved = ok(past) ? status{success} : status{failure(past)};
   if (ok(reserved)) {
--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -34,6 +34,10 @@
   std::size_t cache_bytes_ = 4'000'000;  ///< Histories kept in memory; others are read again from the store.
   milliseconds call_limit_ = 2500;       ///< ms for one call of the store, its repetitions included.
   milliseconds begin_patience_ = 400;    ///< ms for which a new turn waits while the store answers nothing.
+  milliseconds begin_limit_ =
+      1800;  ///< ms for all of a turn's beginning: callers leave a stream that is silent for 2 s.
+  milliseconds retry_after_ = 1500;  ///< ms after which a turn refused for want of the store may come back:
+                                     ///< outages last seconds, and sooner tries only use up the caller's.
   milliseconds cleanup_patience_ = 60000;  ///< ms for which a reservation that was not used is taken back.
 };
 
@@ -109,6 +113,7 @@
   auto queue(const entry_pointer& program, change_pointer wanted) -> void;
   auto wait_for(change_pointer wanted, milliseconds time_left) -> task<status>;
   auto shrink() -> void;
+  [[nodiscard]] auto store_away(const std::string& detail) const -> error;
 
   // program_store_read.cpp: rows into memory.
   auto load(entry_pointer program, bool with_turns, milliseconds time_left) -> task<status>;
--- a/birchlever/coordination/program_store_state.h
+++ b/birchlever/coordination/program_store_state.h
@@ -20,9 +20,6 @@
 /// What the keys of all turns of a program begin with.
 [[nodiscard]] auto turns_prefix(const std::string& program) -> std::string;
 
-/// A refusal because the store does not answer.
-[[nodiscard]] auto store_away(const std::string& detail) -> error;
-
 /// One wanted change of a program's rows, and what became of it.
 struct program_store::change {
   enum class kind { reserve, settle, release };
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -65,6 +65,8 @@
   store_ = platform::store_client::create(loop_, store_settings);
   auto program_settings = program_store_settings{};
   program_settings.cache_bytes_ = static_cast<std::size_t>(settings_.history_cache_bytes_);
+  program_settings.begin_patience_ = settings_.store_patience_ms_;
+  program_settings.retry_after_ = settings_.store_retry_ms_;
   auto programs = program_store::create(loop_, store_, program_settings);
   if (!ok(programs)) {
     return failure(programs);
--- /dev/null
+++ b/unit_tests/controllers/follower_test.cpp
@@ -0,0 +1,100 @@
+/// Tables are followed without going back, and upstreams that lapse with the store away get time to return.
+#include <catch2/catch.hpp>
+
+#include "birchlever/controllers/upstream_follower.h"
+#include "birchlever/storage/memory_row_store.h"
+
+namespace birchlever {
+namespace {
+
+auto decode_test_entry(const std::string& id, std::string_view text) -> result<upstream_entry> {
+  if (text == "broken") {
+    return error{error_code::malformed_json, "broken"};
+  }
+  auto entry = upstream_entry{};
+  entry.id_ = id;
+  entry.leaving_ = text == "leaving";
+  return entry;
+}
+
+/// A follower of a store in memory.
+struct follower_fixture {
+  explicit follower_fixture(milliseconds lapse_return = 150) {
+    rows_->put({"servers", "", "u1"}, "ready");
+    follower_ =
+        upstream_follower::create(loop_, rows_, "servers", directory_, decode_test_entry, lapse_return);
+    run_for(60);
+  }
+
+  auto run_for(milliseconds duration) -> void {
+    loop_.restart();
+    loop_.run_for(std::chrono::milliseconds{duration});
+  }
+
+  event_loop loop_{1};
+  std::shared_ptr<memory_row_store> rows_ = std::make_shared<memory_row_store>(loop_);
+  std::shared_ptr<upstream_directory> directory_ =
+      std::make_shared<upstream_directory>(upstream_directory_settings{"hall-a"});
+  std::shared_ptr<upstream_follower> follower_;
+};
+
+}  // namespace
+
+TEST_CASE("listed, changed and removed upstreams are known at once") {
+  auto fixture = follower_fixture{};
+  REQUIRE(fixture.follower_->primed());
+  REQUIRE(fixture.directory_->find("u1") != nullptr);
+  fixture.rows_->put({"servers", "", "u2"}, "ready");
+  fixture.rows_->put({"servers", "", "u1"}, "leaving");
+  fixture.run_for(100);
+  REQUIRE(fixture.directory_->find("u2") != nullptr);
+  REQUIRE_FALSE(fixture.directory_->find("u1")->takes_requests());
+  auto kept = fixture.directory_->find("u2");
+  fixture.rows_->remove({"servers", "", "u2"});
+  fixture.run_for(100);
+  REQUIRE(fixture.directory_->find("u2") == nullptr);
+  REQUIRE_FALSE(kept->takes_requests());
+}
+
+TEST_CASE("an entry that can't be read changes nothing") {
+  auto fixture = follower_fixture{};
+  fixture.rows_->put({"servers", "", "u1"}, "broken");
+  fixture.run_for(100);
+  REQUIRE(fixture.directory_->find("u1")->takes_requests());
+}
+
+TEST_CASE("forgotten history leads to a new scan that finds what was missed") {
+  auto fixture = follower_fixture{};
+  fixture.rows_->faults().history_gone_ = true;
+  fixture.rows_->remove({"servers", "", "u1"});
+  fixture.rows_->put({"servers", "", "u2"}, "ready");
+  fixture.run_for(150);
+  REQUIRE(fixture.directory_->find("u1") == nullptr);
+  REQUIRE(fixture.directory_->find("u2") != nullptr);
+}
+
+TEST_CASE("an upstream that lapsed while the store was away is kept for a while after its return") {
+  auto fixture = follower_fixture{};
+  fixture.rows_->put({"servers", "", "u2"}, "ready");
+  fixture.run_for(50);
+  fixture.rows_->faults().down_ = true;
+  fixture.rows_->remove({"servers", "", "u1"});  // Wakes the look under way, which still succeeds.
+  fixture.rows_->put({"servers", "", "u1"}, "ready");
+  fixture.run_for(400);
+  REQUIRE(fixture.follower_->lost());
+  fixture.rows_->remove({"servers", "", "u1"});
+  fixture.rows_->remove({"servers", "", "u2"});
+  fixture.rows_->faults().down_ = false;
+  auto clock = steady_clock{};
+  auto give_up = clock.now() + 2000;
+  while (fixture.follower_->lost() && clock.now() < give_up) {
+    fixture.run_for(10);
+  }
+  REQUIRE(fixture.directory_->find("u1") != nullptr);  // Lapsed, not yet given up.
+  fixture.rows_->put({"servers", "", "u1"}, "ready");
+  fixture.run_for(500);
+  REQUIRE(fixture.directory_->find("u1") != nullptr);
+  REQUIRE(fixture.directory_->find("u2") == nullptr);
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/unit_tests/platform/decode_test.cpp
@@ -0,0 +1,103 @@
+/// The platform's records become the product's types, or typed errors.
+#include "platform/decode.h"
+
+#include <catch2/catch.hpp>
+
+#include "platform/header_dialect.h"
+
+namespace birchlever::platform {
+namespace {
+
+constexpr auto configuration_text = R"({"version":7,"routes":[
+  {"name":"r1","host":"A.example","path_prefix":"/a/","type":"streaming","timeout_ms":4000,"slo_ms":200,
+   "priority":1,"split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"max_attempts":2,
+   "retained":true,"retention_s":60.5,"sticky":true},
+  {"name":"r2","host":"a.example","path_prefix":"/a/b/","type":"safe","timeout_ms":2000,"service":"s2"}],
+ "services":[{"name":"s1","health_path":"/healthz","max_conns":370,
+   "engine":{"slots":64,"kv_capacity":342837,"chunk_tokens":4}},{"name":"s2"}],
+ "limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_ms":300,"idle_timeout_ms":400}})";
+
+}  // namespace
+
+TEST_CASE("a configuration is read whole") {
+  auto decoded = decode_configuration(configuration_text);
+  REQUIRE(ok(decoded));
+  const auto& configuration = value(decoded);
+  REQUIRE(configuration.version_ == 7);
+  const auto* found = configuration.find_route("a.EXAMPLE:80", "/a/x?y=/a/b/");
+  REQUIRE(found != nullptr);
+  REQUIRE(found->name_ == "r1");
+  REQUIRE(found->kind_ == route_kind::streaming);
+  REQUIRE(found->retention_ == 60500);
+  REQUIRE(found->services_.size() == 2);
+  REQUIRE(configuration.find_route("a.example", "/a/b/c")->name_ == "r2");
+  REQUIRE(configuration.find_route("a.example", "/") == nullptr);
+  REQUIRE(configuration.find_route("b.example", "/a/b/") == nullptr);
+  REQUIRE(configuration.find_service("s1")->engine_->tokens_per_event_ == 4);
+  REQUIRE_FALSE(configuration.find_service("s2")->engine_);
+  REQUIRE(configuration.limits_.max_body_bytes_ == 200);
+}
+
+TEST_CASE("shares of a split follow the weights, and a subject keeps its service") {
+  auto decoded = decode_configuration(configuration_text);
+  const auto& split = value(decoded).routes_[0];
+  auto first = 0;
+  for (auto subject = 0; subject < 2000; ++subject) {
+    auto name = std::to_string(subject);
+    REQUIRE(service_for(split, name) == service_for(split, name));
+    first += service_for(split, name) == "s1" ? 1 : 0;
+  }
+  REQUIRE(first > 1700);
+  REQUIRE(first < 1900);
+}
+
+TEST_CASE("records that can't be read are typed errors") {
+  REQUIRE(failure(decode_configuration("{")).code_ == error_code::malformed_json);
+  REQUIRE(failure(decode_configuration("{}")).code_ == error_code::missing_field);
+  REQUIRE(failure(decode_configuration(R"({"version":"x","routes":[],"services":[]})")).code_ ==
+          error_code::wrong_type);
+  REQUIRE(failure(decode_upstream("i1", R"({"service":"s"})")).code_ == error_code::missing_field);
+  REQUIRE(failure(decode_upstream("i1", R"({"service":"s","address":"nowhere"})")).code_ ==
+          error_code::invalid_setting);
+}
+
+TEST_CASE("an upstream's entry says whether it leaves") {
+  auto text = std::string{R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":6,"state":")"};
+  auto ready = decode_upstream("i1", text + R"(ready","models":[{"name":"m"}]})");
+  auto leaving = decode_upstream("i1", text + R"(draining"})");
+  REQUIRE(ok(ready));
+  REQUIRE_FALSE(value(ready).leaving_);
+  REQUIRE(value(ready).models_ == std::vector<std::string>{"m"});
+  REQUIRE(value(leaving).leaving_);
+}
+
+TEST_CASE("headers of a turn are read, unreadable ones named") {
+  auto dialect = header_dialect{};
+  auto request = http_request{http::verb::post, "/a/x", 11};
+  request.set("X-Request-Id", "r1");
+  request.set("X-Token-Usage", "1840,136");
+  request.set("X-Prefix-Hash", "5c1e07a2:800,91bd3f06:410");
+  request.set("X-Token-Budget", "1088");
+  auto facts = dialect.read(request);
+  REQUIRE(ok(facts));
+  REQUIRE(value(facts).prompt_tokens_ == 1840);
+  REQUIRE(value(facts).most_tokens_ == 136);
+  REQUIRE(value(facts).parts_.size() == 2);
+  REQUIRE(value(facts).parts_[0].id_ == 0x5c1e07a2);
+  REQUIRE(value(facts).budget_ == 1088);
+  for (const auto& [name, content] :
+       std::vector<std::pair<std::string, std::string>>{{"X-Prefix-Hash", "zz:1"},
+                                                        {"X-Prefix-Hash", "5c"},
+                                                        {"X-Token-Usage", "5"},
+                                                        {"X-Token-Budget", "-5"},
+                                                        {"X-Deadline-Ms", "soon"}}) {
+    auto broken = request;
+    broken.set(name, content);
+    auto read = dialect.read(broken);
+    REQUIRE_FALSE(ok(read));
+    REQUIRE(failure(read).code_ == error_code::malformed_request);
+    REQUIRE(failure(read).detail_.find(name) != std::string::npos);
+  }
+}
+
+}  // namespace birchlever::platform
--- /dev/null
+++ b/unit_tests/platform/store_client_test.cpp
@@ -0,0 +1,163 @@
+/// The store's client against a stand-in that speaks the store's calls: what each kind of answer means.
+#include "platform/store_client.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <functional>
+
+#include "birchlever/http/http_listener.h"
+
+namespace birchlever::platform {
+namespace {
+
+/// Answers calls by a script: a status and body, or nothing at all.
+class store_stand_in {
+ public:
+  struct step {
+    unsigned status_ = 200;
+    std::string body_ = R"({"ver":5,"now_ms":100})";
+    bool silent_ = false;
+  };
+
+  store_stand_in() {
+    auto probe = asio::ip::tcp::acceptor{loop_, asio::ip::tcp::endpoint{asio::ip::address_v4::loopback(), 0}};
+    address_ = probe.local_endpoint();
+    probe.close();
+    auto text = "127.0.0.1:" + std::to_string(address_.port());
+    auto listening =
+        http_listener::create(loop_, text, [this](auto connection) { return serve(connection); });
+    REQUIRE(ok(listening));
+    listener_ = value(listening);
+    auto settings = store_client_settings{};
+    settings.address_ = address_;
+    settings.shortest_try_ = 60;
+    client_ = store_client::create(loop_, settings);
+  }
+
+  template <class T>
+  auto run(task<result<T>> call) -> result<T> {
+    auto outcome = std::optional<result<T>>{};
+    auto wait = [](task<result<T>> wanted, std::optional<result<T>>& into) -> task<> {
+      into = co_await std::move(wanted);
+    };
+    start(loop_, "run", wait(std::move(call), outcome));
+    auto clock = steady_clock{};
+    auto give_up = clock.now() + 5000;
+    loop_.restart();
+    while (!outcome && clock.now() < give_up) {
+      loop_.run_one_for(std::chrono::milliseconds{50});
+    }
+    REQUIRE(outcome);
+    return *outcome;
+  }
+
+  auto commit(milliseconds limit = 1000) -> result<commit_outcome> {
+    auto transaction = row_transaction{{{{"t", "p", "k"}, 3}}, {{{"t", "p", "k"}, "value"}}, {}};
+    return run(client_->commit(transaction, limit));
+  }
+
+  event_loop loop_{1};
+  std::deque<step> steps_;
+  std::vector<std::string> calls_;
+  std::shared_ptr<store_client> client_;
+
+ private:
+  auto serve(std::shared_ptr<server_connection> connection) -> task<> {
+    auto limits = request_limits{};
+    while (true) {
+      auto read = co_await connection->read_request(limits);
+      auto* request = std::get_if<http_request>(&read);
+      if (request == nullptr) {
+        break;
+      }
+      calls_.push_back(std::string{request->target()} + " " + request->body());
+      auto next = step{};
+      if (!steps_.empty()) {
+        next = steps_.front();
+        steps_.pop_front();
+      }
+      if (next.silent_) {
+        co_await pause_for(loop_, 2000);
+        break;
+      }
+      auto answer = http_response{static_cast<http::status>(next.status_), 11};
+      answer.body() = next.body_;
+      answer.prepare_payload();
+      co_await connection->write(std::move(answer));
+    }
+    connection->close();
+  }
+
+  asio::ip::tcp::endpoint address_;
+  std::shared_ptr<http_listener> listener_;
+};
+
+}  // namespace
+
+TEST_CASE("a transaction carries conditions and base64 values, and yields the new version") {
+  auto store = store_stand_in{};
+  auto outcome = store.commit();
+  REQUIRE(ok(outcome));
+  REQUIRE(value(outcome).committed_);
+  REQUIRE(value(outcome).version_ == 5);
+  REQUIRE(store.calls_.size() == 1);
+  REQUIRE(store.calls_[0].find("\"dmFsdWU=\"") != std::string::npos);
+  REQUIRE(store.calls_[0].find("\"ver\":3") != std::string::npos);
+}
+
+TEST_CASE("a condition that did not hold yields the rows as they stand") {
+  auto store = store_stand_in{};
+  store.steps_ = {
+      {412,
+       R"({"ver":9,"now_ms":1,"rows":[{"table":"t","part":"p","private_key":"k","value":"YWI=","ver":8}]})"}};
+  auto outcome = store.commit();
+  REQUIRE(ok(outcome));
+  REQUIRE_FALSE(value(outcome).committed_);
+  REQUIRE(value(outcome).conflicts_.at(0).value_ == "ab");
+  REQUIRE(value(outcome).conflicts_.at(0).version_ == 8);
+}
+
+TEST_CASE("a lost answer is asked for again with the same conditions") {
+  auto store = store_stand_in{};
+  store.steps_ = {{200, "", true}};
+  REQUIRE(ok(store.commit()));
+  REQUIRE(store.calls_.size() == 2);
+  REQUIRE(store.calls_[0] == store.calls_[1]);
+}
+
+TEST_CASE("no answer at all is unknown, a refusal is not done") {
+  auto store = store_stand_in{};
+  store.steps_ = {{200, "", true}, {200, "", true}, {200, "", true},
+                  {200, "", true}, {200, "", true}, {200, "", true}};
+  auto lost = store.commit(300);
+  REQUIRE(failure(lost).code_ == error_code::store_unknown);
+  REQUIRE(failure(lost).ran_ == ran_state::outcome_unknown);
+  auto refusing = store_stand_in{};
+  refusing.steps_ = {{503, ""}, {503, ""}};
+  auto refused = refusing.commit(300);
+  REQUIRE(failure(refused).code_ == error_code::store_unavailable);
+  REQUIRE(failure(refused).ran_ == ran_state::not_run);
+  REQUIRE_FALSE(refusing.client_->reachable());
+  REQUIRE(ok(refusing.commit()));
+  REQUIRE(refusing.client_->reachable());
+}
+
+TEST_CASE("an answer that is not JSON, or holds no base64, is unknown and never empty") {
+  for (const auto* body :
+       {"<html>", R"({"ver":1,"rows":[{"private_key":"k","value":"###"}]})", R"({"rows":[]})"}) {
+    auto store = store_stand_in{};
+    store.steps_ = {{200, body}};
+    auto page = store.run(store.client_->read({"t", "p", "", ""}, 500));
+    REQUIRE_FALSE(ok(page));
+    REQUIRE(failure(page).code_ == error_code::store_unknown);
+  }
+}
+
+TEST_CASE("forgotten history is told apart from a store that is away") {
+  auto store = store_stand_in{};
+  store.steps_ = {{410, "{}"}, {503, "{}"}};
+  REQUIRE(failure(store.run(store.client_->changes("t", 5, 50))).code_ == error_code::store_conflict);
+  REQUIRE(failure(store.run(store.client_->changes("t", 5, 50))).code_ == error_code::store_unavailable);
+}
+
+}  // namespace birchlever::platform
