--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -36,7 +36,7 @@
   milliseconds begin_patience_ = 400;    ///< ms for which a new turn waits while the store answers nothing.
   milliseconds begin_limit_ =
       1800;  ///< ms for all of a turn's beginning: callers leave a stream that is silent for 2 s.
-  milliseconds retry_after_ = 1500;  ///< ms after which a turn refused for want of the store may come back:
+  milliseconds retry_after_ = 3000;  ///< ms after which a turn refused for want of the store may come back:
                                      ///< outages last seconds, and sooner tries only use up the caller's.
   milliseconds cleanup_patience_ = 60000;  ///< ms for which a reservation that was not used is taken back.
 };
