--- a/birchlever/coordination/program_store.cpp
+++ b/birchlever/coordination/program_store.cpp
@@ -10,7 +10,9 @@
 namespace birchlever {
 namespace {
 
-constexpr auto longest_name = std::size_t{64};     // Longer identities are hashed into a row's key.
+constexpr auto longest_name = std::size_t{64};  // Longer identities are hashed into a row's key.
+constexpr auto read_again_gap =
+    milliseconds{50};  // Between two readings of a history that the store refused.
 constexpr auto entry_overhead = std::size_t{512};  // Bytes an entry costs beside its histories, roughly.
 
 auto part_name(const std::string& program, int parts) -> std::string {
@@ -99,15 +101,11 @@
   auto self = shared_from_this();
   time_left = std::min(time_left, settings_.begin_limit_);
   auto due = clock_.now() + time_left;
-  auto reachable = co_await rows_->wait_until_reachable(std::min(settings_.begin_patience_, time_left));
-  if (!reachable) {
-    co_return store_away("the store does not answer");
-  }
+  auto patient_until = clock_.now() + std::min(settings_.begin_patience_, time_left);
   auto program = entry_of(order.program_);
   ++program->users_;
   auto newest = order.previous_.empty() ? std::string{} : key_name(order.previous_);
-  auto read_limit = due - clock_.now();
-  auto past = co_await collect(program->name_, newest, read_limit);
+  auto past = co_await collect_patiently(program->name_, newest, patient_until, due);
   auto reserved = ok(past) ? status{success} : status{failure(past)};
   if (ok(reserved)) {
     reserved = co_await reserve(program, order, due - clock_.now());
@@ -131,6 +129,22 @@
   co_return grant;
 }
 
+auto program_store::collect_patiently(std::string program, std::string newest, milliseconds patient_until,
+                                      milliseconds due) -> task<result<chain>> {
+  while (true) {
+    auto reachable = co_await rows_->wait_until_reachable(patient_until - clock_.now());
+    if (!reachable) {
+      co_return store_away("the store does not answer");
+    }
+    auto past = co_await collect(program, newest, due - clock_.now());
+    auto went_away = !ok(past) && failure(past).code_ == error_code::store_unavailable;
+    if (!went_away || clock_.now() >= patient_until) {
+      co_return past;
+    }
+    co_await pause_for(*loop_, read_again_gap);
+  }
+}
+
 auto program_store::reserve(entry_pointer program, const turn_order& order, milliseconds time_left)
     -> task<status> {
   auto wanted = std::make_shared<change>(*loop_);
--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -109,6 +109,8 @@
   // program_store.cpp: what callers ask for.
   auto entry_of(const std::string& program) -> entry_pointer;
   auto entry_named(const std::string& name) -> entry_pointer;
+  auto collect_patiently(std::string program, std::string newest, milliseconds patient_until,
+                         milliseconds due) -> task<result<chain>>;
   auto reserve(entry_pointer program, const turn_order& order, milliseconds time_left) -> task<status>;
   auto queue(const entry_pointer& program, change_pointer wanted) -> void;
   auto wait_for(change_pointer wanted, milliseconds time_left) -> task<status>;
--- a/unit_tests/gateway/gateway_test.cpp
+++ b/unit_tests/gateway/gateway_test.cpp
@@ -156,6 +156,18 @@
   REQUIRE(fixture.seen_.empty());
 }
 
+TEST_CASE("a turn waits for a store that is back within its patience") {
+  auto fixture = gateway_fixture{};
+  REQUIRE(fixture.turn("t1", "", "one").whole_);
+  fixture.rows_->faults().down_ = true;
+  auto back = [](gateway_fixture& self) -> task<> {
+    co_await pause_for(self.loop_, 200);
+    self.rows_->faults().down_ = false;
+  };
+  start(fixture.loop_, "back", back(fixture));
+  REQUIRE(fixture.turn("t2", "t1", "two").whole_);
+}
+
 TEST_CASE("the budget is refused with 402 before anything is sent") {
   auto fixture = gateway_fixture{};
   REQUIRE(fixture.turn("t1", "", "one", "p1", 50, 40).whole_);  // Spends 3 events of 4 tokens.
