--- /dev/null
+++ b/birchlever/controllers/peer_exchange.cpp
@@ -0,0 +1,196 @@
+#include "birchlever/controllers/peer_exchange.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+
+#include "birchlever/core/hashing.h"
+#include "birchlever/http/http_listener.h"
+#include "birchlever/telemetry/log.h"
+
+namespace birchlever {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr auto most_datagram =
+    std::size_t{8192};  // A message names upstreams in use only: about 20 bytes each.
+constexpr auto first_list_gap = milliseconds{700};  // After a start in common others announce themselves too.
+constexpr auto retry_gap = milliseconds{500};
+
+}  // namespace
+
+auto encode(const peer_state& state) -> std::string {
+  auto bytes = std::string{};
+  json::to_cbor(
+      json{state.vm_, state.store_answers_, state.configuration_, state.control_address_, state.running_},
+      bytes);
+  return bytes;
+}
+
+auto decode_peer_state(std::string_view bytes) -> result<peer_state> {
+  try {
+    auto message = json::from_cbor(bytes.begin(), bytes.end());
+    auto state = peer_state{};
+    message.at(0).get_to(state.vm_);
+    message.at(1).get_to(state.store_answers_);
+    message.at(2).get_to(state.configuration_);
+    message.at(3).get_to(state.control_address_);
+    message.at(4).get_to(state.running_);
+    return state;
+  } catch (const json::exception& fault) {
+    return error{error_code::malformed_json, std::string{"a peer's message can't be read: "} + fault.what()};
+  }
+}
+
+peer_exchange::peer_exchange(event_loop& loop, std::shared_ptr<row_store_interface> rows,
+                             peer_exchange_settings settings, describe_function describe)
+    : loop_{&loop},
+      rows_{std::move(rows)},
+      settings_{std::move(settings)},
+      describe_{std::move(describe)},
+      socket_{loop},
+      random_{static_cast<std::uint32_t>(hash_of(settings_.vm_))} {}
+
+auto peer_exchange::create(event_loop& loop, std::shared_ptr<row_store_interface> rows,
+                           const peer_exchange_settings& settings, describe_function describe)
+    -> result<std::shared_ptr<peer_exchange>> {
+  auto parsed = parse_address(settings.address_);
+  if (!ok(parsed)) {
+    return failure(parsed);
+  }
+  auto made =
+      std::shared_ptr<peer_exchange>{new peer_exchange{loop, std::move(rows), settings, std::move(describe)}};
+  auto code = boost::system::error_code{};
+  made->socket_.open(asio::ip::udp::v4(), code);
+  if (!code) {
+    made->socket_.bind({value(parsed).address(), value(parsed).port()}, code);
+  }
+  if (!code) {
+    made->socket_.non_blocking(true, code);
+  }
+  if (code) {
+    return error{error_code::invalid_setting, "can't bind " + settings.address_ + ": " + code.message()};
+  }
+  start(loop, "peer_send", made->send_all());
+  start(loop, "peer_receive", made->receive_all());
+  start(loop, "peer_list", made->follow_list());
+  return made;
+}
+
+auto peer_exchange::send_all() -> task<> {
+  auto self = shared_from_this();
+  while (true) {
+    co_await pause_for(*loop_, settings_.send_gap_);
+    auto bytes = encode(describe_());
+    if (bytes.size() > most_datagram) {
+      log_event(log_level::warning, "peer_message_too_long",
+                {{"bytes", static_cast<std::int64_t>(bytes.size())}});
+      continue;
+    }
+    auto count = std::min(receivers_.size(), static_cast<std::size_t>(settings_.most_receivers_));
+    if (count < receivers_.size()) {
+      std::shuffle(receivers_.begin(), receivers_.end(), random_);
+    }
+    for (auto next = std::size_t{0}; next < count; ++next) {
+      auto ignored = boost::system::error_code{};  // A datagram may always be lost; the next follows soon.
+      socket_.send_to(asio::buffer(bytes), receivers_[next], 0, ignored);
+    }
+  }
+}
+
+auto peer_exchange::receive_all() -> task<> {
+  auto self = shared_from_this();
+  auto buffer = std::vector<char>(most_datagram);
+  while (true) {
+    auto code = boost::system::error_code{};
+    auto sender = asio::ip::udp::endpoint{};
+    auto read = co_await socket_.async_receive_from(asio::buffer(buffer), sender, resume_with(code));
+    if (code == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (code) {
+      continue;  // A peer's port that was closed answers so; the next datagram tells more.
+    }
+    auto decoded = decode_peer_state({buffer.data(), read});
+    if (!ok(decoded)) {
+      log_failure(log_level::warning, "peer_message_unreadable", failure(decoded));
+      continue;
+    }
+    auto vm = value(decoded).vm_;
+    heard_[vm] = {std::move(value(decoded)), clock_.now()};
+  }
+}
+
+auto peer_exchange::follow_list() -> task<> {
+  auto self = shared_from_this();
+  auto announced = false;
+  while (!announced) {
+    auto row = row_transaction{{}, {{{settings_.table_, "", settings_.vm_}, settings_.address_}}, {}};
+    auto written = co_await rows_->commit(std::move(row), settings_.call_limit_);
+    announced = ok(written);
+    co_await pause_for(*loop_, announced ? first_list_gap : retry_gap);
+  }
+  while (true) {
+    auto good = co_await read_list();
+    co_await pause_for(*loop_, good ? settings_.list_gap_ : retry_gap);
+  }
+}
+
+auto peer_exchange::read_list() -> task<bool> {
+  auto range = row_range{settings_.table_, "", "", ""};
+  auto page = co_await rows_->read(range, settings_.call_limit_);
+  if (!ok(page)) {
+    co_return false;  // The store's followers log that it is away.
+  }
+  receivers_.clear();
+  for (const auto& row : value(page).rows_) {
+    auto parsed = parse_address(row.value_);
+    if (row.key_.key_ != settings_.vm_ && ok(parsed)) {
+      receivers_.emplace_back(value(parsed).address(), value(parsed).port());
+    }
+  }
+  co_return true;
+}
+
+auto peer_exchange::store_answers_a_peer() const -> bool {
+  auto now = clock_.now();
+  return std::any_of(heard_.begin(), heard_.end(), [&](const auto& entry) {
+    return now - entry.second.at_ < settings_.fresh_ && entry.second.state_.store_answers_;
+  });
+}
+
+auto peer_exchange::running_elsewhere() const -> std::map<std::string, double> {
+  auto now = clock_.now();
+  auto total = std::map<std::string, double>{};
+  for (const auto& [vm, heard] : heard_) {
+    if (now - heard.at_ >= settings_.fresh_) {
+      continue;
+    }
+    for (const auto& [upstream, running] : heard.state_.running_) {
+      total[upstream] += running;
+    }
+  }
+  return total;
+}
+
+auto peer_exchange::newer_configuration(std::int64_t version) const -> const peer_state* {
+  auto now = clock_.now();
+  const auto* newest = static_cast<const peer_state*>(nullptr);
+  for (const auto& [vm, heard] : heard_) {
+    auto beyond = newest == nullptr ? version : newest->configuration_;
+    if (now - heard.at_ < settings_.fresh_ && heard.state_.configuration_ > beyond) {
+      newest = &heard.state_;
+    }
+  }
+  return newest;
+}
+
+auto peer_exchange::fresh_peers() const -> std::size_t {
+  auto now = clock_.now();
+  return static_cast<std::size_t>(std::count_if(heard_.begin(), heard_.end(), [&](const auto& entry) {
+    return now - entry.second.at_ < settings_.fresh_;
+  }));
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/controllers/peer_exchange.h
@@ -0,0 +1,93 @@
+/// What daemons tell each other beside the store: whether it answers them, which configuration they serve,
+/// and how many requests they have at each upstream. Losing any message, or all, only makes views older.
+#pragma once
+
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "birchlever/http/task.h"
+#include "birchlever/storage/row_store_interface.h"
+
+namespace birchlever {
+
+/// What one daemon says of itself.
+struct peer_state {
+  std::string vm_;
+  bool store_answers_ = false;
+  std::int64_t configuration_ = 0;      ///< Version in force there.
+  std::string control_address_;         ///< Where its configuration can be read, "ip:port".
+  std::map<std::string, int> running_;  ///< Requests at each upstream.
+};
+
+/// The bytes of a message.
+[[nodiscard]] auto encode(const peer_state& state) -> std::string;
+
+/// Reads a message. Failures: malformed_json.
+[[nodiscard]] auto decode_peer_state(std::string_view bytes) -> result<peer_state>;
+
+/// How views are exchanged.
+struct peer_exchange_settings {
+  std::string vm_;
+  std::string address_;            ///< "ip:port" of the datagrams, alike in form on all daemons.
+  std::string table_ = "daemons";  ///< Where daemons find each other.
+  milliseconds send_gap_ = 200;    ///< A burst fills an upstream within some hundred ms.
+  int most_receivers_ = 16;       ///< A message each gap to so many, drawn anew: bounds the cost at any size.
+  milliseconds fresh_ = 1500;     ///< Older views count no more.
+  milliseconds list_gap_ = 5000;  ///< Between two readings of the list of daemons.
+  milliseconds call_limit_ = 1500;  ///< For one call of the store.
+};
+
+/// For coroutines of one loop.
+class peer_exchange : public std::enable_shared_from_this<peer_exchange> {
+ public:
+  /// Yields what this daemon says of itself.
+  using describe_function = std::function<peer_state()>;
+
+  /// Binds the address, announces this daemon in the store and begins. Failures: invalid_setting.
+  static auto create(event_loop& loop, std::shared_ptr<row_store_interface> rows,
+                     const peer_exchange_settings& settings, describe_function describe)
+      -> result<std::shared_ptr<peer_exchange>>;
+
+  /// True when a peer said lately that the store answers it.
+  [[nodiscard]] auto store_answers_a_peer() const -> bool;
+
+  /// Requests that peers have running at each upstream, by their latest words.
+  [[nodiscard]] auto running_elsewhere() const -> std::map<std::string, double>;
+
+  /// The peer with the newest configuration beyond a version, or none.
+  [[nodiscard]] auto newer_configuration(std::int64_t version) const -> const peer_state*;
+
+  /// Peers heard of lately.
+  [[nodiscard]] auto fresh_peers() const -> std::size_t;
+
+ private:
+  struct heard_state {
+    peer_state state_;
+    milliseconds at_ = 0;
+  };
+
+  peer_exchange(event_loop& loop, std::shared_ptr<row_store_interface> rows, peer_exchange_settings settings,
+                describe_function describe);
+
+  auto send_all() -> task<>;
+  auto receive_all() -> task<>;
+  auto follow_list() -> task<>;
+  auto read_list() -> task<bool>;
+
+  event_loop* loop_;
+  std::shared_ptr<row_store_interface> rows_;
+  peer_exchange_settings settings_;
+  describe_function describe_;
+  asio::ip::udp::socket socket_;
+  steady_clock clock_;
+  std::mt19937 random_;
+  std::vector<asio::ip::udp::endpoint> receivers_;
+  std::map<std::string, heard_state> heard_;
+};
+
+}  // namespace birchlever
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -27,6 +27,10 @@
 constexpr auto leave_margin_ms = milliseconds{700};  // Kept free of the time until the platform kills.
 constexpr auto unready_after_ms =
     milliseconds{1000};  // A store that is away for so long has turned us away or is down.
+constexpr auto peer_look_gap = milliseconds{100};    // Half of the gap between two messages of a peer.
+constexpr auto peer_call_limit = milliseconds{500};  // For reading a peer's configuration: one small page.
+constexpr auto configuration_page = "/configuration";
+constexpr auto most_configuration_bytes = std::size_t{4U << 20U};
 constexpr auto finish_check_gap = milliseconds{20};
 
 auto read_text(const std::string& file) -> std::string {
@@ -91,6 +95,10 @@
     return listening;
   }
   follow_store();
+  auto joined = join_peers();
+  if (!ok(joined)) {
+    return joined;
+  }
   start(loop_, "wait_for_stop", wait_for_stop());
   start(loop_, "wait_for_reload", wait_for_reload());
   start(loop_, "keep_house", keep_house());
@@ -155,7 +163,11 @@
   if (row.key_.key_ != platform::names::configuration_key || row.removed_) {
     return;
   }
-  auto decoded = platform::decode_configuration(row.value_);
+  take_configuration_text(row.value_, "store");
+}
+
+auto gateway_daemon::take_configuration_text(const std::string& text, const char* source) -> void {
+  auto decoded = platform::decode_configuration(text);
   if (!ok(decoded)) {
     log_failure(log_level::error, "configuration_unreadable", failure(decoded));  // The last good one stays.
     return;
@@ -167,13 +179,95 @@
   log_event(log_level::info, "configuration_taken",
             {{"version", value(decoded).version_},
              {"before", known},
+             {"source", std::string{source}},
              {"routes", static_cast<std::int64_t>(value(decoded).routes_.size())}});
+  configuration_text_ = text;
   context_->configuration_ = std::make_shared<const serving_configuration>(std::move(value(decoded)));
 }
 
+auto gateway_daemon::join_peers() -> status {
+  auto first_port = settings_.peer_ports_.substr(0, settings_.peer_ports_.find(','));
+  if (first_port.empty()) {
+    return success;
+  }
+  auto settings = peer_exchange_settings{};
+  settings.vm_ = settings_.vm_id_;
+  settings.address_ =
+      settings_.caller_address_.substr(0, settings_.caller_address_.rfind(':')) + ":" + first_port;
+  auto joined = peer_exchange::create(loop_, store_, settings, [this] { return describe_self(); });
+  if (!ok(joined)) {
+    return failure(joined);
+  }
+  peers_ = std::move(value(joined));
+  start(loop_, "follow_peers", follow_peers());
+  return success;
+}
+
+auto gateway_daemon::describe_self() const -> peer_state {
+  auto state = peer_state{};
+  state.vm_ = settings_.vm_id_;
+  state.store_answers_ = store_->reachable();
+  state.configuration_ = context_->configuration_ ? context_->configuration_->version_ : 0;
+  state.control_address_ = settings_.control_address_;
+  context_->upstreams_->each([&](const upstream& one) {
+    if (one.running() > 0) {
+      state.running_[one.entry().id_] = one.running();
+    }
+  });
+  return state;
+}
+
+auto gateway_daemon::follow_peers() -> task<> {
+  while (true) {
+    co_await pause_for(loop_, peer_look_gap);
+    auto running = peers_->running_elsewhere();
+    for (const auto& id : context_->upstreams_->ids()) {
+      auto found = running.find(id);
+      context_->upstreams_->set_running_elsewhere(id, found == running.end() ? 0 : found->second);
+    }
+    context_->programs_->set_turned_away(turned_away());
+    auto version = context_->configuration_ ? context_->configuration_->version_ : 0;
+    const auto* newer = store_->reachable() ? nullptr : peers_->newer_configuration(version);
+    if (newer != nullptr && !newer->control_address_.empty()) {
+      auto address = newer->control_address_;
+      co_await fetch_configuration(address);
+    }
+  }
+}
+
+auto gateway_daemon::fetch_configuration(std::string address) -> task<> {
+  auto parsed = parse_address(address);
+  if (!ok(parsed)) {
+    co_return;
+  }
+  auto opened = co_await outgoing_connection::open(loop_, value(parsed), peer_call_limit);
+  if (std::holds_alternative<exchange_fault>(opened)) {
+    co_return;
+  }
+  auto connection = std::get<0>(opened);
+  auto request = std::make_shared<http_request>(http::verb::get, configuration_page, 11);
+  request->set(http::field::host, address);
+  connection->send(request, peer_call_limit);
+  auto head = co_await connection->read_head();
+  if (std::holds_alternative<exchange_fault>(head)) {
+    co_return;
+  }
+  auto text = co_await connection->read_rest(most_configuration_bytes);
+  auto whole =
+      std::holds_alternative<std::string>(text) && std::get<http_response>(head).result() == http::status::ok;
+  if (whole) {
+    take_configuration_text(std::get<std::string>(text), "peer");
+  }
+  connection->abort();
+}
+
+auto gateway_daemon::turned_away() const -> bool {
+  return peers_ && !store_->reachable() && peers_->store_answers_a_peer();
+}
+
 auto gateway_daemon::ready() const -> bool {
   // A daemon that the store turns away sends callers to others; when all are, the balancer uses them all.
-  auto store_answers = store_->away_for() < unready_after_ms;
+  auto store_answers = !turned_away() && store_->away_for() < unready_after_ms;
   return !context_->stopping_ && context_->configuration_ && upstream_follower_->primed() && store_answers;
 }
 
@@ -185,6 +279,11 @@
 
 auto gateway_daemon::control_page(const http_request& request) -> http_response {
   auto answer = http_response{http::status::not_found, 11};
+  if (request.target() == configuration_page && !configuration_text_.empty()) {
+    answer.result(http::status::ok);
+    answer.body() = configuration_text_;
+    return answer;
+  }
   if (request.target() != "/metrics") {
     return answer;
   }
@@ -193,6 +292,8 @@
   counters.gauge("caller_connections", static_cast<double>(server_->connections()));
   counters.gauge("store_calls", static_cast<double>(store_->calls()));
   counters.gauge("store_reachable", store_->reachable() ? 1 : 0);
+  counters.gauge("peers_heard", peers_ ? static_cast<double>(peers_->fresh_peers()) : 0);
+  counters.gauge("log_lines_dropped", static_cast<double>(dropped_log_lines()));
   counters.gauge("history_cache_bytes", static_cast<double>(context_->programs_->cached_bytes()));
   counters.gauge("upstream_connections_opened",
                  static_cast<double>(context_->upstream_connections_->opened()));
--- a/birchlever_daemon/gateway_daemon.h
+++ b/birchlever_daemon/gateway_daemon.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "birchlever/controllers/peer_exchange.h"
 #include "birchlever/controllers/table_follower.h"
 #include "birchlever/controllers/upstream_follower.h"
 #include "birchlever/gateway/gateway_server.h"
@@ -37,6 +38,12 @@
   auto load_policies() -> status;
   auto follow_store() -> void;
   auto take_configuration(const stored_row& row) -> void;
+  auto join_peers() -> status;
+  auto describe_self() const -> peer_state;
+  auto follow_peers() -> task<>;
+  auto fetch_configuration(std::string address) -> task<>;
+  auto take_configuration_text(const std::string& text, const char* source) -> void;
+  auto turned_away() const -> bool;
   auto ready() const -> bool;
   auto readiness_page(const http_request& request) const -> http_response;
   auto control_page(const http_request& request) -> http_response;
@@ -56,9 +63,11 @@
   std::shared_ptr<platform::store_client> store_;
   std::shared_ptr<table_follower> configuration_follower_;
   std::shared_ptr<upstream_follower> upstream_follower_;
+  std::shared_ptr<peer_exchange> peers_;  ///< None when no port for peers is set.
   std::shared_ptr<gateway_server> server_;
   std::shared_ptr<http_listener> readiness_listener_;
   std::shared_ptr<http_listener> control_listener_;
+  std::string configuration_text_;  ///< As the store gave it, for peers that it turns away.
   bool announced_ready_ = false;
   bool finished_all_ = true;
 };
--- /dev/null
+++ b/unit_tests/controllers/peer_exchange_test.cpp
@@ -0,0 +1,60 @@
+/// Daemons hear of each other's store, configuration and load.
+#include "birchlever/controllers/peer_exchange.h"
+
+#include <catch2/catch.hpp>
+
+#include "birchlever/storage/memory_row_store.h"
+
+namespace birchlever {
+namespace {
+
+auto free_udp_address(event_loop& loop) -> std::string {
+  auto probe = asio::ip::udp::socket{loop, asio::ip::udp::endpoint{asio::ip::address_v4::loopback(), 0}};
+  return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+}
+
+auto join(event_loop& loop, const std::shared_ptr<memory_row_store>& rows, const std::string& vm,
+          peer_state said) -> std::shared_ptr<peer_exchange> {
+  auto settings = peer_exchange_settings{};
+  settings.vm_ = vm;
+  settings.address_ = free_udp_address(loop);
+  settings.send_gap_ = 20;
+  settings.list_gap_ = 50;
+  settings.fresh_ = 300;
+  said.vm_ = vm;
+  auto joined = peer_exchange::create(loop, rows, settings, [said] { return said; });
+  REQUIRE(ok(joined));
+  return value(joined);
+}
+
+}  // namespace
+
+TEST_CASE("a message survives its bytes, and other bytes are a typed error") {
+  auto state = peer_state{"vm-1", true, 7, "10.0.0.1:80", {{"u1", 3}}};
+  auto decoded = decode_peer_state(encode(state));
+  REQUIRE(ok(decoded));
+  REQUIRE(value(decoded).running_ == state.running_);
+  REQUIRE(value(decoded).configuration_ == 7);
+  REQUIRE(failure(decode_peer_state("nonsense")).code_ == error_code::malformed_json);
+  REQUIRE(failure(decode_peer_state("")).code_ == error_code::malformed_json);
+}
+
+TEST_CASE("peers that found each other in the store share what they know") {
+  auto loop = event_loop{1};
+  auto rows = std::make_shared<memory_row_store>(loop);
+  auto one = join(loop, rows, "vm-1", {"", true, 9, "10.0.0.1:80", {{"u1", 3}}});
+  auto two = join(loop, rows, "vm-2", {"", false, 4, "", {{"u1", 2}, {"u2", 1}}});
+  auto clock = steady_clock{};
+  auto give_up = clock.now() + 4000;
+  while ((one->fresh_peers() == 0 || two->fresh_peers() == 0) && clock.now() < give_up) {
+    loop.run_for(std::chrono::milliseconds{20});
+    loop.restart();
+  }
+  REQUIRE(two->store_answers_a_peer());
+  REQUIRE_FALSE(one->store_answers_a_peer());
+  REQUIRE(one->running_elsewhere().at("u1") == 2);
+  REQUIRE(two->newer_configuration(4)->configuration_ == 9);
+  REQUIRE(one->newer_configuration(9) == nullptr);
+}
+
+}  // namespace birchlever
