--- a/birchlever/controllers/peer_exchange.cpp
+++ b/birchlever/controllers/peer_exchange.cpp
@@ -22,9 +22,9 @@
 
 auto encode(const peer_state& state) -> std::string {
   auto bytes = std::string{};
-  json::to_cbor(
-      json{state.vm_, state.store_answers_, state.configuration_, state.control_address_, state.running_},
-      bytes);
+  auto silence = state.store_silence_ ? json(*state.store_silence_) : json(nullptr);
+  auto message = json{state.vm_, silence, state.configuration_, state.control_address_, state.running_};
+  json::to_cbor(message, bytes);
   return bytes;
 }
 
@@ -33,7 +33,9 @@
     auto message = json::from_cbor(bytes.begin(), bytes.end());
     auto state = peer_state{};
     message.at(0).get_to(state.vm_);
-    message.at(1).get_to(state.store_answers_);
+    if (!message.at(1).is_null()) {
+      state.store_silence_ = message.at(1).get<milliseconds>();
+    }
     message.at(2).get_to(state.configuration_);
     message.at(3).get_to(state.control_address_);
     message.at(4).get_to(state.running_);
@@ -153,11 +155,15 @@
   co_return true;
 }
 
-auto peer_exchange::store_answers_a_peer() const -> bool {
+auto peer_exchange::store_answered_at() const -> milliseconds {
   auto now = clock_.now();
-  return std::any_of(heard_.begin(), heard_.end(), [&](const auto& entry) {
-    return now - entry.second.at_ < settings_.fresh_ && entry.second.state_.store_answers_;
-  });
+  auto latest = milliseconds{0};
+  for (const auto& [vm, heard] : heard_) {
+    if (now - heard.at_ < settings_.fresh_ && heard.state_.store_silence_) {
+      latest = std::max(latest, heard.at_ - *heard.state_.store_silence_);
+    }
+  }
+  return latest;
 }
 
 auto peer_exchange::running_elsewhere() const -> std::map<std::string, double> {
--- a/birchlever/controllers/peer_exchange.h
+++ b/birchlever/controllers/peer_exchange.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -18,7 +19,7 @@
 /// What one daemon says of itself.
 struct peer_state {
   std::string vm_;
-  bool store_answers_ = false;
+  std::optional<milliseconds> store_silence_;  ///< ms since the store last answered it; none when it never did.
   std::int64_t configuration_ = 0;      ///< Version in force there.
   std::string control_address_;         ///< Where its configuration can be read, "ip:port".
   std::map<std::string, int> running_;  ///< Requests at each upstream.
@@ -53,8 +54,8 @@
                      const peer_exchange_settings& settings, describe_function describe)
       -> result<std::shared_ptr<peer_exchange>>;
 
-  /// True when a peer said lately that the store answers it.
-  [[nodiscard]] auto store_answers_a_peer() const -> bool;
+  /// When the store last answered a peer, on our clock, as far as peers said lately; 0 when none did.
+  [[nodiscard]] auto store_answered_at() const -> milliseconds;
 
   /// Requests that peers have running at each upstream, by their latest words.
   [[nodiscard]] auto running_elsewhere() const -> std::map<std::string, double>;
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -28,6 +28,7 @@
 constexpr auto unready_after_ms =
     milliseconds{1000};  // A store that is away for so long has turned us away or is down.
 constexpr auto peer_look_gap = milliseconds{100};    // Half of the gap between two messages of a peer.
+constexpr auto peer_clock_margin = milliseconds{150};    // Calls that were under way when the store went away.
 constexpr auto peer_call_limit = milliseconds{500};  // For reading a peer's configuration: one small page.
 constexpr auto configuration_page = "/configuration";
 constexpr auto most_configuration_bytes = std::size_t{4U << 20U};
@@ -206,7 +207,7 @@
 auto gateway_daemon::describe_self() const -> peer_state {
   auto state = peer_state{};
   state.vm_ = settings_.vm_id_;
-  state.store_answers_ = store_->reachable();
+  state.store_silence_ = store_->silent_for();
   state.configuration_ = context_->configuration_ ? context_->configuration_->version_ : 0;
   state.control_address_ = settings_.control_address_;
   context_->upstreams_->each([&](const upstream& one) {
@@ -262,7 +263,8 @@
 }
 
 auto gateway_daemon::turned_away() const -> bool {
-  return peers_ && !store_->reachable() && peers_->store_answers_a_peer();
+  // An answer that a peer got after we got none any more: the store is up, and only this daemon is turned away.
+  return peers_ && !store_->reachable() && peers_->store_answered_at() > store_->lost_at() + peer_clock_margin;
 }
 
 auto gateway_daemon::ready() const -> bool {
