A daemon that the store turns away calls through a peer

Change: while the store does not answer directly and a peer says that it was answered since, calls go once through that peer's control address; a probe finds the direct way again. The configuration then comes by the ordinary feed, so reading it from peers went.

--- a/birchlever/controllers/peer_exchange.cpp
+++ b/birchlever/controllers/peer_exchange.cpp
@@ -155,15 +155,21 @@
   co_return true;
 }
 
-auto peer_exchange::store_answered_at() const -> milliseconds {
+auto peer_exchange::answered_since(milliseconds moment) const -> const peer_state* {
   auto now = clock_.now();
-  auto latest = milliseconds{0};
+  auto latest = moment;
+  const auto* best = static_cast<const peer_state*>(nullptr);
   for (const auto& [vm, heard] : heard_) {
-    if (now - heard.at_ < settings_.fresh_ && heard.state_.store_silence_) {
-      latest = std::max(latest, heard.at_ - *heard.state_.store_silence_);
+    if (now - heard.at_ >= settings_.fresh_ || !heard.state_.store_silence_) {
+      continue;
+    }
+    auto answered_at = heard.at_ - *heard.state_.store_silence_;
+    if (answered_at > latest) {
+      latest = answered_at;
+      best = &heard.state_;
     }
   }
-  return latest;
+  return best;
 }
 
 auto peer_exchange::running_elsewhere() const -> std::map<std::string, double> {
@@ -180,18 +186,6 @@
   return total;
 }
 
-auto peer_exchange::newer_configuration(std::int64_t version) const -> const peer_state* {
-  auto now = clock_.now();
-  const auto* newest = static_cast<const peer_state*>(nullptr);
-  for (const auto& [vm, heard] : heard_) {
-    auto beyond = newest == nullptr ? version : newest->configuration_;
-    if (now - heard.at_ < settings_.fresh_ && heard.state_.configuration_ > beyond) {
-      newest = &heard.state_;
-    }
-  }
-  return newest;
-}
-
 auto peer_exchange::fresh_peers() const -> std::size_t {
   auto now = clock_.now();
   return static_cast<std::size_t>(std::count_if(heard_.begin(), heard_.end(), [&](const auto& entry) {
--- a/birchlever/controllers/peer_exchange.h
+++ b/birchlever/controllers/peer_exchange.h
@@ -1,4 +1,4 @@
-/// What daemons tell each other beside the store: whether it answers them, which configuration they serve,
+/// What daemons tell each other beside the store: when it last answered them, which configuration they serve,
 /// and how many requests they have at each upstream. Losing any message, or all, only makes views older.
 #pragma once
 
@@ -19,9 +19,10 @@
 /// What one daemon says of itself.
 struct peer_state {
   std::string vm_;
-  std::optional<milliseconds> store_silence_;  ///< ms since the store last answered it; none when it never did.
+  std::optional<milliseconds>
+      store_silence_;                   ///< ms since the store last answered it; none when it never did.
   std::int64_t configuration_ = 0;      ///< Version in force there.
-  std::string control_address_;         ///< Where its configuration can be read, "ip:port".
+  std::string control_address_;         ///< Where it relays calls to the store, "ip:port".
   std::map<std::string, int> running_;  ///< Requests at each upstream.
 };
 
@@ -54,15 +55,12 @@
                      const peer_exchange_settings& settings, describe_function describe)
       -> result<std::shared_ptr<peer_exchange>>;
 
-  /// When the store last answered a peer, on our clock, as far as peers said lately; 0 when none did.
-  [[nodiscard]] auto store_answered_at() const -> milliseconds;
+  /// The peer that the store answered last, if that was after the given moment of our clock; else none.
+  [[nodiscard]] auto answered_since(milliseconds moment) const -> const peer_state*;
 
   /// Requests that peers have running at each upstream, by their latest words.
   [[nodiscard]] auto running_elsewhere() const -> std::map<std::string, double>;
 
-  /// The peer with the newest configuration beyond a version, or none.
-  [[nodiscard]] auto newer_configuration(std::int64_t version) const -> const peer_state*;
-
   /// Peers heard of lately.
   [[nodiscard]] auto fresh_peers() const -> std::size_t;
 
--- a/birchlever/coordination/program_store.cpp
+++ b/birchlever/coordination/program_store.cpp
@@ -45,8 +45,7 @@
 }
 
 auto program_store::store_away(const std::string& detail) const -> error {
-  auto retry_after = turned_away_ ? settings_.retry_elsewhere_ : settings_.retry_after_;
-  return error{error_code::store_unavailable, detail, ran_state::not_run, retry_after};
+  return error{error_code::store_unavailable, detail, ran_state::not_run, settings_.retry_after_};
 }
 
 auto program_store::create(event_loop& loop, std::shared_ptr<row_store_interface> rows,
@@ -133,8 +132,7 @@
 auto program_store::collect_patiently(std::string program, std::string newest, milliseconds patient_until,
                                       milliseconds due) -> task<result<chain>> {
   while (true) {
-    auto patience = turned_away_ ? 0 : patient_until - clock_.now();
-    auto reachable = co_await rows_->wait_until_reachable(patience);
+    auto reachable = co_await rows_->wait_until_reachable(patient_until - clock_.now());
     if (!reachable) {
       co_return store_away("the store does not answer");
     }
--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -36,8 +36,6 @@
   milliseconds begin_patience_ = 400;    ///< ms for which a new turn waits while the store answers nothing.
   milliseconds begin_limit_ =
       1800;  ///< ms for all of a turn's beginning: callers leave a stream that is silent for 2 s.
-  milliseconds retry_elsewhere_ =
-      50;                            ///< ms after which a turn refused here may come back to another daemon.
   milliseconds retry_after_ = 3000;  ///< ms after which a turn refused for want of the store may come back:
                                      ///< outages last seconds, and sooner tries only use up the caller's.
   milliseconds cleanup_patience_ = 60000;  ///< ms for which a reservation that was not used is taken back.
@@ -86,9 +84,6 @@
   /// Gives back the reservation of a turn that surely did not run, in the background.
   auto cancel_turn(std::string program, std::string turn) -> void;
 
-  /// Whether the store turns only this daemon away, so that others can serve at once what is refused here.
-  auto set_turned_away(bool turned_away) -> void { turned_away_ = turned_away; }
-
   /// Bytes of histories in memory.
   [[nodiscard]] auto cached_bytes() const -> std::size_t { return cached_bytes_; }
 
@@ -148,7 +143,6 @@
   std::unordered_map<std::string, entry_pointer> entries_;
   std::unordered_map<std::string, std::string> homes_;  ///< The program of each turn in memory.
   std::size_t cached_bytes_ = 0;
-  bool turned_away_ = false;
   milliseconds store_clock_ahead_ = 0;  ///< The store's clock less ours.
 };
 
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -27,9 +27,9 @@
 constexpr auto leave_margin_ms = milliseconds{700};  // Kept free of the time until the platform kills.
 constexpr auto unready_after_ms =
     milliseconds{1000};  // A store that is away for so long has turned us away or is down.
-constexpr auto peer_look_gap = milliseconds{100};    // Half of the gap between two messages of a peer.
-constexpr auto peer_clock_margin = milliseconds{150};    // Calls that were under way when the store went away.
-constexpr auto peer_call_limit = milliseconds{500};  // For reading a peer's configuration: one small page.
+constexpr auto peer_look_gap = milliseconds{100};      // Half of the gap between two messages of a peer.
+constexpr auto peer_clock_margin = milliseconds{150};  // Calls that were under way when the store went away.
+constexpr auto peer_call_limit = milliseconds{500};    // For reading a peer's configuration: one small page.
 constexpr auto configuration_page = "/configuration";
 constexpr auto most_configuration_bytes = std::size_t{4U << 20U};
 constexpr auto finish_check_gap = milliseconds{20};
@@ -136,9 +136,9 @@
   if (settings_.control_address_.empty()) {
     return success;
   }
-  auto control = http_listener::create(
-      loop_, settings_.control_address_,
-      serve_pages([this](const http_request& request) { return control_page(request); }));
+  auto control = http_listener::create(loop_, settings_.control_address_, [this](auto connection) {
+    return serve_control(std::move(connection));
+  });
   if (!ok(control)) {
     return failure(control);
   }
@@ -164,11 +164,7 @@
   if (row.key_.key_ != platform::names::configuration_key || row.removed_) {
     return;
   }
-  take_configuration_text(row.value_, "store");
-}
-
-auto gateway_daemon::take_configuration_text(const std::string& text, const char* source) -> void {
-  auto decoded = platform::decode_configuration(text);
+  auto decoded = platform::decode_configuration(row.value_);
   if (!ok(decoded)) {
     log_failure(log_level::error, "configuration_unreadable", failure(decoded));  // The last good one stays.
     return;
@@ -180,9 +176,7 @@
   log_event(log_level::info, "configuration_taken",
             {{"version", value(decoded).version_},
              {"before", known},
-             {"source", std::string{source}},
              {"routes", static_cast<std::int64_t>(value(decoded).routes_.size())}});
-  configuration_text_ = text;
   context_->configuration_ = std::make_shared<const serving_configuration>(std::move(value(decoded)));
 }
 
@@ -200,6 +194,7 @@
     return failure(joined);
   }
   peers_ = std::move(value(joined));
+  store_->set_relay([this] { return relay_through(); });
   start(loop_, "follow_peers", follow_peers());
   return success;
 }
@@ -226,50 +221,24 @@
       auto found = running.find(id);
       context_->upstreams_->set_running_elsewhere(id, found == running.end() ? 0 : found->second);
     }
-    context_->programs_->set_turned_away(turned_away());
-    auto version = context_->configuration_ ? context_->configuration_->version_ : 0;
-    const auto* newer = store_->reachable() ? nullptr : peers_->newer_configuration(version);
-    if (newer != nullptr && !newer->control_address_.empty()) {
-      auto address = newer->control_address_;
-      co_await fetch_configuration(address);
-    }
   }
 }
 
-auto gateway_daemon::fetch_configuration(std::string address) -> task<> {
-  auto parsed = parse_address(address);
-  if (!ok(parsed)) {
-    co_return;
+auto gateway_daemon::relay_through() const -> std::optional<asio::ip::tcp::endpoint> {
+  // An answer that a peer got after we got none any more: the store is up, and only this daemon is turned
+  // away.
+  const auto* peer = peers_ ? peers_->answered_since(store_->lost_at() + peer_clock_margin) : nullptr;
+  if (peer == nullptr) {
+    return std::nullopt;
   }
-  auto opened = co_await outgoing_connection::open(loop_, value(parsed), peer_call_limit);
-  if (std::holds_alternative<exchange_fault>(opened)) {
-    co_return;
-  }
-  auto connection = std::get<0>(opened);
-  auto request = std::make_shared<http_request>(http::verb::get, configuration_page, 11);
-  request->set(http::field::host, address);
-  connection->send(request, peer_call_limit);
-  auto head = co_await connection->read_head();
-  if (std::holds_alternative<exchange_fault>(head)) {
-    co_return;
-  }
-  auto text = co_await connection->read_rest(most_configuration_bytes);
-  auto whole =
-      std::holds_alternative<std::string>(text) && std::get<http_response>(head).result() == http::status::ok;
-  if (whole) {
-    take_configuration_text(std::get<std::string>(text), "peer");
-  }
-  connection->abort();
-}
-
-auto gateway_daemon::turned_away() const -> bool {
-  // An answer that a peer got after we got none any more: the store is up, and only this daemon is turned away.
-  return peers_ && !store_->reachable() && peers_->store_answered_at() > store_->lost_at() + peer_clock_margin;
+  auto parsed = parse_address(peer->control_address_);
+  return ok(parsed) ? std::optional{value(parsed)} : std::nullopt;
 }
 
 auto gateway_daemon::ready() const -> bool {
-  // A daemon that the store turns away sends callers to others; when all are, the balancer uses them all.
-  auto store_answers = !turned_away() && store_->away_for() < unready_after_ms;
+  // Without the store, and without a peer that relays, callers go to others; when all are so, the balancer
+  // uses all.
+  auto store_answers = store_->away_for() < unready_after_ms;
   return !context_->stopping_ && context_->configuration_ && upstream_follower_->primed() && store_answers;
 }
 
@@ -281,11 +250,6 @@
 
 auto gateway_daemon::control_page(const http_request& request) -> http_response {
   auto answer = http_response{http::status::not_found, 11};
-  if (request.target() == configuration_page && !configuration_text_.empty()) {
-    answer.result(http::status::ok);
-    answer.body() = configuration_text_;
-    return answer;
-  }
   if (request.target() != "/metrics") {
     return answer;
   }
@@ -307,6 +271,29 @@
   return answer;
 }
 
+auto gateway_daemon::serve_control(std::shared_ptr<server_connection> connection) -> task<> {
+  auto limits = request_limits{};
+  auto keep = true;
+  while (keep) {
+    auto read = co_await connection->read_request(limits);
+    auto* request = std::get_if<http_request>(&read);
+    if (request == nullptr) {
+      break;
+    }
+    auto answer = http_response{};
+    if (platform::store_client::is_relay(*request)) {
+      answer = co_await store_->relay(*request);
+    } else {
+      answer = control_page(*request);
+    }
+    answer.keep_alive(request->keep_alive());
+    answer.prepare_payload();
+    auto written = co_await connection->write(std::move(answer));
+    keep = written && request->keep_alive();
+  }
+  co_await connection->linger_and_close();
+}
+
 auto gateway_daemon::keep_house() -> task<> {
   settings_text_ = settings_file_.empty() ? std::string{} : read_text(settings_file_);
   while (true) {
--- a/birchlever_daemon/gateway_daemon.h
+++ b/birchlever_daemon/gateway_daemon.h
@@ -41,9 +41,8 @@
   auto join_peers() -> status;
   auto describe_self() const -> peer_state;
   auto follow_peers() -> task<>;
-  auto fetch_configuration(std::string address) -> task<>;
-  auto take_configuration_text(const std::string& text, const char* source) -> void;
-  auto turned_away() const -> bool;
+  auto relay_through() const -> std::optional<asio::ip::tcp::endpoint>;
+  auto serve_control(std::shared_ptr<server_connection> connection) -> task<>;
   auto ready() const -> bool;
   auto readiness_page(const http_request& request) const -> http_response;
   auto control_page(const http_request& request) -> http_response;
@@ -67,7 +66,6 @@
   std::shared_ptr<gateway_server> server_;
   std::shared_ptr<http_listener> readiness_listener_;
   std::shared_ptr<http_listener> control_listener_;
-  std::string configuration_text_;  ///< As the store gave it, for peers that it turns away.
   bool announced_ready_ = false;
   bool finished_all_ = true;
 };
--- a/unit_tests/platform/store_client_test.cpp
+++ b/unit_tests/platform/store_client_test.cpp
@@ -56,6 +56,8 @@
     return run(client_->commit(transaction, limit));
   }
 
+  [[nodiscard]] auto address() const -> asio::ip::tcp::endpoint { return address_; }
+
   event_loop loop_{1};
   std::deque<step> steps_;
   std::vector<std::string> calls_;
@@ -153,6 +155,41 @@
   }
 }
 
+TEST_CASE("a client that the store turns away calls through a peer, and directly again when it can") {
+  auto store = store_stand_in{};
+  store.steps_ = {{503, ""}, {503, ""}};
+  REQUIRE_FALSE(ok(store.commit(300)));
+  REQUIRE_FALSE(store.client_->reachable());
+  store.client_->set_relay(
+      [&] { return std::optional{store.address()}; });  // The stand-in plays the peer, too.
+  REQUIRE(store.client_->reachable());
+  store.calls_.clear();
+  REQUIRE(ok(store.commit(300)));
+  REQUIRE(store.calls_.at(0).substr(0, 7) == "/relay/");
+  auto clock = steady_clock{};
+  auto give_up = clock.now() + 3000;
+  auto direct = false;
+  while (!direct && clock.now() < give_up) {  // The probe finds the store answering again.
+    store.run(store.client_->read({"t", "p", "", ""}, 100));
+    direct = store.calls_.back().substr(0, 7) != "/relay/";
+  }
+  REQUIRE(direct);
+}
+
+TEST_CASE("a relayed call that got no answer may have been done") {
+  auto request = http_request{http::verb::post, "/relay/birchlever/rows-tx", 11};
+  REQUIRE(store_client::is_relay(request));
+  REQUIRE_FALSE(store_client::is_relay(http_request{http::verb::get, "/metrics", 11}));
+  auto turned_away = store_stand_in{};
+  turned_away.steps_ = {{503, ""}, {503, ""}};
+  REQUIRE_FALSE(ok(turned_away.commit(200)));
+  turned_away.steps_ = {{504, ""}, {504, ""}, {504, ""}, {504, ""},
+                        {504, ""}, {504, ""}, {504, ""}, {504, ""}};
+  turned_away.client_->set_relay([&] { return std::optional{turned_away.address()}; });
+  auto lost = turned_away.commit(200);
+  REQUIRE(failure(lost).code_ == error_code::store_unknown);
+}
+
 TEST_CASE("forgotten history is told apart from a store that is away") {
   auto store = store_stand_in{};
   store.steps_ = {{410, "{}"}, {503, "{}"}};
