--- a/birchlever/http/server_connection.cpp
+++ b/birchlever/http/server_connection.cpp
@@ -64,7 +64,7 @@
 }
 
 server_connection::server_connection(event_loop& loop, asio::ip::tcp::socket socket)
-    : loop_{&loop}, socket_{std::move(socket)}, arrived_{loop}, consumed_{loop} {}
+    : socket_{std::move(socket)}, arrived_{loop}, consumed_{loop} {}
 
 auto server_connection::create(event_loop& loop, asio::ip::tcp::socket socket)
     -> std::shared_ptr<server_connection> {
--- a/birchlever/http/server_connection.h
+++ b/birchlever/http/server_connection.h
@@ -78,7 +78,6 @@
   auto wait_for_bytes(milliseconds limit) -> task<bool>;
   auto mark_gone() -> void;
 
-  event_loop* loop_;
   asio::ip::tcp::socket socket_;
   boost::beast::flat_buffer buffer_;
   loop_signal arrived_;   ///< Bytes came, the peer left, or stopping was asked for.
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -29,9 +29,6 @@
     milliseconds{1000};  // A store that is away for so long has turned us away or is down.
 constexpr auto peer_look_gap = milliseconds{100};      // Half of the gap between two messages of a peer.
 constexpr auto peer_clock_margin = milliseconds{150};  // Calls that were under way when the store went away.
-constexpr auto peer_call_limit = milliseconds{500};    // For reading a peer's configuration: one small page.
-constexpr auto configuration_page = "/configuration";
-constexpr auto most_configuration_bytes = std::size_t{4U << 20U};
 constexpr auto finish_check_gap = milliseconds{20};
 
 auto read_text(const std::string& file) -> std::string {
