--- a/birchlever/coordination/serving_configuration.h
+++ b/birchlever/coordination/serving_configuration.h
@@ -38,7 +38,6 @@
   int max_upstreams_ = 1;        ///< Upstreams on which one request may run.
   bool keeps_turns_ = false;     ///< A turn brings only its new input; the history is kept here.
   milliseconds retention_ = 0;   ///< How long a turn's history is kept after its answer.
-  bool warm_upstream_helps_ = false;
 };
 
 /// What one model engine of a service can do.
--- a/birchlever/upstream/upstream_directory.h
+++ b/birchlever/upstream/upstream_directory.h
@@ -72,7 +72,6 @@
 struct upstream_choice {
   upstream_pointer chosen_;
   std::size_t candidates_ = 0;
-  double cost_ = 0;
   std::int64_t held_tokens_ = 0;
 };
 
