One loop for page servers, one reading of all pages, one parser set-up, one figure for a record's size

Found on reading the change again: the control server repeated serve_pages' loop because pages could not wait (pages are tasks now); a table's scan and a program's load each paged by hand (read_all); the answer parser was set up twice alike; what a record costs stood in two files; table_follower had a stop and a time that nobody used.

--- a/birchlever/controllers/table_follower.cpp
+++ b/birchlever/controllers/table_follower.cpp
@@ -3,6 +3,11 @@
 #include "birchlever/telemetry/log.h"
 
 namespace birchlever {
+namespace {
+
+constexpr auto no_limit = milliseconds{3'600'000};  // A scan ends by its pages' own limits.
+
+}  // namespace
 
 table_follower::table_follower(event_loop& loop, std::shared_ptr<row_store_interface> rows,
                                table_follower_settings settings, table_follower_events events)
@@ -19,7 +24,7 @@
 
 auto table_follower::follow() -> task<> {
   auto self = shared_from_this();
-  while (!stopped_) {
+  while (true) {
     auto good = false;
     if (scan_needed_) {
       good = co_await scan();
@@ -31,9 +36,8 @@
 }
 
 auto table_follower::answered() -> void {
-  heard_at_ = clock_.now();
   if (std::exchange(lost_, false)) {
-    regained_at_ = heard_at_;
+    regained_at_ = clock_.now();
     log_event(log_level::info, "store_regained", {{"table", settings_.table_}, {"version", version_}});
   }
 }
@@ -49,26 +53,13 @@
 }
 
 auto table_follower::scan() -> task<bool> {
-  auto rows = std::vector<stored_row>{};
   auto range = row_range{settings_.table_, "", "", ""};
-  auto version = std::int64_t{0};
-  auto more = true;
-  while (more) {
-    auto page = co_await rows_->read(range, settings_.scan_limit_);
-    if (!ok(page)) {
-      unanswered(failure(page));
-      co_return false;
-    }
-    auto& read = value(page);
-    version = version == 0 ? read.version_ : std::min(version, read.version_);
-    for (auto& row : read.rows_) {
-      rows.push_back(std::move(row));
-    }
-    more = read.more_ && !read.rows_.empty();
-    if (more) {
-      range.from_ = rows.back().key_.key_ + '\x01';
-    }
+  auto page = co_await read_all(*rows_, range, settings_.scan_limit_, no_limit);
+  if (!ok(page)) {
+    unanswered(failure(page));
+    co_return false;
   }
+  auto version = value(page).version_;
   answered();
   if (version < version_) {
     log_event(log_level::warning, "scan_behind",
@@ -79,7 +70,7 @@
   version_ = version;
   scan_needed_ = false;
   primed_ = true;
-  events_.snapshot_(rows);
+  events_.snapshot_(value(page).rows_);
   co_return true;
 }
 
--- a/birchlever/controllers/table_follower.h
+++ b/birchlever/controllers/table_follower.h
@@ -40,18 +40,12 @@
   /// True once a first scan was told.
   [[nodiscard]] auto primed() const -> bool { return primed_; }
 
-  /// When the store last answered, on our clock; 0 when never.
-  [[nodiscard]] auto heard_at() const -> milliseconds { return heard_at_; }
-
   /// When the store answered again after it had not, on our clock; 0 when it never failed.
   [[nodiscard]] auto regained_at() const -> milliseconds { return regained_at_; }
 
   /// True while the last look failed.
   [[nodiscard]] auto lost() const -> bool { return lost_; }
 
-  /// Follows no longer.
-  auto stop() -> void { stopped_ = true; }
-
  private:
   table_follower(event_loop& loop, std::shared_ptr<row_store_interface> rows,
                  table_follower_settings settings, table_follower_events events);
@@ -68,12 +62,10 @@
   table_follower_events events_;
   steady_clock clock_;
   std::int64_t version_ = 0;
-  milliseconds heard_at_ = 0;
   milliseconds regained_at_ = 0;
   bool scan_needed_ = true;
   bool primed_ = false;
   bool lost_ = false;
-  bool stopped_ = false;
 };
 
 }  // namespace birchlever
--- a/birchlever/coordination/program_store.cpp
+++ b/birchlever/coordination/program_store.cpp
@@ -13,7 +13,6 @@
 constexpr auto longest_name = std::size_t{64};  // Longer identities are hashed into a row's key.
 constexpr auto read_again_gap =
     milliseconds{50};  // Between two readings of a history that the store refused.
-constexpr auto entry_overhead = std::size_t{512};  // Bytes an entry costs beside its histories, roughly.
 
 auto part_name(const std::string& program, int parts) -> std::string {
   return "p" + std::to_string(hash_of(program) % static_cast<std::uint64_t>(parts));
@@ -90,7 +89,7 @@
     }
     cached_bytes_ -= entry_overhead;
     for (const auto& [turn, record] : oldest->second->turns_) {
-      cached_bytes_ -= record->input_.size() + record->output_.size() + entry_overhead;
+      cached_bytes_ -= bytes_of(*record);
       homes_.erase(turn);
     }
     entries_.erase(oldest);
--- a/birchlever/coordination/program_store_read.cpp
+++ b/birchlever/coordination/program_store_read.cpp
@@ -7,9 +7,8 @@
 namespace birchlever {
 namespace {
 
-constexpr auto entry_overhead = std::size_t{512};  // Bytes a record costs beside its texts, roughly.
-constexpr auto behind_turns = '0';                 // The next letter after the slash of turns_prefix.
-constexpr auto behind_key = '\x01';                // Makes the next key after a given one.
+constexpr auto behind_turns = '0';   // The next letter after the slash of turns_prefix.
+constexpr auto behind_key = '\x01';  // Makes the next key after a given one.
 
 auto begins_with(const std::string& text, const std::string& start) -> bool {
   return text.compare(0, start.size(), start) == 0;
@@ -40,7 +39,7 @@
 }  // namespace
 
 auto program_store::remember(entry& program, const std::string& turn, record_pointer record) -> void {
-  auto bytes = record->input_.size() + record->output_.size() + entry_overhead;
+  auto bytes = bytes_of(*record);
   if (program.turns_.emplace(turn, std::move(record)).second) {
     homes_[turn] = program.name_;
     cached_bytes_ += bytes;
@@ -88,33 +87,20 @@
 }
 
 auto program_store::load(entry_pointer program, bool with_turns, milliseconds time_left) -> task<status> {
-  auto until = clock_.now() + time_left;
   auto first = budget_key(program->name_);
   auto range = row_range{settings_.table_, program->part_, first, first + behind_key};
   if (with_turns) {
     range.until_ = program->name_ + behind_turns;
   }
-  auto rows = std::vector<stored_row>{};
-  auto more = true;
-  while (more) {
-    auto page = co_await rows_->read(range, std::min(settings_.call_limit_, until - clock_.now()));
-    if (!ok(page)) {
-      co_return failure(page);
-    }
-    auto& read = value(page);
-    store_clock_ahead_ = read.store_now_ - clock_.now();
-    more = read.more_ && !read.rows_.empty();
-    for (auto& row : read.rows_) {
-      rows.push_back(std::move(row));
-    }
-    if (more) {
-      range.from_ = rows.back().key_.key_ + behind_key;
-    }
+  auto page = co_await read_all(*rows_, range, settings_.call_limit_, time_left);
+  if (!ok(page)) {
+    co_return failure(page);
   }
+  store_clock_ahead_ = value(page).store_now_ - clock_.now();
   // A transaction under way may have moved the budget on since; its condition then tells.
   program->version_ = version_absent;
   program->record_ = program_record{};
-  co_return take_rows(*program, rows);
+  co_return take_rows(*program, value(page).rows_);
 }
 
 auto program_store::collect(std::string program, std::string newest, milliseconds time_left)
--- a/birchlever/coordination/program_store_state.h
+++ b/birchlever/coordination/program_store_state.h
@@ -11,6 +11,14 @@
 /// The version that stands for no row.
 inline constexpr auto version_absent = std::int64_t{0};
 
+/// Bytes that an entry or a record costs beside its texts, roughly.
+inline constexpr auto entry_overhead = std::size_t{512};
+
+/// Bytes that a turn takes in memory.
+[[nodiscard]] inline auto bytes_of(const turn_record& record) -> std::size_t {
+  return record.input_.size() + record.output_.size() + entry_overhead;
+}
+
 /// An identity as part of a key: itself when it is short and plain, else its hash.
 [[nodiscard]] auto key_name(const std::string& identity) -> std::string;
 
--- a/birchlever/http/http_listener.cpp
+++ b/birchlever/http/http_listener.cpp
@@ -85,7 +85,7 @@
     if (request == nullptr) {
       break;
     }
-    auto answer = page(*request);
+    auto answer = co_await page(*request);
     answer.keep_alive(request->keep_alive());
     answer.prepare_payload();
     auto written = co_await connection->write(std::move(answer));
--- a/birchlever/http/http_listener.h
+++ b/birchlever/http/http_listener.h
@@ -37,10 +37,10 @@
   bool stopped_ = false;
 };
 
-/// Answers one request of a simple page server.
-using page_function = std::function<http_response(const http_request&)>;
+/// Answers one request of a page server. The request lives until the answer is there.
+using page_function = std::function<task<http_response>(const http_request&)>;
 
-/// A serve_function for pages that need no waiting: metrics, readiness.
+/// A serve_function for pages: metrics, readiness, a peer's calls.
 [[nodiscard]] auto serve_pages(page_function page) -> http_listener::serve_function;
 
 }  // namespace birchlever
--- a/birchlever/http/outgoing_connection.cpp
+++ b/birchlever/http/outgoing_connection.cpp
@@ -75,17 +75,21 @@
   return answer_begun_ ? exchange_fault::broken : exchange_fault::closed_unasked;
 }
 
+auto outgoing_connection::renew_parser() -> void {
+  parser_ = std::make_unique<http::response_parser<http::string_body>>();
+  parser_->header_limit(most_header_bytes);
+  parser_->body_limit(no_limit);
+  parser_->eager(true);
+  parser_->skip(head_request_);
+}
+
 auto outgoing_connection::send(std::shared_ptr<const http_request> request, milliseconds time_left) -> void {
   ++exchanges_;
   written_ = false;
   whole_ = false;
   answer_begun_ = false;
   head_request_ = request->method() == http::verb::head;
-  parser_ = std::make_unique<http::response_parser<http::string_body>>();
-  parser_->header_limit(most_header_bytes);
-  parser_->body_limit(no_limit);
-  parser_->eager(true);
-  parser_->skip(head_request_);
+  renew_parser();
   arm(time_left);
   start(*loop_, "write_request", write_request(std::move(request)));
 }
@@ -110,11 +114,7 @@
     }
     continued = http::to_status_class(parser_->get().result()) == http::status_class::informational;
     if (continued) {
-      parser_ = std::make_unique<http::response_parser<http::string_body>>();
-      parser_->header_limit(most_header_bytes);
-      parser_->body_limit(no_limit);
-      parser_->eager(true);
-      parser_->skip(head_request_);
+      renew_parser();
     }
   }
   keep_alive_ = keep_alive_ms(parser_->get()).value_or(standard_keep_alive);
--- a/birchlever/http/outgoing_connection.h
+++ b/birchlever/http/outgoing_connection.h
@@ -77,6 +77,7 @@
   auto write_request(std::shared_ptr<const http_request> request) -> task<>;
   auto fault_of(const boost::system::error_code& code) const -> exchange_fault;
   auto arm(milliseconds time_left) -> void;
+  auto renew_parser() -> void;
 
   event_loop* loop_;
   asio::ip::tcp::socket socket_;
--- /dev/null
+++ b/birchlever/storage/row_store_interface.cpp
@@ -0,0 +1,37 @@
+#include "birchlever/storage/row_store_interface.h"
+
+#include <algorithm>
+
+namespace birchlever {
+namespace {
+
+constexpr auto behind_key = '\x01';  // Makes the next key after a given one.
+
+}  // namespace
+
+auto read_all(row_store_interface& rows, row_range range, milliseconds page_limit, milliseconds time_left)
+    -> task<result<row_page>> {
+  auto clock = steady_clock{};
+  auto until = clock.now() + time_left;
+  auto all = row_page{};
+  auto more = true;
+  while (more) {
+    auto page = co_await rows.read(range, std::min(page_limit, until - clock.now()));
+    if (!ok(page)) {
+      co_return failure(page);
+    }
+    auto& read = value(page);
+    all.version_ = all.version_ == 0 ? read.version_ : std::min(all.version_, read.version_);
+    all.store_now_ = read.store_now_;
+    more = read.more_ && !read.rows_.empty();
+    for (auto& row : read.rows_) {
+      all.rows_.push_back(std::move(row));
+    }
+    if (more) {
+      range.from_ = all.rows_.back().key_.key_ + behind_key;
+    }
+  }
+  co_return all;
+}
+
+}  // namespace birchlever
--- a/birchlever/storage/row_store_interface.h
+++ b/birchlever/storage/row_store_interface.h
@@ -95,4 +95,9 @@
       -> task<result<std::vector<std::string>>> = 0;
 };
 
+/// Reads all pages of a range, each within `page_limit` and all within `time_left` ms. The version is the
+/// oldest that a page reflects. Failures: those of read.
+auto read_all(row_store_interface& rows, row_range range, milliseconds page_limit, milliseconds time_left)
+    -> task<result<row_page>>;
+
 }  // namespace birchlever
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -133,9 +133,9 @@
   if (settings_.control_address_.empty()) {
     return success;
   }
-  auto control = http_listener::create(loop_, settings_.control_address_, [this](auto connection) {
-    return serve_control(std::move(connection));
-  });
+  auto control = http_listener::create(
+      loop_, settings_.control_address_,
+      serve_pages([this](const http_request& request) { return control_page(request); }));
   if (!ok(control)) {
     return failure(control);
   }
@@ -239,17 +239,24 @@
   return !context_->stopping_ && context_->configuration_ && upstream_follower_->primed() && store_answers;
 }
 
-auto gateway_daemon::readiness_page(const http_request& request) const -> http_response {
+auto gateway_daemon::readiness_page(const http_request& request) const -> task<http_response> {
   auto known = request.target() == platform::names::readiness_path;
   auto status = ready() ? http::status::ok : http::status::service_unavailable;
-  return http_response{known ? status : http::status::not_found, 11};
+  co_return http_response{known ? status : http::status::not_found, 11};
 }
 
-auto gateway_daemon::control_page(const http_request& request) -> http_response {
-  auto answer = http_response{http::status::not_found, 11};
-  if (request.target() != "/metrics") {
-    return answer;
+auto gateway_daemon::control_page(const http_request& request) -> task<http_response> {
+  if (platform::store_client::is_relay(request)) {
+    auto relayed = co_await store_->relay(request);
+    co_return relayed;
+  }
+  if (request.target() == "/metrics") {
+    co_return metrics_page();
   }
+  co_return http_response{http::status::not_found, 11};
+}
+
+auto gateway_daemon::metrics_page() -> http_response {
   auto& counters = *context_->metrics_;
   counters.gauge("requests_under_way", context_->under_way_);
   counters.gauge("caller_connections", static_cast<double>(server_->connections()));
@@ -262,35 +269,12 @@
                  static_cast<double>(context_->upstream_connections_->opened()));
   counters.gauge("configuration_version",
                  context_->configuration_ ? static_cast<double>(context_->configuration_->version_) : 0);
-  answer.result(http::status::ok);
+  auto answer = http_response{http::status::ok, 11};
   answer.set(http::field::content_type, "text/plain; version=0.0.4");
   answer.body() = counters.to_prometheus();
   return answer;
 }
 
-auto gateway_daemon::serve_control(std::shared_ptr<server_connection> connection) -> task<> {
-  auto limits = request_limits{};
-  auto keep = true;
-  while (keep) {
-    auto read = co_await connection->read_request(limits);
-    auto* request = std::get_if<http_request>(&read);
-    if (request == nullptr) {
-      break;
-    }
-    auto answer = http_response{};
-    if (platform::store_client::is_relay(*request)) {
-      answer = co_await store_->relay(*request);
-    } else {
-      answer = control_page(*request);
-    }
-    answer.keep_alive(request->keep_alive());
-    answer.prepare_payload();
-    auto written = co_await connection->write(std::move(answer));
-    keep = written && request->keep_alive();
-  }
-  co_await connection->linger_and_close();
-}
-
 auto gateway_daemon::keep_house() -> task<> {
   settings_text_ = settings_file_.empty() ? std::string{} : read_text(settings_file_);
   while (true) {
--- a/birchlever_daemon/gateway_daemon.h
+++ b/birchlever_daemon/gateway_daemon.h
@@ -42,10 +42,10 @@
   auto describe_self() const -> peer_state;
   auto follow_peers() -> task<>;
   auto relay_through() const -> std::optional<asio::ip::tcp::endpoint>;
-  auto serve_control(std::shared_ptr<server_connection> connection) -> task<>;
   auto ready() const -> bool;
-  auto readiness_page(const http_request& request) const -> http_response;
-  auto control_page(const http_request& request) -> http_response;
+  auto readiness_page(const http_request& request) const -> task<http_response>;
+  auto control_page(const http_request& request) -> task<http_response>;
+  auto metrics_page() -> http_response;
   auto wait_for_stop() -> task<>;
   auto wait_for_reload() -> task<>;
   auto keep_house() -> task<>;
