A void ticket no longer reopens a call whose caller was told that its outcome is unknown

An owner dies after it made a tool call's intent durable and before the ticket arrived. The entry asks for 800 ms, gives up and reports the ticket as unused later. Meanwhile the caller asks again with a new request, hears outcome_unknown and goes on with the next call. The late report then erased the call, so the next call waited for it for good (call_out_of_order). Ruled out: the settlement of the tool's own answer and the adoption of calls under way; both keep the number. Change: once another request heard that the outcome is unknown, a void ticket frees the budget and keeps the number. Test fails first: 3 of its checks, the next call waits.

--- a/birchlever/coordination/program.h
+++ b/birchlever/coordination/program.h
@@ -42,6 +42,7 @@
   std::string upstream_;
   std::string key_;
   std::string request_id_;       ///< Of the request that got the current ticket.
+  bool told_unknown_ = false;    ///< Another request heard that the outcome is unknown; it may have gone on.
   milliseconds expires_at_ = 0;  ///< When the current attempt is given up.
   std::string answer_;
   answer_location location_;
--- a/birchlever/coordination/program_ledger.cpp
+++ b/birchlever/coordination/program_ledger.cpp
@@ -147,6 +147,7 @@
         return begin(owner, order,
                      now);  // The asker itself lost the ticket, so the call was surely not sent.
       }
+      call.told_unknown_ = true;
       return open_resolve{call.upstream_, call.key_};
     case call_phase::failed:
       if (owner.ended_) {
--- a/birchlever/coordination/program_ledger_settle.cpp
+++ b/birchlever/coordination/program_ledger_settle.cpp
@@ -95,7 +95,9 @@
   auto unused = report;
   unused.max_tokens_ = call.max_tokens_;
   auto record = charged_record(owner, unused, 0);
-  record.kind_ = record_kind::call_voided;
+  // A caller that was told that the outcome is unknown goes on with the next call and never sends this one
+  // again: its number must stay taken, or the next call would wait for it for good.
+  record.kind_ = call.told_unknown_ ? record_kind::call_charged : record_kind::call_voided;
   return {record};
 }
 
--- a/unit_tests/coordination/program_ledger_test.cpp
+++ b/unit_tests/coordination/program_ledger_test.cpp
@@ -144,6 +144,23 @@
   CHECK(std::holds_alternative<open_proceed>(next.ledger_.open(order, "default", 0)));
 }
 
+TEST_CASE("a void ticket does not reopen a call whose caller was told that its outcome is unknown") {
+  auto owner = one_owner{};
+  owner.answer(order_of(1), owner.send(order_of(1)));
+  auto lost = order_of(2, false);
+  owner.send(lost);
+  auto next = owner.succeed(2);
+  REQUIRE(std::holds_alternative<open_resolve>(next.ledger_.open(asked_again(lost), "default", 0)));
+  auto held = next.ledger_.find("notary", "p")->budget_.held();
+  auto unused = call_settlement{"notary", "p", 2};
+  unused.outcome_ = call_outcome::not_run;
+  unused.request_id_ = lost.request_id_;
+  next.keep(value(next.ledger_.settle(unused, 0)).records_);
+  CHECK(next.ledger_.find("notary", "p")->budget_.held() == held - lost.max_tokens_);
+  CHECK(std::holds_alternative<open_proceed>(next.ledger_.open(order_of(3), "default", 0)));
+  CHECK(std::holds_alternative<open_resolve>(next.ledger_.open(asked_again(lost), "default", 0)));
+}
+
 TEST_CASE("a call that was opened but found no upstream can be opened again") {
   auto owner = one_owner{};
   owner.answer(order_of(1), owner.send(order_of(1)));
