--- a/birchlever/coordination/program_record.cpp
+++ b/birchlever/coordination/program_record.cpp
@@ -1,5 +1,6 @@
 #include "birchlever/coordination/program_record.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace birchlever {
@@ -45,22 +46,40 @@
 
 auto program_record::committed() const -> std::int64_t {
   auto total = spent_;
-  for (const auto& [turn, most] : reserved_) {
-    total += most;
+  for (const auto& [name, held] : reserved_) {
+    total += held.tokens_;
   }
   return total;
 }
 
+auto program_record::drop_expired(milliseconds store_now) -> void {
+  for (auto next = reserved_.begin(); next != reserved_.end();) {
+    auto expired = next->second.expires_at_ > 0 && next->second.expires_at_ <= store_now;
+    next = expired ? reserved_.erase(next) : std::next(next);
+  }
+}
+
+auto program_record::has_leased() const -> bool {
+  return std::any_of(reserved_.begin(), reserved_.end(),
+                     [](const auto& entry) { return entry.second.expires_at_ > 0; });
+}
+
 auto encode(const program_record& record) -> std::string {
-  return to_text(
-      json{{spent_key, record.spent_}, {reserved_key, record.reserved_}, {touched_key, record.touched_at_}});
+  auto reserved = json::object();
+  for (const auto& [name, held] : record.reserved_) {
+    reserved[name] = json::array({held.tokens_, held.expires_at_});
+  }
+  return to_text(json{
+      {spent_key, record.spent_}, {reserved_key, std::move(reserved)}, {touched_key, record.touched_at_}});
 }
 
 auto decode_program(std::string_view value) -> result<program_record> {
   return reading(value, [](const json& row) {
     auto record = program_record{};
     row.at(spent_key).get_to(record.spent_);
-    row.at(reserved_key).get_to(record.reserved_);
+    for (const auto& [name, held] : row.at(reserved_key).items()) {
+      record.reserved_[name] = {held.at(0).get<std::int64_t>(), held.at(1).get<milliseconds>()};
+    }
     row.at(touched_key).get_to(record.touched_at_);
     return record;
   });
--- a/birchlever/coordination/program_record.h
+++ b/birchlever/coordination/program_record.h
@@ -12,14 +12,28 @@
 
 namespace birchlever {
 
-/// A program's budget: what its turns have spent and what those under way may still spend, in tokens.
+/// A part of a budget that is set aside.
+struct reservation {
+  std::int64_t tokens_ = 0;  ///< The most that its turn can generate.
+  milliseconds expires_at_ =
+      0;  ///< On the store's clock; 0 for a turn under way, which holds it until it ends.
+};
+
+/// A program's budget: what its turns have spent and what those under way may still spend, in tokens. A
+/// daemon may also hold a leased reservation, for a turn that has not come yet.
 struct program_record {
   std::int64_t spent_ = 0;
-  std::map<std::string, std::int64_t> reserved_;  ///< By turn: the most it can generate.
-  milliseconds touched_at_ = 0;                   ///< On the store's clock.
+  std::map<std::string, reservation> reserved_;  ///< By turn, or by the name of a leased reservation.
+  milliseconds touched_at_ = 0;                  ///< On the store's clock.
 
   /// Spent and reserved together.
   [[nodiscard]] auto committed() const -> std::int64_t;
+
+  /// Takes back leased reservations whose lease is over.
+  auto drop_expired(milliseconds store_now) -> void;
+
+  /// True while some daemon may still use a leased reservation.
+  [[nodiscard]] auto has_leased() const -> bool;
 };
 
 /// A turn whose answer was delivered whole.
--- a/birchlever/coordination/program_store.cpp
+++ b/birchlever/coordination/program_store.cpp
@@ -106,7 +106,8 @@
   auto newest = order.previous_.empty() ? std::string{} : key_name(order.previous_);
   auto past = co_await collect_patiently(program->name_, newest, patient_until, due);
   auto reserved = ok(past) ? status{success} : status{failure(past)};
-  if (ok(reserved)) {
+  auto reservation = ok(past) ? take_leased(*program, order) : std::nullopt;
+  if (ok(reserved) && !reservation) {
     reserved = co_await reserve(program, order, due - clock_.now());
   }
   --program->users_;
@@ -115,6 +116,7 @@
     co_return failure(reserved);
   }
   auto grant = turn_grant{};
+  grant.reservation_ = reservation.value_or(order.turn_);
   const auto& turns = value(past).turns_;
   for (auto turn = turns.rbegin(); turn != turns.rend(); ++turn) {
     grant.prompt_ += (*turn)->input_;
@@ -144,10 +146,27 @@
   }
 }
 
+auto program_store::take_leased(entry& program, const turn_order& order) -> std::optional<std::string> {
+  auto now = clock_.now();
+  auto& leased = program.leased_;
+  leased.erase(std::remove_if(leased.begin(), leased.end(),
+                              [&](const leased_reservation& one) { return one.usable_until_ <= now; }),
+               leased.end());
+  auto fits = [&](const leased_reservation& one) { return one.tokens_ >= order.most_tokens_; };
+  auto found = std::find_if(leased.begin(), leased.end(), fits);
+  if (found == leased.end()) {
+    return std::nullopt;
+  }
+  auto name = std::move(found->name_);
+  leased.erase(found);
+  return name;
+}
+
 auto program_store::reserve(entry_pointer program, const turn_order& order, milliseconds time_left)
     -> task<status> {
   auto wanted = std::make_shared<change>(*loop_);
   wanted->turn_ = order.turn_;
+  wanted->reservation_ = order.turn_;
   wanted->tokens_ = order.most_tokens_;
   wanted->budget_ = order.budget_;
   wanted->give_up_at_ = clock_.now() + std::min(time_left, settings_.begin_patience_);
@@ -173,7 +192,10 @@
   auto wanted = std::make_shared<change>(*loop_);
   wanted->kind_ = change::kind::settle;
   wanted->turn_ = ended.turn_;
+  wanted->reservation_ = ended.reservation_;
   wanted->tokens_ = ended.tokens_;
+  wanted->most_tokens_ = ended.most_tokens_;
+  wanted->budget_ = ended.budget_;
   wanted->give_up_at_ = clock_.now() + std::max(time_left, settings_.cleanup_patience_);
   if (ended.whole_) {
     wanted->whole_ = std::make_shared<const turn_record>(std::move(*ended.whole_));
@@ -182,10 +204,11 @@
   co_return co_await wait_for(wanted, time_left);
 }
 
-auto program_store::cancel_turn(std::string program, std::string turn) -> void {
+auto program_store::cancel_turn(const std::string& program, const std::string& reservation) -> void {
   auto wanted = std::make_shared<change>(*loop_);
   wanted->kind_ = change::kind::release;
-  wanted->turn_ = std::move(turn);
+  wanted->turn_ = reservation;
+  wanted->reservation_ = reservation;
   wanted->give_up_at_ = clock_.now() + settings_.cleanup_patience_;
   queue(entry_of(program), wanted);
 }
--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -38,6 +38,11 @@
       1800;  ///< ms for all of a turn's beginning: callers leave a stream that is silent for 2 s.
   milliseconds retry_after_ = 3000;  ///< ms after which a turn refused for want of the store may come back:
                                      ///< outages last seconds, and sooner tries only use up the caller's.
+  milliseconds reservation_lease_ = 3000;  ///< ms for which a daemon may use a reservation that it holds for
+                                           ///< the next turn: pauses and tools between turns take up to 2 s.
+  milliseconds longest_turn_ = 8000;  ///< ms after the lease until another daemon takes the reservation back:
+                                      ///< a turn that began under it has ended by then.
+  std::size_t most_leased_ = 3;       ///< Leased reservations of one program kept here: its parallel lines.
   milliseconds cleanup_patience_ = 60000;  ///< ms for which a reservation that was not used is taken back.
 };
 
@@ -53,6 +58,7 @@
 
 /// A turn that may be sent now: its budget is reserved.
 struct turn_grant {
+  std::string reservation_;       ///< Names the reservation until the turn is settled or cancelled.
   std::string prompt_;            ///< History and new input, byte for byte.
   std::string last_upstream_;     ///< The engine that ran the previous turn, if any.
   std::string previous_program_;  ///< The program of the previous turn, when it is another one.
@@ -62,7 +68,10 @@
 struct turn_end {
   std::string program_;
   std::string turn_;
-  std::int64_t tokens_ = 0;           ///< Handed to the caller.
+  std::string reservation_;       ///< As granted.
+  std::int64_t tokens_ = 0;       ///< Handed to the caller.
+  std::int64_t most_tokens_ = 0;  ///< The most that it could generate; the next turn may need as much.
+  std::optional<std::int64_t> budget_;
   std::optional<turn_record> whole_;  ///< Only of an answer that came whole.
 };
 
@@ -82,7 +91,7 @@
   auto end_turn(turn_end ended, milliseconds time_left) -> task<status>;
 
   /// Gives back the reservation of a turn that surely did not run, in the background.
-  auto cancel_turn(std::string program, std::string turn) -> void;
+  auto cancel_turn(const std::string& program, const std::string& reservation) -> void;
 
   /// Bytes of histories in memory.
   [[nodiscard]] auto cached_bytes() const -> std::size_t { return cached_bytes_; }
@@ -111,6 +120,7 @@
   auto entry_named(const std::string& name) -> entry_pointer;
   auto collect_patiently(std::string program, std::string newest, milliseconds patient_until,
                          milliseconds due) -> task<result<chain>>;
+  auto take_leased(entry& program, const turn_order& order) -> std::optional<std::string>;
   auto reserve(entry_pointer program, const turn_order& order, milliseconds time_left) -> task<status>;
   auto queue(const entry_pointer& program, change_pointer wanted) -> void;
   auto wait_for(change_pointer wanted, milliseconds time_left) -> task<status>;
@@ -129,7 +139,12 @@
   // program_store_write.cpp: changes into rows.
   auto write_changes(entry_pointer program) -> task<>;
   auto write_batch(entry_pointer program) -> task<status>;
-  static auto apply(const change& wanted, program_record& record) -> verdict;
+  auto apply(const entry& program, const change& wanted, program_record& record) const -> verdict;
+  auto apply_reserve(const change& wanted, program_record& record) const -> verdict;
+  static auto apply_settle(const entry& program, const change& wanted, program_record& record) -> verdict;
+  auto lease_next(entry& program, const change& settled, batch_plan& planned) const -> void;
+  [[nodiscard]] auto store_now() const -> milliseconds { return clock_.now() + store_clock_ahead_; }
+  auto note_store_clock(milliseconds store_now, milliseconds asked_at) -> void;
   auto plan(entry& program, bool fresh) -> batch_plan;
   auto conclude(entry& program, const batch_plan& planned) -> void;
   auto add_turn_rows(const entry& program, const change& wanted, row_transaction& transaction) const -> void;
@@ -143,7 +158,9 @@
   std::unordered_map<std::string, entry_pointer> entries_;
   std::unordered_map<std::string, std::string> homes_;  ///< The program of each turn in memory.
   std::size_t cached_bytes_ = 0;
-  milliseconds store_clock_ahead_ = 0;  ///< The store's clock less ours.
+  milliseconds store_clock_ahead_ = 0;  ///< The store's clock less ours, at most so much too little as below.
+  milliseconds store_clock_error_ = 0;  ///< How long the call took that told.
+  bool store_clock_known_ = false;
 };
 
 }  // namespace birchlever
--- a/birchlever/coordination/program_store_read.cpp
+++ b/birchlever/coordination/program_store_read.cpp
@@ -92,11 +92,12 @@
   if (with_turns) {
     range.until_ = program->name_ + behind_turns;
   }
+  auto asked_at = clock_.now();
   auto page = co_await read_all(*rows_, range, settings_.call_limit_, time_left);
   if (!ok(page)) {
     co_return failure(page);
   }
-  store_clock_ahead_ = value(page).store_now_ - clock_.now();
+  note_store_clock(value(page).store_now_, asked_at);
   // A transaction under way may have moved the budget on since; its condition then tells.
   program->version_ = version_absent;
   program->record_ = program_record{};
--- a/birchlever/coordination/program_store_state.h
+++ b/birchlever/coordination/program_store_state.h
@@ -36,17 +36,27 @@
 
   kind kind_ = kind::reserve;
   std::string turn_;
+  std::string reservation_;
   std::int64_t tokens_ = 0;
+  std::int64_t most_tokens_ = 0;
   std::optional<std::int64_t> budget_;
   std::shared_ptr<const turn_record> whole_;
   milliseconds give_up_at_ = 0;
-  bool sent_ = false;     ///< A transaction with it went out, so it may have been done.
-  bool expired_ = false;  ///< Its caller has left.
+  bool sent_ = false;       ///< A transaction with it went out, so it may have been done.
+  bool expired_ = false;    ///< Its caller has left.
+  bool looked_up_ = false;  ///< The turn's row was looked for, after a transaction without an answer.
   bool done_ = false;
   status outcome_ = success;
   loop_signal finished_;
 };
 
+/// A reservation that is durable already, for the next turn that comes here.
+struct leased_reservation {
+  std::string name_;
+  std::int64_t tokens_ = 0;
+  milliseconds usable_until_ = 0;  ///< On our clock.
+};
+
 /// What this daemon knows of a program.
 struct program_store::entry {
   std::string name_;  ///< As it stands in keys.
@@ -54,6 +64,7 @@
   program_record record_;
   std::int64_t version_ = version_not_read;
   std::unordered_map<std::string, std::shared_ptr<const turn_record>> turns_;
+  std::vector<leased_reservation> leased_;
   std::deque<change_pointer> queue_;
   bool writing_ = false;
   int users_ = 0;
@@ -61,7 +72,7 @@
 };
 
 /// What a change does to a record.
-enum class program_store::verdict { applied, done_before, over_budget, expired };
+enum class program_store::verdict { applied, done_before, over_budget, budget_leased, expired, unclear };
 
 /// The transaction that makes the next changes of a program.
 struct program_store::batch_plan {
@@ -69,7 +80,9 @@
   row_transaction transaction_;
   std::vector<std::pair<change_pointer, verdict>> changes_;
   bool writes_ = false;
+  std::vector<leased_reservation> leased_;
   bool needs_fresh_ = false;  ///< A refusal would rest on a record that others may have changed.
+  bool needs_turns_ = false;  ///< Only the turns' rows tell whether a change was made.
 };
 
 }  // namespace birchlever
--- a/birchlever/coordination/program_store_write.cpp
+++ b/birchlever/coordination/program_store_write.cpp
@@ -63,34 +63,82 @@
   shrink();
 }
 
-auto program_store::apply(const change& wanted, program_record& record) -> verdict {
-  auto reserved = record.reserved_.find(wanted.turn_);
+auto program_store::note_store_clock(milliseconds store_now, milliseconds asked_at) -> void {
+  auto now = clock_.now();
+  // The store read its clock before the answer came, so the difference is never too large.
+  store_clock_ahead_ = store_now - now;
+  store_clock_error_ = now - asked_at;
+  store_clock_known_ = true;
+}
+
+auto program_store::apply_reserve(const change& wanted, program_record& record) const -> verdict {
+  if (record.reserved_.count(wanted.reservation_) != 0) {
+    return verdict::done_before;
+  }
+  auto over = [&] { return wanted.budget_ && record.committed() + wanted.tokens_ > *wanted.budget_; };
+  if (over() && store_clock_known_) {
+    record.drop_expired(store_now());
+  }
+  if (over()) {
+    auto spent_alone = record.spent_ + wanted.tokens_ > *wanted.budget_;
+    return record.has_leased() && !spent_alone ? verdict::budget_leased : verdict::over_budget;
+  }
+  record.reserved_[wanted.reservation_] = {wanted.tokens_, 0};
+  return verdict::applied;
+}
+
+auto program_store::apply_settle(const entry& program, const change& wanted, program_record& record)
+    -> verdict {
+  auto reserved = record.reserved_.find(wanted.reservation_);
+  auto held = reserved != record.reserved_.end();
+  if (!held && wanted.sent_) {
+    // Made by a transaction without an answer, or its lease was over and the reservation was taken back.
+    if (!wanted.whole_ || program.turns_.count(key_name(wanted.turn_)) != 0) {
+      return verdict::done_before;
+    }
+    if (!wanted.looked_up_) {
+      return verdict::unclear;
+    }
+  }
+  record.spent_ += wanted.tokens_;
+  if (held) {
+    record.reserved_.erase(reserved);
+  }
+  return verdict::applied;
+}
+
+auto program_store::apply(const entry& program, const change& wanted, program_record& record) const
+    -> verdict {
   switch (wanted.kind_) {
     case change::kind::reserve:
-      if (reserved != record.reserved_.end()) {
-        return verdict::done_before;
-      }
-      if (wanted.budget_ && record.committed() + wanted.tokens_ > *wanted.budget_) {
-        return verdict::over_budget;
-      }
-      record.reserved_[wanted.turn_] = wanted.tokens_;
-      return verdict::applied;
+      return apply_reserve(wanted, record);
     case change::kind::settle:
-      if (reserved == record.reserved_.end()) {
-        return verdict::done_before;
-      }
-      record.spent_ += wanted.tokens_;
-      record.reserved_.erase(reserved);
-      return verdict::applied;
+      return apply_settle(program, wanted, record);
     case change::kind::release:
       // Written also when there is nothing to release: the new version keeps a reservation whose answer was
       // lost from being made later.
-      record.reserved_.erase(wanted.turn_);
+      record.reserved_.erase(wanted.reservation_);
       return verdict::applied;
   }
   return verdict::done_before;
 }
 
+auto program_store::lease_next(entry& program, const change& settled, batch_plan& planned) const -> void {
+  auto held = program.leased_.size() + planned.leased_.size();
+  auto& record = planned.record_;
+  // Room for one turn through another daemon stays, so that a lease seldom makes that one wait.
+  auto fits = settled.budget_ && record.committed() + 2 * settled.most_tokens_ <= *settled.budget_;
+  if (!settled.whole_ || !fits || !store_clock_known_ || held >= settings_.most_leased_) {
+    return;
+  }
+  auto usable_until = clock_.now() + settings_.reservation_lease_;
+  auto next =
+      leased_reservation{settled.turn_ + "+", settled.most_tokens_, usable_until - store_clock_error_};
+  auto expires_at = usable_until + store_clock_ahead_ + settings_.longest_turn_;
+  record.reserved_[next.name_] = {next.tokens_, expires_at};
+  planned.leased_.push_back(std::move(next));
+}
+
 auto program_store::add_turn_rows(const entry& program, const change& wanted,
                                   row_transaction& transaction) const -> void {
   auto bytes = encode(*wanted.whole_);
@@ -113,11 +161,17 @@
       break;
     }
     auto expired = wanted->kind_ == change::kind::reserve && wanted->give_up_at_ <= now && wanted->expired_;
-    auto what = expired ? verdict::expired : apply(*wanted, planned.record_);
-    if (what == verdict::over_budget && !fresh) {
+    auto what = expired ? verdict::expired : apply(program, *wanted, planned.record_);
+    // What is spent only grows, so a refusal that rests on it alone needs no look at the newest record.
+    auto sure = fresh || planned.record_.spent_ + wanted->tokens_ > wanted->budget_.value_or(0);
+    if ((what == verdict::over_budget || what == verdict::budget_leased) && !sure) {
       planned.needs_fresh_ = true;
       return planned;
     }
+    if (what == verdict::unclear) {
+      planned.needs_turns_ = true;
+      return planned;
+    }
     planned.changes_.emplace_back(wanted, what);
     if (what != verdict::applied) {
       continue;
@@ -126,8 +180,11 @@
     if (wanted->whole_) {
       add_turn_rows(program, *wanted, planned.transaction_);
     }
+    if (wanted->kind_ == change::kind::settle) {
+      lease_next(program, *wanted, planned);
+    }
   }
-  planned.record_.touched_at_ = now + store_clock_ahead_;
+  planned.record_.touched_at_ = store_now();
   auto key = row_key{settings_.table_, program.part_, budget_key(program.name_)};
   planned.transaction_.conditions_.push_back({key, program.version_});
   planned.transaction_.puts_.push_back({key, encode(planned.record_)});
@@ -135,12 +192,15 @@
 }
 
 auto program_store::conclude(entry& program, const batch_plan& planned) -> void {
+  program.leased_.insert(program.leased_.end(), planned.leased_.begin(), planned.leased_.end());
   for (const auto& [wanted, what] : planned.changes_) {
     if (wanted->whole_) {
       remember(program, key_name(wanted->turn_), wanted->whole_);
     }
     if (what == verdict::over_budget) {
       finish(wanted, error{error_code::budget_exhausted, "the program's budget does not hold this turn"});
+    } else if (what == verdict::budget_leased) {
+      finish(wanted, store_away("the rest of the budget is held for a turn through another daemon"));
     } else if (what == verdict::expired) {
       finish(wanted, store_away("the turn was given up before its budget was reserved"));
     } else {
@@ -164,6 +224,17 @@
       fresh = true;
     }
     auto planned = plan(*program, fresh);
+    if (planned.needs_turns_) {
+      auto loaded = co_await load(program, true, settings_.call_limit_);
+      if (!ok(loaded)) {
+        co_return failure(loaded);
+      }
+      for (const auto& wanted : program->queue_) {
+        wanted->looked_up_ = true;
+      }
+      fresh = true;
+      continue;
+    }
     if (planned.needs_fresh_) {
       program->version_ = version_not_read;  // A refusal must rest on what the store says now.
       continue;
@@ -175,12 +246,13 @@
     for (const auto& [wanted, what] : planned.changes_) {
       wanted->sent_ = true;
     }
+    auto asked_at = clock_.now();
     auto committed = co_await rows_->commit(planned.transaction_, settings_.call_limit_);
     if (!ok(committed)) {
       co_return failure(committed);
     }
     const auto& outcome = value(committed);
-    store_clock_ahead_ = outcome.store_now_ - clock_.now();
+    note_store_clock(outcome.store_now_, asked_at);
     if (outcome.committed_) {
       program->record_ = planned.record_;
       program->version_ = outcome.version_;
--- a/birchlever/gateway/gateway_request.h
+++ b/birchlever/gateway/gateway_request.h
@@ -30,6 +30,7 @@
   std::string service_;
   std::string last_upstream_;     ///< Where the previous turn ran.
   std::string previous_program_;  ///< The program of the previous turn, when it is another one.
+  std::string reservation_;       ///< What the turn's budget is reserved under.
   milliseconds received_at_ = 0;
   milliseconds due_ = 0;  ///< When the caller must have its final answer.
   bool keep_alive_ = true;
--- a/birchlever/gateway/turn_filter.cpp
+++ b/birchlever/gateway/turn_filter.cpp
@@ -20,6 +20,17 @@
   return facts.program_.empty() ? "single-" + facts.request_id_ : facts.program_;
 }
 
+auto turn_end_of(const gateway_request& request, const std::string& program) -> turn_end {
+  auto ended = turn_end{};
+  ended.program_ = program;
+  ended.turn_ = request.facts_.request_id_;
+  ended.reservation_ = request.reservation_;
+  ended.tokens_ = tokens_of(request);
+  ended.most_tokens_ = request.facts_.most_tokens_;
+  ended.budget_ = request.facts_.budget_;
+  return ended;
+}
+
 }  // namespace
 
 auto turn_filter::apply(gateway_request& request, next_filter next) -> task<> {
@@ -46,12 +57,13 @@
   request.message_.body() = std::move(value(granted).prompt_);
   request.last_upstream_ = std::move(value(granted).last_upstream_);
   request.previous_program_ = std::move(value(granted).previous_program_);
+  request.reservation_ = std::move(value(granted).reservation_);
   request.before_end_ = [this, program, input = std::move(input)](gateway_request& ended) {
     return keep_answer(ended, program, input);
   };
   co_await next(request);
   if (!request.relayed_.reached_upstream_) {
-    context_->programs_->cancel_turn(program, request.facts_.request_id_);
+    context_->programs_->cancel_turn(program, request.reservation_);
   } else if (!request.relayed_.whole_) {
     settle_broken(request, program);
   }
@@ -59,7 +71,7 @@
 
 auto turn_filter::keep_answer(gateway_request& request, const std::string& program, std::string input)
     -> task<bool> {
-  auto ended = turn_end{program, request.facts_.request_id_, tokens_of(request), std::nullopt};
+  auto ended = turn_end_of(request, program);
   ended.whole_ = turn_record{request.facts_.previous_turn_, std::move(input), request.relayed_.output_,
                              request.relayed_.upstream_, request.previous_program_};
   auto began = context_->clock_.now();
@@ -74,7 +86,7 @@
 }
 
 auto turn_filter::settle_broken(gateway_request& request, const std::string& program) -> void {
-  auto ended = turn_end{program, request.facts_.request_id_, tokens_of(request), std::nullopt};
+  auto ended = turn_end_of(request, program);
   auto programs = context_->programs_;
   auto settle = [](std::shared_ptr<program_store> store, turn_end end) -> task<> {
     constexpr auto patience_ms = milliseconds{60000};
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -21,6 +21,8 @@
 constexpr auto engine_policy_name = "engines";
 constexpr auto service_policy_name = "services";
 constexpr auto housekeeping_gap = milliseconds{1000};
+constexpr auto usage_gap =
+    milliseconds{10000};  // One line a daemon each 10 s tells what it asks of the store.
 constexpr auto ms_per_second = 1000.0;
 constexpr auto balancer_looks_ms =
     milliseconds{2600};                              // It looks every second and takes out after two misses.
@@ -260,7 +262,14 @@
   auto& counters = *context_->metrics_;
   counters.gauge("requests_under_way", context_->under_way_);
   counters.gauge("caller_connections", static_cast<double>(server_->connections()));
-  counters.gauge("store_calls", static_cast<double>(store_->calls()));
+  const auto& usage = store_->usage();
+  counters.gauge("store_calls", static_cast<double>(usage.calls()));
+  counters.gauge("store_calls_by_kind{kind=\"transaction\"}", static_cast<double>(usage.transactions_));
+  counters.gauge("store_calls_by_kind{kind=\"read\"}", static_cast<double>(usage.reads_));
+  counters.gauge("store_calls_by_kind{kind=\"feed\"}", static_cast<double>(usage.looks_));
+  counters.gauge("store_calls_by_outcome{outcome=\"conflict\"}", static_cast<double>(usage.conflicts_));
+  counters.gauge("store_calls_by_outcome{outcome=\"throttled\"}", static_cast<double>(usage.throttled_));
+  counters.gauge("store_calls_by_outcome{outcome=\"failed\"}", static_cast<double>(usage.failed_));
   counters.gauge("store_reachable", store_->reachable() ? 1 : 0);
   counters.gauge("peers_heard", peers_ ? static_cast<double>(peers_->fresh_peers()) : 0);
   counters.gauge("log_lines_dropped", static_cast<double>(dropped_log_lines()));
@@ -275,11 +284,32 @@
   return answer;
 }
 
+auto gateway_daemon::log_usage() -> void {
+  const auto& usage = store_->usage();
+  if (usage.calls() == std::exchange(logged_calls_, usage.calls())) {
+    return;
+  }
+  log_event(log_level::info, "store_usage",
+            {{"transactions", usage.transactions_},
+             {"conflicts", usage.conflicts_},
+             {"reads", usage.reads_},
+             {"feed_looks", usage.looks_},
+             {"throttled", usage.throttled_},
+             {"failed", usage.failed_},
+             {"history_cache_bytes", static_cast<std::int64_t>(context_->programs_->cached_bytes())},
+             {"under_way", std::int64_t{context_->under_way_}}});
+}
+
 auto gateway_daemon::keep_house() -> task<> {
+  auto usage_due = context_->clock_.now() + usage_gap;
   settings_text_ = settings_file_.empty() ? std::string{} : read_text(settings_file_);
   while (true) {
     co_await pause_for(loop_, housekeeping_gap);
     context_->upstream_connections_->sweep();
+    if (context_->clock_.now() >= usage_due) {
+      usage_due += usage_gap;
+      log_usage();
+    }
     if (ready() && !std::exchange(announced_ready_, true)) {
       log_event(log_level::info, "ready", {{"configuration", context_->configuration_->version_}});
     }
--- a/birchlever_daemon/gateway_daemon.h
+++ b/birchlever_daemon/gateway_daemon.h
@@ -49,6 +49,7 @@
   auto wait_for_stop() -> task<>;
   auto wait_for_reload() -> task<>;
   auto keep_house() -> task<>;
+  auto log_usage() -> void;
   auto reload(const char* cause) -> void;
   auto stop() -> task<>;
 
@@ -66,6 +67,7 @@
   std::shared_ptr<gateway_server> server_;
   std::shared_ptr<http_listener> readiness_listener_;
   std::shared_ptr<http_listener> control_listener_;
+  std::int64_t logged_calls_ = 0;
   bool announced_ready_ = false;
   bool finished_all_ = true;
 };
--- /dev/null
+++ b/unit_tests/coordination/program_store_test.cpp
@@ -0,0 +1,156 @@
+/// Programs over a store in memory, as two daemons share them: budgets, leased reservations, lost answers.
+#include "birchlever/coordination/program_store.h"
+
+#include <catch2/catch.hpp>
+
+#include "birchlever/storage/memory_row_store.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto most_tokens = std::int64_t{40};
+constexpr auto patience = milliseconds{2000};
+
+/// Two daemons before one store, on one loop.
+class two_daemons {
+ public:
+  explicit two_daemons(const program_store_settings& settings = {})
+      : rows_{std::make_shared<memory_row_store>(loop_)},
+        here_{value(program_store::create(loop_, rows_, settings))},
+        there_{value(program_store::create(loop_, rows_, settings))} {}
+
+  auto begin(program_store& daemon, const std::string& turn, const std::string& previous, std::int64_t budget)
+      -> result<turn_grant> {
+    return run(daemon.begin_turn({"p", turn, previous, budget, most_tokens, "input of " + turn}, patience));
+  }
+
+  auto end(program_store& daemon, const std::string& turn, const std::string& previous,
+           const turn_grant& grant, std::int64_t budget, std::int64_t tokens) -> status {
+    auto ended = turn_end{"p", turn, grant.reservation_, tokens, most_tokens, budget, std::nullopt};
+    ended.whole_ = turn_record{previous, "input of " + turn, "output of " + turn, "engine-1", ""};
+    return run(daemon.end_turn(std::move(ended), patience));
+  }
+
+  /// A whole turn. Yields the number of commits that it took.
+  auto turn(program_store& daemon, const std::string& turn, const std::string& previous, std::int64_t budget,
+            std::int64_t tokens = most_tokens) -> int {
+    auto before = rows_->commits();
+    auto granted = begin(daemon, turn, previous, budget);
+    REQUIRE(ok(granted));
+    REQUIRE(ok(end(daemon, turn, previous, value(granted), budget, tokens)));
+    return rows_->commits() - before;
+  }
+
+  auto run_for(milliseconds duration) -> void {
+    auto wait = [](event_loop& loop, milliseconds pause) -> task<bool> {
+      co_await pause_for(loop, pause);
+      co_return true;
+    };
+    run(wait(loop_, duration));
+  }
+
+  event_loop loop_{1};
+  std::shared_ptr<memory_row_store> rows_;
+  std::shared_ptr<program_store> here_;
+  std::shared_ptr<program_store> there_;
+
+ private:
+  template <class T>
+  auto run(task<T> call) -> T {
+    auto outcome = std::optional<T>{};
+    auto wait = [](task<T> wanted, std::optional<T>& into) -> task<> { into = co_await std::move(wanted); };
+    start(loop_, "run", wait(std::move(call), outcome));
+    auto clock = steady_clock{};
+    auto give_up = clock.now() + 2 * patience;
+    loop_.restart();
+    while (!outcome && clock.now() < give_up) {
+      loop_.run_one_for(std::chrono::milliseconds{50});
+    }
+    REQUIRE(outcome);
+    return *outcome;
+  }
+};
+
+auto code_of(const result<turn_grant>& granted) -> error_code {
+  REQUIRE(!ok(granted));
+  return failure(granted).code_;
+}
+
+}  // namespace
+
+TEST_CASE("a turn that follows at the same daemon costs one commit") {
+  auto fleet = two_daemons{};
+  CHECK(fleet.turn(*fleet.here_, "t1", "", 1000) == 2);
+  CHECK(fleet.turn(*fleet.here_, "t2", "t1", 1000) == 1);
+  CHECK(fleet.turn(*fleet.here_, "t3", "t2", 1000) == 1);
+  auto granted = fleet.begin(*fleet.there_, "t4", "t3", 1000);
+  REQUIRE(ok(granted));
+  CHECK(value(granted).prompt_ ==
+        "input of t1output of t1input of t2output of t2input of t3output of t3input of t4");
+}
+
+TEST_CASE("a budget is kept to the token across daemons that hold leased reservations") {
+  auto fleet = two_daemons{};
+  constexpr auto budget = std::int64_t{165};  // Four turns of 40.
+  fleet.turn(*fleet.here_, "t1", "", budget);
+  fleet.turn(*fleet.there_, "t2", "t1", budget);
+  fleet.turn(*fleet.here_, "t3", "t2", budget);
+  fleet.turn(*fleet.here_, "t4", "t3", budget);
+  CHECK(code_of(fleet.begin(*fleet.here_, "t5", "t4", budget)) == error_code::budget_exhausted);
+  CHECK(code_of(fleet.begin(*fleet.there_, "t5", "t4", budget)) == error_code::budget_exhausted);
+}
+
+TEST_CASE(
+    "what another daemon may still use is no spent budget: the refusal is 503 until the lease is over") {
+  auto settings = program_store_settings{};
+  settings.reservation_lease_ = 60;
+  settings.longest_turn_ = 60;
+  auto fleet = two_daemons{settings};
+  constexpr auto budget = std::int64_t{120};  // One turn spent, one leased here: room for one more.
+  fleet.turn(*fleet.here_, "t1", "", budget);
+  auto second = fleet.begin(*fleet.there_, "t2", "t1", budget);
+  REQUIRE(ok(second));
+  CHECK(code_of(fleet.begin(*fleet.there_, "t3", "t1", budget)) == error_code::store_unavailable);
+  fleet.run_for(settings.reservation_lease_ + settings.longest_turn_ + 20);
+  CHECK(ok(fleet.begin(*fleet.there_, "t3", "t1", budget)));
+  CHECK(code_of(fleet.begin(*fleet.here_, "t4", "t1", budget)) == error_code::budget_exhausted);
+}
+
+TEST_CASE("a turn whose reservation was taken back meanwhile is still charged and kept") {
+  auto settings = program_store_settings{};
+  settings.reservation_lease_ = 60;
+  settings.longest_turn_ = 30;
+  auto fleet = two_daemons{settings};
+  constexpr auto budget = std::int64_t{120};
+  fleet.turn(*fleet.here_, "t1", "", budget);
+  auto held_up = fleet.begin(*fleet.here_, "t2", "t1", budget);
+  REQUIRE(ok(held_up));
+  fleet.run_for(settings.reservation_lease_ + settings.longest_turn_ + 20);
+  REQUIRE(ok(fleet.begin(*fleet.there_, "t3", "t1", budget)));
+  REQUIRE(ok(fleet.begin(*fleet.there_, "t4", "t1", budget)));  // Takes the overdue reservation back.
+  REQUIRE(ok(fleet.end(*fleet.here_, "t2", "t1", value(held_up), budget, most_tokens)));
+  auto next = fleet.begin(*fleet.there_, "t5", "t2", 1000);
+  REQUIRE(ok(next));
+  CHECK(value(next).prompt_ == "input of t1output of t1input of t2output of t2input of t5");
+  CHECK(code_of(fleet.begin(*fleet.there_, "t6", "t2", 200)) == error_code::budget_exhausted);
+}
+
+TEST_CASE("a settling write whose answer was lost is made once, with what it leases") {
+  for (auto fault = 0; fault < 3; ++fault) {
+    auto fleet = two_daemons{};
+    fleet.turn(*fleet.here_, "t1", "", 1000, 10);
+    auto granted = fleet.begin(*fleet.here_, "t2", "t1", 1000);
+    REQUIRE(ok(granted));
+    auto& faults = fleet.rows_->faults();
+    faults.lose_answers_ = fault == 0 ? 2 : 0;
+    faults.lose_calls_ = fault == 1 ? 2 : 0;
+    faults.late_commits_ = fault == 2 ? 2 : 0;
+    REQUIRE(ok(fleet.end(*fleet.here_, "t2", "t1", value(granted), 1000, 10)));
+    fleet.run_for(100);
+    CHECK(ok(fleet.begin(*fleet.there_, "t3", "t2", 20 + 3 * most_tokens)));  // Spent 20; leased at most two.
+    CHECK(code_of(fleet.begin(*fleet.there_, "t4", "t2", 20 + most_tokens - 1)) ==
+          error_code::budget_exhausted);
+  }
+}
+
+}  // namespace birchlever
