A store at its rate limit is asked again with jittered, growing gaps and is not taken for away

Of the reads, those for refusals of programs that loop without end read the same record again and again. Change: 429 backs off from 30 ms, doubled and jittered; only 600 ms of it without an answer mean that this daemon is turned away. A refusal for want of budget may rest on a view of 400 ms; the platform counts a turn's real spending only a second after its end.

--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -42,7 +42,10 @@
                                            ///< the next turn: pauses and tools between turns take up to 2 s.
   milliseconds longest_turn_ = 8000;  ///< ms after the lease until another daemon takes the reservation back:
                                       ///< a turn that began under it has ended by then.
-  std::size_t most_leased_ = 3;       ///< Leased reservations of one program kept here: its parallel lines.
+  milliseconds budget_view_ =
+      400;  ///< ms for which a budget that was read holds for a refusal: less than half of
+            ///< the second after which the platform counts what a turn really spent.
+  std::size_t most_leased_ = 3;  ///< Leased reservations of one program kept here: its parallel lines.
   milliseconds cleanup_patience_ = 60000;  ///< ms for which a reservation that was not used is taken back.
 };
 
--- a/birchlever/coordination/program_store_read.cpp
+++ b/birchlever/coordination/program_store_read.cpp
@@ -101,6 +101,7 @@
   // A transaction under way may have moved the budget on since; its condition then tells.
   program->version_ = version_absent;
   program->record_ = program_record{};
+  program->record_at_ = asked_at;
   co_return take_rows(*program, value(page).rows_);
 }
 
--- a/birchlever/coordination/program_store_state.h
+++ b/birchlever/coordination/program_store_state.h
@@ -63,6 +63,7 @@
   std::string part_;
   program_record record_;
   std::int64_t version_ = version_not_read;
+  std::optional<milliseconds> record_at_;  ///< When the record was known to be the newest, on our clock.
   std::unordered_map<std::string, std::shared_ptr<const turn_record>> turns_;
   std::vector<leased_reservation> leased_;
   std::deque<change_pointer> queue_;
--- a/birchlever/coordination/program_store_write.cpp
+++ b/birchlever/coordination/program_store_write.cpp
@@ -163,7 +163,8 @@
     auto expired = wanted->kind_ == change::kind::reserve && wanted->give_up_at_ <= now && wanted->expired_;
     auto what = expired ? verdict::expired : apply(program, *wanted, planned.record_);
     // What is spent only grows, so a refusal that rests on it alone needs no look at the newest record.
-    auto sure = fresh || planned.record_.spent_ + wanted->tokens_ > wanted->budget_.value_or(0);
+    auto sure = fresh || (program.record_at_ && now - *program.record_at_ <= settings_.budget_view_) ||
+                planned.record_.spent_ + wanted->tokens_ > wanted->budget_.value_or(0);
     if ((what == verdict::over_budget || what == verdict::budget_leased) && !sure) {
       planned.needs_fresh_ = true;
       return planned;
@@ -253,6 +254,7 @@
     }
     const auto& outcome = value(committed);
     note_store_clock(outcome.store_now_, asked_at);
+    program->record_at_ = asked_at;
     if (outcome.committed_) {
       program->record_ = planned.record_;
       program->version_ = outcome.version_;
--- a/birchlever/storage/memory_row_store.cpp
+++ b/birchlever/storage/memory_row_store.cpp
@@ -87,6 +87,7 @@
 }
 
 auto memory_row_store::read(row_range range, milliseconds /*time_left*/) -> task<result<row_page>> {
+  ++reads_;
   co_await pause_for(*loop_, 0);
   if (faults_.down_) {
     co_return unavailable();
--- a/birchlever/storage/memory_row_store.h
+++ b/birchlever/storage/memory_row_store.h
@@ -47,6 +47,9 @@
   /// Commits tried so far.
   [[nodiscard]] auto commits() const -> int { return commits_; }
 
+  /// Reads tried so far.
+  [[nodiscard]] auto reads() const -> int { return reads_; }
+
  private:
   using place = std::tuple<std::string, std::string, std::string>;
 
@@ -61,6 +64,7 @@
   std::deque<stored_row> history_;
   std::int64_t version_ = 0;
   int commits_ = 0;
+  int reads_ = 0;
 };
 
 }  // namespace birchlever
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -5,6 +5,7 @@
 #include <iterator>
 
 #include "birchlever/coordination/program_store.h"
+#include "birchlever/core/hashing.h"
 #include "birchlever/http/connection_pool.h"
 #include "birchlever/policy/policy_book.h"
 #include "birchlever/telemetry/log.h"
@@ -66,6 +67,7 @@
   }
   auto store_settings = platform::store_client_settings{};
   store_settings.address_ = value(store_address);
+  store_settings.jitter_seed_ = static_cast<std::uint32_t>(hash_of(settings_.vm_id_));
   store_ = platform::store_client::create(loop_, store_settings);
   auto program_settings = program_store_settings{};
   program_settings.cache_bytes_ = static_cast<std::size_t>(settings_.history_cache_bytes_);
--- a/unit_tests/coordination/program_store_test.cpp
+++ b/unit_tests/coordination/program_store_test.cpp
@@ -135,6 +135,16 @@
   CHECK(code_of(fleet.begin(*fleet.there_, "t6", "t2", 200)) == error_code::budget_exhausted);
 }
 
+TEST_CASE("a spent budget is refused without a call, and one in use without a call for a while") {
+  auto fleet = two_daemons{};
+  fleet.turn(*fleet.here_, "t1", "", 60);
+  auto reads = fleet.rows_->reads();
+  CHECK(code_of(fleet.begin(*fleet.here_, "t2", "t1", 60)) == error_code::budget_exhausted);
+  REQUIRE(ok(fleet.begin(*fleet.here_, "t3", "t1", 100)));
+  CHECK(code_of(fleet.begin(*fleet.here_, "t4", "t1", 100)) == error_code::budget_exhausted);
+  CHECK(fleet.rows_->reads() == reads);
+}
+
 TEST_CASE("a settling write whose answer was lost is made once, with what it leases") {
   for (auto fault = 0; fault < 3; ++fault) {
     auto fleet = two_daemons{};
--- a/unit_tests/platform/store_client_test.cpp
+++ b/unit_tests/platform/store_client_test.cpp
@@ -176,6 +176,26 @@
   REQUIRE(direct);
 }
 
+TEST_CASE("a store at its rate limit is asked again with growing gaps and is not taken for away") {
+  auto store = store_stand_in{};
+  store.steps_ = {{429, ""}, {429, ""}, {429, ""}};
+  auto clock = steady_clock{};
+  auto began = clock.now();
+  REQUIRE(ok(store.commit(1000)));
+  REQUIRE(store.client_->reachable());
+  REQUIRE(store.calls_.size() == 4);
+  REQUIRE(store.client_->usage().throttled_ == 3);
+  REQUIRE(clock.now() - began >= 15 + 30 + 60);  // Half of each gap at least.
+}
+
+TEST_CASE("a store that throttles this daemon without end is away for it") {
+  auto store = store_stand_in{};
+  store.steps_ = std::deque<store_stand_in::step>(40, {429, ""});
+  auto refused = store.commit(3000);
+  REQUIRE(failure(refused).code_ == error_code::store_unavailable);
+  REQUIRE_FALSE(store.client_->reachable());
+}
+
 TEST_CASE("a relayed call that got no answer may have been done") {
   auto request = http_request{http::verb::post, "/relay/birchlever/rows-tx", 11};
   REQUIRE(store_client::is_relay(request));
