Programs are swept from the store after their retention; daemons that vanished leave the list

Each part has a preferred sweeper by rendezvous hash among the daemons heard of; it removes a program that it saw unchanged for twice the longest retention, at least 300 s, under the condition of the budget row's version. A turn that goes on from another program keeps that history itself, so that no program needs another one's rows. Listed daemons that were not heard for 10 min leave the list; one that lives lists itself again.

--- a/birchlever/controllers/peer_exchange.cpp
+++ b/birchlever/controllers/peer_exchange.cpp
@@ -17,6 +17,7 @@
     std::size_t{8192};  // A message names upstreams in use only: about 20 bytes each.
 constexpr auto first_list_gap = milliseconds{700};  // After a start in common others announce themselves too.
 constexpr auto retry_gap = milliseconds{500};
+constexpr auto list_limit = milliseconds{10000};  // For all pages of the list.
 
 }  // namespace
 
@@ -124,13 +125,17 @@
   }
 }
 
+auto peer_exchange::announce() -> task<bool> {
+  auto row = row_transaction{{}, {{{settings_.table_, "", settings_.vm_}, settings_.address_}}, {}};
+  auto written = co_await rows_->commit(std::move(row), settings_.call_limit_);
+  co_return ok(written);
+}
+
 auto peer_exchange::follow_list() -> task<> {
   auto self = shared_from_this();
   auto announced = false;
   while (!announced) {
-    auto row = row_transaction{{}, {{{settings_.table_, "", settings_.vm_}, settings_.address_}}, {}};
-    auto written = co_await rows_->commit(std::move(row), settings_.call_limit_);
-    announced = ok(written);
+    announced = co_await announce();
     co_await pause_for(*loop_, announced ? first_list_gap : retry_gap);
   }
   while (true) {
@@ -141,20 +146,59 @@
 
 auto peer_exchange::read_list() -> task<bool> {
   auto range = row_range{settings_.table_, "", "", ""};
-  auto page = co_await rows_->read(range, settings_.call_limit_);
+  auto page = co_await read_all(*rows_, range, settings_.call_limit_, list_limit);
   if (!ok(page)) {
     co_return false;  // The store's followers log that it is away.
   }
   receivers_.clear();
+  auto listed_here = false;
   for (const auto& row : value(page).rows_) {
     auto parsed = parse_address(row.value_);
-    if (row.key_.key_ != settings_.vm_ && ok(parsed)) {
+    auto ours = row.key_.key_ == settings_.vm_;
+    listed_here = listed_here || ours;
+    if (!ours && ok(parsed)) {
       receivers_.emplace_back(value(parsed).address(), value(parsed).port());
     }
   }
+  if (!listed_here) {
+    co_return co_await announce();
+  }
+  co_await forget_silent(std::move(value(page).rows_));
   co_return true;
 }
 
+auto peer_exchange::forget_silent(std::vector<stored_row> rows) -> task<> {
+  auto now = clock_.now();
+  auto still_silent = std::map<std::string, milliseconds>{};
+  for (const auto& row : rows) {
+    const auto& vm = row.key_.key_;
+    auto heard = heard_.find(vm);
+    auto known = silent_since_.find(vm);
+    auto since = heard != heard_.end()          ? heard->second.at_
+                 : known != silent_since_.end() ? known->second
+                                                : now;
+    if (vm == settings_.vm_ || now - since < settings_.forget_) {
+      still_silent[vm] = since;
+      continue;
+    }
+    log_event(log_level::info, "peer_forgotten", {{"peer", vm}, {"silent_ms", now - since}});
+    auto removal = row_transaction{{{row.key_, row.version_}}, {}, {row.key_}};
+    co_await rows_->commit(std::move(removal),
+                           settings_.call_limit_);  // Failed: the next reading tries again.
+    heard_.erase(vm);
+  }
+  silent_since_ = std::move(still_silent);
+}
+
+auto peer_exchange::preferred_for(std::string_view subject) const -> bool {
+  auto now = clock_.now();
+  auto own = rendezvous_weight(settings_.vm_, subject);
+  return std::all_of(heard_.begin(), heard_.end(), [&](const auto& entry) {
+    auto fresh = now - entry.second.at_ < settings_.fresh_;
+    return !fresh || rendezvous_weight(entry.first, subject) < own;
+  });
+}
+
 auto peer_exchange::answered_since(milliseconds moment) const -> const peer_state* {
   auto now = clock_.now();
   auto latest = moment;
--- a/birchlever/controllers/peer_exchange.h
+++ b/birchlever/controllers/peer_exchange.h
@@ -42,6 +42,8 @@
   milliseconds fresh_ = 1500;     ///< Older views count no more.
   milliseconds list_gap_ = 5000;  ///< Between two readings of the list of daemons.
   milliseconds call_limit_ = 1500;  ///< For one call of the store.
+  milliseconds forget_ = 600000;  ///< A peer that is listed and not heard for so long is taken from the list;
+                                  ///< one that lives finds itself missing and lists itself again.
 };
 
 /// For coroutines of one loop.
@@ -61,6 +63,10 @@
   /// Requests that peers have running at each upstream, by their latest words.
   [[nodiscard]] auto running_elsewhere() const -> std::map<std::string, double>;
 
+  /// True when this daemon has the highest rendezvous weight for a subject among itself and the peers heard
+  /// of.
+  [[nodiscard]] auto preferred_for(std::string_view subject) const -> bool;
+
   /// Peers heard of lately.
   [[nodiscard]] auto fresh_peers() const -> std::size_t;
 
@@ -76,7 +82,9 @@
   auto send_all() -> task<>;
   auto receive_all() -> task<>;
   auto follow_list() -> task<>;
+  auto announce() -> task<bool>;
   auto read_list() -> task<bool>;
+  auto forget_silent(std::vector<stored_row> rows) -> task<>;
 
   event_loop* loop_;
   std::shared_ptr<row_store_interface> rows_;
@@ -87,6 +95,7 @@
   std::mt19937 random_;
   std::vector<asio::ip::udp::endpoint> receivers_;
   std::map<std::string, heard_state> heard_;
+  std::map<std::string, milliseconds> silent_since_;  ///< Listed peers, until they are heard.
 };
 
 }  // namespace birchlever
--- a/birchlever/coordination/program_record.cpp
+++ b/birchlever/coordination/program_record.cpp
@@ -15,7 +15,6 @@
 constexpr auto input_key = "i";
 constexpr auto output_key = "o";
 constexpr auto upstream_key = "u";
-constexpr auto previous_program_key = "q";
 
 auto to_text(const json& value) -> std::string {
   auto bytes = std::string{};
@@ -89,8 +88,7 @@
   return to_text(json{{previous_key, record.previous_},
                       {input_key, binary(record.input_)},
                       {output_key, binary(record.output_)},
-                      {upstream_key, record.upstream_},
-                      {previous_program_key, record.previous_program_}});
+                      {upstream_key, record.upstream_}});
 }
 
 auto decode_turn(std::string_view value) -> result<turn_record> {
@@ -100,7 +98,6 @@
     record.input_ = text_of(row.at(input_key));
     record.output_ = text_of(row.at(output_key));
     row.at(upstream_key).get_to(record.upstream_);
-    row.at(previous_program_key).get_to(record.previous_program_);
     return record;
   });
 }
--- a/birchlever/coordination/program_record.h
+++ b/birchlever/coordination/program_record.h
@@ -38,11 +38,11 @@
 
 /// A turn whose answer was delivered whole.
 struct turn_record {
-  std::string previous_;          ///< The turn it goes on from; empty at a program's start.
-  std::string input_;             ///< What the caller sent, byte for byte.
-  std::string output_;            ///< The data of each event, each followed by a line feed.
-  std::string upstream_;          ///< The engine that ran it and holds its prefix.
-  std::string previous_program_;  ///< The program of the previous turn, when it is another one.
+  std::string previous_;  ///< The turn it goes on from; empty at a program's start.
+  std::string input_;     ///< What the caller sent, byte for byte; with all before it where a program goes
+                          ///< on from another one.
+  std::string output_;    ///< The data of each event, each followed by a line feed.
+  std::string upstream_;  ///< The engine that ran it and holds its prefix.
 };
 
 /// The row value of a program's budget.
--- a/birchlever/coordination/program_store.cpp
+++ b/birchlever/coordination/program_store.cpp
@@ -10,39 +10,15 @@
 namespace birchlever {
 namespace {
 
-constexpr auto longest_name = std::size_t{64};  // Longer identities are hashed into a row's key.
 constexpr auto read_again_gap =
     milliseconds{50};  // Between two readings of a history that the store refused.
 
-auto part_name(const std::string& program, int parts) -> std::string {
-  return "p" + std::to_string(hash_of(program) % static_cast<std::uint64_t>(parts));
+auto part_of(const std::string& program, int parts) -> std::string {
+  return part_name(static_cast<int>(hash_of(program) % static_cast<std::uint64_t>(parts)));
 }
 
 }  // namespace
 
-auto key_name(const std::string& identity) -> std::string {
-  auto plain = [](unsigned char letter) {
-    return std::isalnum(letter) != 0 || letter == '-' || letter == '_';
-  };
-  auto fits = !identity.empty() && identity.size() <= longest_name;
-  if (fits && std::all_of(identity.begin(), identity.end(), plain)) {
-    return identity;
-  }
-  auto text = std::array<char, 48>{};
-  std::snprintf(text.data(), text.size(), "~%016llx%016llx",
-                static_cast<unsigned long long>(hash_of(identity, 1)),
-                static_cast<unsigned long long>(hash_of(identity, 2)));
-  return text.data();
-}
-
-auto budget_key(const std::string& program) -> std::string {
-  return program + "!";
-}
-
-auto turns_prefix(const std::string& program) -> std::string {
-  return program + "/";
-}
-
 auto program_store::store_away(const std::string& detail) const -> error {
   return error{error_code::store_unavailable, detail, ran_state::not_run, settings_.retry_after_};
 }
@@ -68,7 +44,7 @@
   if (!known) {
     known = std::make_shared<entry>();
     known->name_ = name;
-    known->part_ = part_name(name, settings_.parts_);
+    known->part_ = part_of(name, settings_.parts_);
     cached_bytes_ += entry_overhead;
   }
   known->last_used_ = clock_.now();
@@ -125,7 +101,9 @@
   grant.prompt_ += order.input_;
   if (!turns.empty()) {
     grant.last_upstream_ = turns.front()->upstream_;
-    grant.previous_program_ = value(past).first_program_ == program->name_ ? "" : value(past).first_program_;
+    if (value(past).first_program_ != program->name_) {
+      grant.foreign_history_ = grant.prompt_.substr(0, grant.prompt_.size() - order.input_.size());
+    }
   }
   co_return grant;
 }
--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -61,10 +61,12 @@
 
 /// A turn that may be sent now: its budget is reserved.
 struct turn_grant {
-  std::string reservation_;       ///< Names the reservation until the turn is settled or cancelled.
-  std::string prompt_;            ///< History and new input, byte for byte.
-  std::string last_upstream_;     ///< The engine that ran the previous turn, if any.
-  std::string previous_program_;  ///< The program of the previous turn, when it is another one.
+  std::string reservation_;    ///< Names the reservation until the turn is settled or cancelled.
+  std::string prompt_;         ///< History and new input, byte for byte.
+  std::string last_upstream_;  ///< The engine that ran the previous turn, if any.
+  std::string
+      foreign_history_;  ///< Of a program's first turn that goes on from another program: all before its
+                         ///< input. Kept with the turn, so that no program needs another one's rows.
 };
 
 /// How a turn ended.
--- a/birchlever/coordination/program_store_read.cpp
+++ b/birchlever/coordination/program_store_read.cpp
@@ -7,7 +7,6 @@
 namespace birchlever {
 namespace {
 
-constexpr auto behind_turns = '0';   // The next letter after the slash of turns_prefix.
 constexpr auto behind_key = '\x01';  // Makes the next key after a given one.
 
 auto begins_with(const std::string& text, const std::string& start) -> bool {
@@ -90,7 +89,7 @@
   auto first = budget_key(program->name_);
   auto range = row_range{settings_.table_, program->part_, first, first + behind_key};
   if (with_turns) {
-    range.until_ = program->name_ + behind_turns;
+    range.until_ = end_of_turns(program->name_);
   }
   auto asked_at = clock_.now();
   auto page = co_await read_all(*rows_, range, settings_.call_limit_, time_left);
@@ -125,7 +124,6 @@
     if (found.turns_.empty()) {
       found.first_program_ = home;
     }
-    home = record->previous_program_.empty() ? home : record->previous_program_;
     next = record->previous_.empty() ? std::string{} : key_name(record->previous_);
     found.turns_.push_back(std::move(record));
   }
@@ -164,7 +162,7 @@
   auto search = std::make_shared<part_search>(*loop_);
   search->open_ = settings_.parts_;
   for (auto part = 0; part < settings_.parts_; ++part) {
-    auto range = row_range{settings_.index_table_, "p" + std::to_string(part), turn, turn + behind_key, 1};
+    auto range = row_range{settings_.index_table_, part_name(part), turn, turn + behind_key, 1};
     start(*loop_, "ask_part", ask_part(rows_, std::move(range), time_left, search));
   }
   while (search->open_ > 0 && !search->program_ && clock_.now() < due) {
--- a/birchlever/coordination/program_store_state.h
+++ b/birchlever/coordination/program_store_state.h
@@ -1,6 +1,7 @@
 /// What program_store keeps to itself, shared by its three source files.
 #pragma once
 
+#include "birchlever/coordination/program_keys.h"
 #include "birchlever/coordination/program_store.h"
 
 namespace birchlever {
@@ -19,15 +20,6 @@
   return record.input_.size() + record.output_.size() + entry_overhead;
 }
 
-/// An identity as part of a key: itself when it is short and plain, else its hash.
-[[nodiscard]] auto key_name(const std::string& identity) -> std::string;
-
-/// The key of a program's budget.
-[[nodiscard]] auto budget_key(const std::string& program) -> std::string;
-
-/// What the keys of all turns of a program begin with.
-[[nodiscard]] auto turns_prefix(const std::string& program) -> std::string;
-
 /// One wanted change of a program's rows, and what became of it.
 struct program_store::change {
   enum class kind { reserve, settle, release };
--- a/birchlever/coordination/program_store_write.cpp
+++ b/birchlever/coordination/program_store_write.cpp
@@ -188,6 +188,10 @@
   planned.record_.touched_at_ = store_now();
   auto key = row_key{settings_.table_, program.part_, budget_key(program.name_)};
   planned.transaction_.conditions_.push_back({key, program.version_});
+  if (program.version_ == version_absent) {
+    planned.transaction_.puts_.push_back(
+        {{settings_.index_table_, program.part_, index_key(program.name_)}, program.name_});
+  }
   planned.transaction_.puts_.push_back({key, encode(planned.record_)});
   return planned;
 }
--- /dev/null
+++ b/birchlever/coordination/program_sweeper.cpp
@@ -0,0 +1,154 @@
+#include "birchlever/coordination/program_sweeper.h"
+
+#include <algorithm>
+
+#include "birchlever/coordination/program_keys.h"
+#include "birchlever/telemetry/log.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto no_limit = milliseconds{3'600'000};  // A listing ends by its pages' own limits.
+
+}  // namespace
+
+program_sweeper::program_sweeper(event_loop& loop, std::shared_ptr<row_store_interface> rows,
+                                 program_sweeper_settings settings, owns_function owns,
+                                 retention_function retention)
+    : loop_{&loop},
+      rows_{std::move(rows)},
+      settings_{std::move(settings)},
+      owns_{std::move(owns)},
+      retention_{std::move(retention)} {}
+
+auto program_sweeper::create(event_loop& loop, std::shared_ptr<row_store_interface> rows,
+                             const program_sweeper_settings& settings, owns_function owns,
+                             retention_function retention) -> result<std::shared_ptr<program_sweeper>> {
+  if (settings.parts_ < 1 || settings.rows_per_removal_ < 1 || settings.pass_gap_ < 1) {
+    return error{error_code::invalid_setting,
+                 "a sweeper needs parts, rows in a removal and a gap between passes"};
+  }
+  auto made = std::shared_ptr<program_sweeper>{
+      new program_sweeper{loop, std::move(rows), settings, std::move(owns), std::move(retention)}};
+  start(loop, "sweep_programs", made->sweep());
+  return made;
+}
+
+auto program_sweeper::sweep() -> task<> {
+  auto self = shared_from_this();
+  co_await pause_for(*loop_, settings_.first_pass_);
+  while (!stopped_) {
+    for (auto number = 0; number < settings_.parts_ && !stopped_; ++number) {
+      auto part = part_name(number);
+      if (!owns_(part)) {
+        seen_.erase(part);
+        continue;
+      }
+      auto swept = co_await sweep_part(part);
+      if (!ok(swept)) {
+        log_failure(log_level::info, "sweep_put_off", failure(swept));  // The next pass tries again.
+      }
+      co_await pause_for(*loop_, settings_.part_gap_);
+    }
+    co_await pause_for(*loop_, settings_.pass_gap_);
+  }
+}
+
+auto program_sweeper::list_part(std::string part) -> task<result<index>> {
+  auto range = row_range{settings_.index_table_, part, "", ""};
+  auto page = co_await read_all(*rows_, range, settings_.call_limit_, no_limit);
+  if (!ok(page)) {
+    co_return failure(page);
+  }
+  auto listed = index{};
+  for (auto& row : value(page).rows_) {
+    auto& program = listed[row.value_];
+    program.version_ = std::max(program.version_, row.version_);
+    program.rows_.push_back(std::move(row.key_));
+  }
+  co_return listed;
+}
+
+auto program_sweeper::overdue(sightings& seen, const index& listed, milliseconds retention) const
+    -> std::vector<std::string> {
+  auto now = clock_.now();
+  auto found = std::vector<std::string>{};
+  for (auto next = seen.begin(); next != seen.end();) {
+    next = listed.count(next->first) == 0 ? seen.erase(next) : std::next(next);
+  }
+  for (const auto& [name, program] : listed) {
+    auto& known = seen[name];
+    if (program.version_ > known.version_) {
+      known = {program.version_, now};
+    } else if (now - known.since_ >= retention) {
+      found.push_back(name);
+    }
+  }
+  return found;
+}
+
+auto program_sweeper::sweep_part(std::string part) -> task<status> {
+  auto retention = retention_();
+  if (retention <= 0) {
+    co_return success;
+  }
+  auto listed = co_await list_part(part);
+  if (!ok(listed)) {
+    co_return failure(listed);
+  }
+  auto names = overdue(seen_[part], value(listed), retention);
+  for (const auto& name : names) {
+    auto removed = co_await remove(part, name, value(listed)[name].rows_);
+    if (!ok(removed)) {
+      co_return removed;
+    }
+  }
+  co_return success;
+}
+
+auto program_sweeper::remove(std::string part, std::string program, std::vector<row_key> index_rows)
+    -> task<status> {
+  auto range = row_range{settings_.table_, part, budget_key(program), end_of_turns(program)};
+  auto page = co_await read_all(*rows_, range, settings_.call_limit_, no_limit);
+  if (!ok(page)) {
+    co_return failure(page);
+  }
+  auto budget = version_condition{{settings_.table_, part, budget_key(program)}, 0};
+  auto keys = std::move(index_rows);
+  for (auto& row : value(page).rows_) {
+    if (row.key_.key_ == budget.key_.key_) {
+      budget.version_ = row.version_;
+    } else {
+      keys.push_back(std::move(row.key_));
+    }
+  }
+  auto& known = seen_[part][program];
+  if (budget.version_ > known.version_) {
+    known = {budget.version_, clock_.now()};  // It changed without a whole turn.
+    co_return success;
+  }
+  // The budget's row goes last: while it stands, its version shows whether the program came back.
+  keys.push_back(budget.key_);
+  for (auto at = std::size_t{0}; at < keys.size(); at += settings_.rows_per_removal_) {
+    auto until = std::min(keys.size(), at + settings_.rows_per_removal_);
+    auto transaction = row_transaction{
+        {budget},
+        {},
+        {keys.begin() + static_cast<std::ptrdiff_t>(at), keys.begin() + static_cast<std::ptrdiff_t>(until)}};
+    auto committed = co_await rows_->commit(std::move(transaction), settings_.call_limit_);
+    if (!ok(committed)) {
+      co_return failure(committed);
+    }
+    if (!value(committed).committed_) {
+      known = {};  // It changed meanwhile; the next pass sees it anew.
+      co_return success;
+    }
+  }
+  ++removed_;
+  seen_[part].erase(program);
+  log_event(log_level::info, "program_removed",
+            {{"program", program}, {"part", part}, {"rows", static_cast<std::int64_t>(keys.size())}});
+  co_return success;
+}
+
+}  // namespace birchlever
--- a/birchlever/gateway/gateway_request.h
+++ b/birchlever/gateway/gateway_request.h
@@ -29,7 +29,6 @@
   const route* route_ = nullptr;  ///< Within configuration_.
   std::string service_;
   std::string last_upstream_;     ///< Where the previous turn ran.
-  std::string previous_program_;  ///< The program of the previous turn, when it is another one.
   std::string reservation_;       ///< What the turn's budget is reserved under.
   milliseconds received_at_ = 0;
   milliseconds due_ = 0;  ///< When the caller must have its final answer.
--- a/birchlever/gateway/turn_filter.cpp
+++ b/birchlever/gateway/turn_filter.cpp
@@ -56,10 +56,12 @@
   }
   request.message_.body() = std::move(value(granted).prompt_);
   request.last_upstream_ = std::move(value(granted).last_upstream_);
-  request.previous_program_ = std::move(value(granted).previous_program_);
   request.reservation_ = std::move(value(granted).reservation_);
-  request.before_end_ = [this, program, input = std::move(input)](gateway_request& ended) {
-    return keep_answer(ended, program, input);
+  const auto& foreign = value(granted).foreign_history_;
+  auto kept =
+      turn_record{foreign.empty() ? request.facts_.previous_turn_ : std::string{}, foreign + input, "", ""};
+  request.before_end_ = [this, program, kept = std::move(kept)](gateway_request& ended) {
+    return keep_answer(ended, program, kept);
   };
   co_await next(request);
   if (!request.relayed_.reached_upstream_) {
@@ -69,20 +71,21 @@
   }
 }
 
-auto turn_filter::keep_answer(gateway_request& request, const std::string& program, std::string input)
+auto turn_filter::keep_answer(gateway_request& request, const std::string& program, turn_record kept)
     -> task<bool> {
   auto ended = turn_end_of(request, program);
-  ended.whole_ = turn_record{request.facts_.previous_turn_, std::move(input), request.relayed_.output_,
-                             request.relayed_.upstream_, request.previous_program_};
+  kept.output_ = request.relayed_.output_;
+  kept.upstream_ = request.relayed_.upstream_;
+  ended.whole_ = std::move(kept);
   auto began = context_->clock_.now();
-  auto kept = co_await context_->programs_->end_turn(std::move(ended), request.due_ - began);
+  auto stored = co_await context_->programs_->end_turn(std::move(ended), request.due_ - began);
   context_->metrics_->observe("turn_end_ms", static_cast<double>(context_->clock_.now() - began));
-  if (!ok(kept)) {
+  if (!ok(stored)) {
     log_event(
         log_level::warning, "answer_not_kept",
-        {{"request", request.facts_.request_id_}, {"program", program}, {"detail", failure(kept).detail_}});
+        {{"request", request.facts_.request_id_}, {"program", program}, {"detail", failure(stored).detail_}});
   }
-  co_return ok(kept);
+  co_return ok(stored);
 }
 
 auto turn_filter::settle_broken(gateway_request& request, const std::string& program) -> void {
--- a/birchlever/gateway/turn_filter.h
+++ b/birchlever/gateway/turn_filter.h
@@ -7,6 +7,8 @@
 
 namespace birchlever {
 
+struct turn_record;
+
 /// Requests of routes that keep no turns pass unchanged.
 class turn_filter final : public gateway_filter {
  public:
@@ -15,7 +17,7 @@
   auto apply(gateway_request& request, next_filter next) -> task<> override;
 
  private:
-  auto keep_answer(gateway_request& request, const std::string& program, std::string input) -> task<bool>;
+  auto keep_answer(gateway_request& request, const std::string& program, turn_record kept) -> task<bool>;
   auto settle_broken(gateway_request& request, const std::string& program) -> void;
 
   std::shared_ptr<gateway_context> context_;
--- a/birchlever/storage/memory_row_store.h
+++ b/birchlever/storage/memory_row_store.h
@@ -47,6 +47,9 @@
   /// Commits tried so far.
   [[nodiscard]] auto commits() const -> int { return commits_; }
 
+  /// Rows that stand.
+  [[nodiscard]] auto size() const -> std::size_t { return rows_.size(); }
+
   /// Reads tried so far.
   [[nodiscard]] auto reads() const -> int { return reads_; }
 
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -5,6 +5,7 @@
 #include <iterator>
 
 #include "birchlever/coordination/program_store.h"
+#include "birchlever/coordination/program_sweeper.h"
 #include "birchlever/core/hashing.h"
 #include "birchlever/http/connection_pool.h"
 #include "birchlever/policy/policy_book.h"
@@ -22,6 +23,9 @@
 constexpr auto engine_policy_name = "engines";
 constexpr auto service_policy_name = "services";
 constexpr auto housekeeping_gap = milliseconds{1000};
+constexpr auto kept_over_retention = 2;  // Spent budgets stay known beyond the turns they paid for.
+constexpr auto least_kept =
+    milliseconds{300'000};  // Rows are cheap; a retention that is set too low must not hurt.
 constexpr auto usage_gap =
     milliseconds{10000};  // One line a daemon each 10 s tells what it asks of the store.
 constexpr auto ms_per_second = 1000.0;
@@ -101,6 +105,10 @@
   if (!ok(joined)) {
     return joined;
   }
+  auto sweeping = sweep_programs();
+  if (!ok(sweeping)) {
+    return sweeping;
+  }
   start(loop_, "wait_for_stop", wait_for_stop());
   start(loop_, "wait_for_reload", wait_for_reload());
   start(loop_, "keep_house", keep_house());
@@ -200,6 +208,26 @@
   return success;
 }
 
+auto gateway_daemon::sweep_programs() -> status {
+  auto owns = [this](const std::string& part) { return !peers_ || peers_->preferred_for(part); };
+  auto sweeper = program_sweeper::create(loop_, store_, {}, owns, [this] { return kept_after_change(); });
+  if (!ok(sweeper)) {
+    return failure(sweeper);
+  }
+  sweeper_ = value(sweeper);
+  return success;
+}
+
+auto gateway_daemon::kept_after_change() const -> milliseconds {
+  auto longest = milliseconds{0};
+  if (context_->configuration_) {
+    for (const auto& route : context_->configuration_->routes_) {
+      longest = std::max(longest, route.retention_);
+    }
+  }
+  return longest == 0 ? 0 : std::max(kept_over_retention * longest, least_kept);
+}
+
 auto gateway_daemon::describe_self() const -> peer_state {
   auto state = peer_state{};
   state.vm_ = settings_.vm_id_;
@@ -275,6 +303,7 @@
   counters.gauge("store_reachable", store_->reachable() ? 1 : 0);
   counters.gauge("peers_heard", peers_ ? static_cast<double>(peers_->fresh_peers()) : 0);
   counters.gauge("log_lines_dropped", static_cast<double>(dropped_log_lines()));
+  counters.gauge("programs_removed", static_cast<double>(sweeper_->removed()));
   counters.gauge("history_cache_bytes", static_cast<double>(context_->programs_->cached_bytes()));
   counters.gauge("upstream_connections_opened",
                  static_cast<double>(context_->upstream_connections_->opened()));
--- a/birchlever_daemon/gateway_daemon.h
+++ b/birchlever_daemon/gateway_daemon.h
@@ -13,6 +13,8 @@
 
 namespace birchlever {
 
+class program_sweeper;
+
 namespace platform {
 class store_client;
 }
@@ -39,6 +41,8 @@
   auto follow_store() -> void;
   auto take_configuration(const stored_row& row) -> void;
   auto join_peers() -> status;
+  auto sweep_programs() -> status;
+  auto kept_after_change() const -> milliseconds;
   auto describe_self() const -> peer_state;
   auto follow_peers() -> task<>;
   auto relay_through() const -> std::optional<asio::ip::tcp::endpoint>;
@@ -64,6 +68,7 @@
   std::shared_ptr<table_follower> configuration_follower_;
   std::shared_ptr<upstream_follower> upstream_follower_;
   std::shared_ptr<peer_exchange> peers_;  ///< None when no port for peers is set.
+  std::shared_ptr<program_sweeper> sweeper_;
   std::shared_ptr<gateway_server> server_;
   std::shared_ptr<http_listener> readiness_listener_;
   std::shared_ptr<http_listener> control_listener_;
--- a/unit_tests/coordination/program_store_test.cpp
+++ b/unit_tests/coordination/program_store_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "birchlever/storage/memory_row_store.h"
+#include "unit_tests/http/loop_runner.h"
 
 namespace birchlever {
 namespace {
@@ -21,14 +22,15 @@
 
   auto begin(program_store& daemon, const std::string& turn, const std::string& previous, std::int64_t budget)
       -> result<turn_grant> {
-    return run(daemon.begin_turn({"p", turn, previous, budget, most_tokens, "input of " + turn}, patience));
+    return run_to_end(
+        loop_, daemon.begin_turn({"p", turn, previous, budget, most_tokens, "input of " + turn}, patience));
   }
 
   auto end(program_store& daemon, const std::string& turn, const std::string& previous,
            const turn_grant& grant, std::int64_t budget, std::int64_t tokens) -> status {
     auto ended = turn_end{"p", turn, grant.reservation_, tokens, most_tokens, budget, std::nullopt};
-    ended.whole_ = turn_record{previous, "input of " + turn, "output of " + turn, "engine-1", ""};
-    return run(daemon.end_turn(std::move(ended), patience));
+    ended.whole_ = turn_record{previous, "input of " + turn, "output of " + turn, "engine-1"};
+    return run_to_end(loop_, daemon.end_turn(std::move(ended), patience));
   }
 
   /// A whole turn. Yields the number of commits that it took.
@@ -41,34 +43,12 @@
     return rows_->commits() - before;
   }
 
-  auto run_for(milliseconds duration) -> void {
-    auto wait = [](event_loop& loop, milliseconds pause) -> task<bool> {
-      co_await pause_for(loop, pause);
-      co_return true;
-    };
-    run(wait(loop_, duration));
-  }
+  auto run_for(milliseconds duration) -> void { run_loop_for(loop_, duration); }
 
   event_loop loop_{1};
   std::shared_ptr<memory_row_store> rows_;
   std::shared_ptr<program_store> here_;
   std::shared_ptr<program_store> there_;
-
- private:
-  template <class T>
-  auto run(task<T> call) -> T {
-    auto outcome = std::optional<T>{};
-    auto wait = [](task<T> wanted, std::optional<T>& into) -> task<> { into = co_await std::move(wanted); };
-    start(loop_, "run", wait(std::move(call), outcome));
-    auto clock = steady_clock{};
-    auto give_up = clock.now() + 2 * patience;
-    loop_.restart();
-    while (!outcome && clock.now() < give_up) {
-      loop_.run_one_for(std::chrono::milliseconds{50});
-    }
-    REQUIRE(outcome);
-    return *outcome;
-  }
 };
 
 auto code_of(const result<turn_grant>& granted) -> error_code {
--- /dev/null
+++ b/unit_tests/coordination/program_sweeper_test.cpp
@@ -0,0 +1,90 @@
+/// The sweep of programs that nothing can go on from any more.
+#include "birchlever/coordination/program_sweeper.h"
+
+#include <catch2/catch.hpp>
+
+#include "birchlever/coordination/program_store.h"
+#include "birchlever/storage/memory_row_store.h"
+#include "unit_tests/http/loop_runner.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto kept = milliseconds{120};
+
+auto fast_settings() -> program_sweeper_settings {
+  auto settings = program_sweeper_settings{};
+  settings.first_pass_ = 5;
+  settings.pass_gap_ = 20;
+  settings.part_gap_ = 0;
+  settings.rows_per_removal_ = 4;
+  return settings;
+}
+
+/// A store with programs, and a sweeper over it.
+struct swept_store {
+  swept_store() : rows_{std::make_shared<memory_row_store>(loop_)} {
+    programs_ = value(program_store::create(loop_, rows_, {}));
+  }
+
+  auto turn(const std::string& program, const std::string& id, const std::string& previous) -> void {
+    auto granted = run_to_end(loop_, programs_->begin_turn({program, id, previous, 1000, 10, "in"}, 1000));
+    REQUIRE(ok(granted));
+    auto ended =
+        turn_end{program, id, value(granted).reservation_, 10, 10, 1000, turn_record{previous, "in", "out"}};
+    REQUIRE(ok(run_to_end(loop_, programs_->end_turn(std::move(ended), 1000))));
+  }
+
+  auto sweep(bool owns = true) -> void {
+    sweeper_ = value(program_sweeper::create(
+        loop_, rows_, fast_settings(), [owns](const std::string&) { return owns; }, [] { return kept; }));
+  }
+
+  event_loop loop_{1};
+  std::shared_ptr<memory_row_store> rows_;
+  std::shared_ptr<program_store> programs_;
+  std::shared_ptr<program_sweeper> sweeper_;
+};
+
+}  // namespace
+
+TEST_CASE("a program that stands unchanged for long enough is removed whole, in several transactions") {
+  auto store = swept_store{};
+  store.turn("p1", "t1", "");
+  store.turn("p1", "t2", "t1");
+  store.turn("p1", "t3", "t2");
+  store.sweep();
+  run_loop_for(store.loop_, kept / 2);
+  CHECK(store.sweeper_->removed() == 0);
+  REQUIRE(run_loop_until(store.loop_, [&] { return store.rows_->size() == 0; }));
+  CHECK(store.sweeper_->removed() == 1);
+}
+
+TEST_CASE("a program that goes on stays, also one whose turns all broke off, until it rests") {
+  auto store = swept_store{};
+  store.sweep();
+  store.turn("p1", "t1", "");
+  auto broken = run_to_end(store.loop_, store.programs_->begin_turn({"p2", "t9", "", 1000, 10, "in"}, 1000));
+  REQUIRE(ok(broken));
+  auto previous = std::string{"t1"};
+  for (auto number = 2; number < 10; ++number) {
+    run_loop_for(store.loop_, kept / 3);
+    auto id = "t" + std::to_string(10 * number);
+    store.turn("p1", id, previous);
+    previous = id;
+  }
+  CHECK(store.sweeper_->removed() == 1);  // Only p2, of which nothing more came.
+  auto fresh = value(program_store::create(store.loop_, store.rows_, {}));
+  CHECK(ok(run_to_end(store.loop_, fresh->begin_turn({"p1", "next", previous, 1000, 10, "in"}, 1000))));
+}
+
+TEST_CASE("a part of another daemon is left alone") {
+  auto store = swept_store{};
+  store.turn("p1", "t1", "");
+  store.sweep(false);
+  run_loop_for(store.loop_, 2 * kept);
+  CHECK(store.sweeper_->removed() == 0);
+  CHECK(store.rows_->size() > 0);
+}
+
+}  // namespace birchlever
