--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,129 @@
+/// A randomized soak of the gateway: real processes, faults from outside them, promises checked from what
+/// callers and upstreams see. Exit code 0 when every promise held.
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+#include "soak/fault_schedule.h"
+
+DEFINE_string(binary, "out/release/birchlever", "the program under test");
+DEFINE_string(folder, "/tmp", "for settings files and logs of the gateways");
+DEFINE_uint64(seed, 1, "decides faults and load");
+DEFINE_int32(gateways, 4, "processes of the program");
+DEFINE_int32(engines, 4, "stand-ins of model engines");
+DEFINE_int32(callers, 12, "programs under way at once");
+DEFINE_double(seconds, 6, "of faults in each round");
+DEFINE_int32(rounds, 1, "of faults, each followed by planned work in calm");
+
+namespace birchlever::soak {
+namespace {
+
+constexpr auto ms_per_second = 1000.0;
+constexpr auto start_limit = milliseconds{10000};
+constexpr auto last_patience = milliseconds{12000};  // The platform's recovery_s.
+constexpr auto look_ms = milliseconds{25};
+constexpr auto most_last_turns = std::size_t{40};
+
+auto settings_from_flags() -> soak_settings {
+  auto settings = soak_settings{};
+  settings.binary_ = FLAGS_binary;
+  settings.folder_ = FLAGS_folder;
+  settings.seed_ = FLAGS_seed;
+  settings.gateways_ = FLAGS_gateways;
+  settings.engines_ = FLAGS_engines;
+  settings.callers_ = FLAGS_callers;
+  settings.duration_ = static_cast<milliseconds>(FLAGS_seconds * ms_per_second);
+  return settings;
+}
+
+/// One run from start to the last checks.
+class soak_run {
+ public:
+  explicit soak_run(const soak_settings& settings) : settings_{settings} {}
+
+  auto run() -> int {
+    auto fleet = soak_fleet::create(loop_, settings_, ledger_);
+    if (!ok(fleet)) {
+      std::cerr << "the soak can't start: " << failure(fleet).detail_ << "\n";
+      return 2;
+    }
+    fleet_ = std::move(value(fleet));
+    schedule_ = std::make_unique<fault_schedule>(loop_, settings_, *fleet_, ledger_);
+    callers_ = std::make_unique<soak_callers>(loop_, settings_, *fleet_, ledger_, [this](milliseconds since) {
+      return schedule_->calm_since(since);
+    });
+    start(loop_, "look_at_all", fleet_->look_at_all());
+    start(loop_, "drive", drive());
+    loop_.run();
+    std::cout << "seed " << settings_.seed_ << ": " << ledger_.runs() << " requests ran, "
+              << ledger_.whole_answers() << " whole answers, " << ledger_.refusals() << " refusals, "
+              << callers_->kept().size() << " programs, " << ledger_.faults().size() << " broken promises\n";
+    return ledger_.faults().empty() && ledger_.whole_answers() > 0 ? 0 : 1;
+  }
+
+ private:
+  auto await_ready() -> task<bool> {
+    auto clock = steady_clock{};
+    auto give_up = clock.now() + start_limit;
+    auto all = false;
+    while (!all && clock.now() < give_up) {
+      co_await pause_for(loop_, look_ms);
+      all = true;
+      for (const auto& gateway : fleet_->gateways()) {
+        all = all && gateway.ready_;
+      }
+    }
+    co_return all;
+  }
+
+  /// After the last fault every kept turn must be there, and be served.
+  auto check_kept_turns() -> task<> {
+    const auto& kept = callers_->kept();
+    auto first = kept.size() > most_last_turns ? kept.size() - most_last_turns : 0;
+    for (auto at = first; at < kept.size(); ++at) {
+      auto from = kept[at];
+      auto served = co_await callers_->go_on_from(from, last_patience);
+      if (!served) {
+        ledger_.broken(promise::turn_is_kept, "nothing goes on from " + from.turn_);
+      }
+    }
+  }
+
+  auto drive() -> task<> {
+    auto ready = co_await await_ready();
+    if (!ready) {
+      ledger_.broken(promise::change_in_force, "the gateways were not ready in time");
+    }
+    for (auto number = 0; number < settings_.callers_; ++number) {
+      start(loop_, "run_programs", callers_->run_programs(number));
+    }
+    for (auto round = 0; round < FLAGS_rounds; ++round) {
+      co_await schedule_->harm(settings_.duration_);
+      co_await schedule_->plan(*callers_);
+    }
+    co_await schedule_->kill_all();
+    callers_->stop();
+    while (callers_->running() > 0) {
+      co_await pause_for(loop_, look_ms);
+    }
+    co_await check_kept_turns();
+    ledger_.check_refusals();
+    loop_.stop();
+  }
+
+  soak_settings settings_;
+  event_loop loop_{1};
+  soak_ledger ledger_;
+  std::unique_ptr<soak_fleet> fleet_;
+  std::unique_ptr<fault_schedule> schedule_;
+  std::unique_ptr<soak_callers> callers_;
+};
+
+}  // namespace
+}  // namespace birchlever::soak
+
+auto main(int argc, char** argv) -> int {
+  gflags::SetUsageMessage("runs gateways under faults and checks what callers and upstreams see");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return birchlever::soak::soak_run{birchlever::soak::settings_from_flags()}.run();
+}
--- /dev/null
+++ b/soak/soak_caller.cpp
@@ -0,0 +1,231 @@
+#include "soak/soak_caller.h"
+
+#include "birchlever/http/event_stream.h"
+#include "birchlever/http/outgoing_connection.h"
+#include "platform/names.h"
+
+namespace birchlever::soak {
+namespace {
+
+namespace names = platform::names;
+
+constexpr auto time_limit_ms = milliseconds{3000};  // As short as the users' callers wait.
+constexpr auto turn_patience_ms = milliseconds{9000};
+constexpr auto final_patience_ms = milliseconds{12000};
+constexpr auto most_events = 4;
+constexpr auto most_tokens = std::int64_t{most_events * upstream_stand_in::tokens_per_event};
+constexpr auto longest_program = 8;
+constexpr auto longest_pause_ms = 60;
+constexpr auto most_body = std::size_t{1U << 20U};
+
+auto promises_not_run(int status) -> bool {
+  return status == 402 || status == 404 || status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/// What a stream adds to the chain: the data of each event, each with a line feed.
+auto output_of(const std::string& body, int& events) -> std::string {
+  auto reader = event_stream{};
+  auto output = std::string{};
+  for (const auto& event : reader.feed(body)) {
+    output += event.data_ + "\n";
+    ++events;
+  }
+  return output;
+}
+
+}  // namespace
+
+soak_callers::soak_callers(event_loop& loop, const soak_settings& settings, soak_fleet& fleet,
+                           soak_ledger& ledger, calm_function calm)
+    : loop_{&loop},
+      settings_{settings},
+      fleet_{&fleet},
+      ledger_{&ledger},
+      calm_{std::move(calm)},
+      random_{settings.seed_} {}
+
+auto soak_callers::new_id(const char* kind) -> std::string {
+  return std::string{kind} + "-" + std::to_string(settings_.seed_) + "-" + std::to_string(++made_ids_);
+}
+
+auto soak_callers::ask(int gateway, http_request request) -> task<heard_answer> {
+  auto heard = heard_answer{};
+  heard.gateway_ = gateway;
+  heard.began_at_ = clock_.now();
+  request.set(http::field::host, "soak.example");
+  request.set(names::time_left, std::to_string(time_limit_ms));
+  if (!request.body().empty()) {
+    request.prepare_payload();
+  }
+  auto parsed = parse_address(fleet_->caller_address(gateway));
+  auto opened = co_await outgoing_connection::open(*loop_, value(parsed), time_limit_ms);
+  auto* made = std::get_if<std::shared_ptr<outgoing_connection>>(&opened);
+  if (made == nullptr) {
+    co_return heard;
+  }
+  auto connection = *made;
+  connection->send(std::make_shared<const http_request>(std::move(request)), time_limit_ms);
+  auto head = co_await connection->read_head();
+  auto* answer = std::get_if<http_response>(&head);
+  if (answer == nullptr) {
+    connection->abort();
+    co_return heard;
+  }
+  heard.status_ = static_cast<int>(answer->result_int());
+  heard.proven_ = !field_of(*answer, names::proof).empty();
+  while (!heard.whole_ && heard.body_.size() < most_body) {
+    auto piece = co_await connection->read_piece();
+    auto* got = std::get_if<body_piece>(&piece);
+    if (got == nullptr) {
+      break;
+    }
+    heard.body_ += got->bytes_;
+    heard.whole_ = got->last_;
+  }
+  connection->abort();
+  co_return heard;
+}
+
+auto soak_callers::ask_plain(int gateway, std::string path) -> task<heard_answer> {
+  auto id = new_id("plain");
+  auto request = http_request{http::verb::get, path, 11};
+  request.set(names::request_id, id);
+  ledger_->sent(id, "", true);
+  co_return co_await ask(gateway, std::move(request));
+}
+
+auto soak_callers::judge_turn(const heard_answer& heard, const std::string& id, const kept_turn& line,
+                              spending& money) -> void {
+  auto events = 0;
+  auto cut = heard.status_ == 200 && !heard.whole_;
+  if (heard.status_ == 200) {
+    output_of(heard.body_, events);
+    money.delivered_ += events * upstream_stand_in::tokens_per_event;
+    ledger_->got(id, heard.body_, heard.whole_, heard.proven_);
+  }
+  auto refused = promises_not_run(heard.status_);
+  if (refused) {
+    ledger_->refused(id);
+  } else if (!heard.whole_ || heard.status_ != 200) {
+    money.unclear_ += most_tokens;
+  }
+  if (money.delivered_ > money.budget_) {
+    ledger_->broken(promise::budget_holds, line.program_ + " got " + std::to_string(money.delivered_) +
+                                               " of " + std::to_string(money.budget_) + " tokens");
+  }
+  auto room = money.delivered_ + money.unclear_ + most_tokens <= money.budget_;
+  if (heard.status_ == 402 && room) {
+    ledger_->broken(promise::budget_holds, id + " was refused although the budget held it");
+  }
+  if (heard.status_ == 404) {
+    ledger_->broken(promise::turn_is_kept, id + " got 404 behind " + line.turn_);
+  }
+  const auto& gateway = fleet_->gateways()[static_cast<std::size_t>(heard.gateway_)];
+  auto no_answer = cut || heard.status_ == 0;
+  if (no_answer && gateway.stopping_since_ > 0 && heard.began_at_ > 0 && calm_(heard.began_at_) &&
+      heard.began_at_ < gateway.stopping_since_) {
+    ledger_->broken(promise::planned_stop_cuts_nothing, id + " at gateway " + std::to_string(heard.gateway_));
+  }
+}
+
+auto soak_callers::run_turn(kept_turn& line, spending& money, milliseconds give_up_at) -> task<turn_result> {
+  auto input = "input " + std::to_string(made_ids_) + " of " + line.program_ + ";";
+  while (clock_.now() < give_up_at) {
+    auto id = new_id("turn");
+    auto request = http_request{http::verb::post, "/turn/x", 11};
+    request.set(names::request_id, id);
+    request.set(names::program, line.program_);
+    request.set(names::session, "s");
+    request.set(names::budget, std::to_string(money.budget_));
+    request.set(names::token_usage, "100," + std::to_string(most_tokens));
+    if (!line.turn_.empty()) {
+      request.set(names::previous_turn, line.turn_);
+    }
+    request.body() = input;
+    ledger_->sent(id, line.chain_ + input, false);
+    auto gateway = fleet_->pick_gateway(random_());
+    auto heard = co_await ask(gateway, std::move(request));
+    judge_turn(heard, id, line, money);
+    if (heard.status_ == 200 && heard.whole_) {
+      auto events = 0;
+      line.chain_ += input + output_of(heard.body_, events);
+      line.turn_ = id;
+      co_return turn_result::whole;
+    }
+    if (heard.status_ == 402) {
+      co_return turn_result::refused_budget;
+    }
+    co_await pause_for(*loop_, 50 + draw(longest_pause_ms));
+  }
+  co_return turn_result::failed;
+}
+
+auto soak_callers::run_tool(std::string program) -> task<> {
+  auto repeatable = draw(1) == 0;
+  auto give_up_at = clock_.now() + turn_patience_ms;
+  while (clock_.now() < give_up_at) {
+    auto id = new_id("tool");
+    auto request =
+        http_request{repeatable ? http::verb::get : http::verb::post, repeatable ? "/safe/x" : "/once/x", 11};
+    request.set(names::request_id, id);
+    request.set(names::program, program);
+    request.body() = repeatable ? "" : "do it";
+    ledger_->sent(id, request.body(), repeatable);
+    auto gateway = fleet_->pick_gateway(random_());
+    auto heard = co_await ask(gateway, std::move(request));
+    if (heard.status_ == 200) {
+      ledger_->got(id, heard.body_, heard.whole_, heard.proven_);
+    }
+    auto refused = promises_not_run(heard.status_);
+    if (refused) {
+      ledger_->refused(id);
+    }
+    if (!refused && !repeatable) {
+      co_return;  // Answered, or it may have run: it is not sent again.
+    }
+    if (heard.whole_ && heard.status_ == 200) {
+      co_return;
+    }
+    co_await pause_for(*loop_, 50 + draw(longest_pause_ms));
+  }
+}
+
+auto soak_callers::run_program(std::string program) -> task<> {
+  auto line = kept_turn{program, "", ""};
+  auto turns = 1 + draw(longest_program - 1);
+  auto money = spending{};
+  money.budget_ =
+      (turns + draw(2)) * most_tokens - draw(1) * most_tokens / 2;  // Some do not hold the last turn.
+  for (auto turn = 0; turn < turns && !stopped_; ++turn) {
+    auto result = co_await run_turn(line, money, clock_.now() + turn_patience_ms);
+    if (result != turn_result::whole) {
+      break;
+    }
+    if (draw(1) == 0) {
+      co_await run_tool(program);
+    }
+    co_await pause_for(*loop_, draw(longest_pause_ms));
+  }
+  if (!line.turn_.empty()) {
+    kept_.push_back(std::move(line));
+  }
+}
+
+auto soak_callers::run_programs(int number) -> task<> {
+  ++running_;
+  co_await pause_for(*loop_, number * 7);  // Not all at once.
+  while (!stopped_) {
+    co_await run_program(new_id("program"));
+  }
+  --running_;
+}
+
+auto soak_callers::go_on_from(kept_turn from, milliseconds limit) -> task<bool> {
+  auto money = spending{};
+  money.budget_ = std::int64_t{1} << 30;
+  from.program_ = new_id("program");  // A program may go on from a turn of another one.
+  auto result = co_await run_turn(from, money, clock_.now() + std::min(limit, final_patience_ms));
+  co_return result == turn_result::whole;
+}
+
+}  // namespace birchlever::soak
--- /dev/null
+++ b/soak/soak_fleet.cpp
@@ -0,0 +1,265 @@
+#include "soak/soak_fleet.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "birchlever/http/outgoing_connection.h"
+#include "platform/names.h"
+
+extern char** environ;
+
+namespace birchlever::soak {
+namespace {
+
+using json = nlohmann::json;
+namespace names = platform::names;
+
+constexpr auto store_port = 9000;
+constexpr auto link_port = 9100;      // And upwards, one a gateway.
+constexpr auto upstream_port = 9200;  // And upwards, one an upstream.
+constexpr auto caller_port = 8080;
+constexpr auto ready_port = 8081;
+constexpr auto control_port = 8082;
+constexpr auto peer_port = 8090;
+constexpr auto first_gateway = 10;  // Last number of the first gateway's address.
+constexpr auto stand_in_host = 1;
+constexpr auto look_gap = milliseconds{1000};  // As the platform's balancer.
+constexpr auto look_limit = milliseconds{800};
+constexpr auto misses_until_out = 2;
+constexpr auto stop_grace_s = 8;
+constexpr auto engine_service = "engines";
+constexpr auto plain_service = "tools";
+
+auto route(const std::string& prefix, const std::string& type, const std::string& service) -> json {
+  return {{"name", prefix}, {"host", "soak.example"}, {"path_prefix", prefix},
+          {"type", type},   {"service", service},     {"timeout_ms", 4000},
+          {"slo_ms", 200},  {"max_attempts", 2},      {"priority", 0}};
+}
+
+}  // namespace
+
+soak_fleet::soak_fleet(event_loop& loop, const soak_settings& settings, soak_ledger& ledger)
+    : loop_{&loop},
+      settings_{settings},
+      ledger_{&ledger},
+      network_{"127.77." + std::to_string(getpid() % 250 + 1) + "."},
+      folder_{settings.folder_ + "/birchlever-soak-" + std::to_string(getpid())},
+      rows_{std::make_shared<memory_row_store>(loop)} {}
+
+soak_fleet::~soak_fleet() {
+  for (const auto& gateway : gateways_) {
+    kill_gateway(gateway.number_);
+  }
+}
+
+auto soak_fleet::create(event_loop& loop, const soak_settings& settings, soak_ledger& ledger)
+    -> result<std::unique_ptr<soak_fleet>> {
+  auto made = std::unique_ptr<soak_fleet>{new soak_fleet{loop, settings, ledger}};
+  auto opened = made->open();
+  if (!ok(opened)) {
+    return failure(opened);
+  }
+  return made;
+}
+
+auto soak_fleet::address(int last, int port) const -> std::string {
+  return network_ + std::to_string(last) + ":" + std::to_string(port);
+}
+
+auto soak_fleet::caller_address(int number) const -> std::string {
+  return address(first_gateway + number, caller_port);
+}
+
+auto soak_fleet::settings_file(int number) const -> std::string {
+  return folder_ + "/gateway-" + std::to_string(number) + ".flags";
+}
+
+auto soak_fleet::open() -> status {
+  mkdir(folder_.c_str(), 0755);
+  auto store = row_store_server::create(*loop_, address(stand_in_host, store_port), rows_);
+  if (!ok(store)) {
+    return failure(store);
+  }
+  store_ = std::move(value(store));
+  configure(1);
+  for (auto number = 0; number < settings_.engines_ + settings_.services_; ++number) {
+    auto added = add_upstream(number < settings_.engines_);
+    if (!ok(added)) {
+      return added;
+    }
+  }
+  gateways_.resize(static_cast<std::size_t>(settings_.gateways_));
+  for (auto number = 0; number < settings_.gateways_; ++number) {
+    auto link = tcp_proxy::create(*loop_, address(stand_in_host, link_port + number),
+                                  address(stand_in_host, store_port));
+    if (!ok(link)) {
+      return failure(link);
+    }
+    auto& gateway = gateways_[static_cast<std::size_t>(number)];
+    gateway.number_ = number;
+    gateway.store_link_ = value(link);
+    change_settings(number);
+    start_gateway(number);
+  }
+  return success;
+}
+
+auto soak_fleet::change_settings(int number) -> void {
+  static auto changes = 0;
+  auto file = std::ofstream{settings_file(number)};
+  auto host = first_gateway + number;
+  file << "--vm_id=gateway-" << number << "\n--data_hall=hall-" << number % 3
+       << "\n--store_address=" << address(stand_in_host, link_port + number)
+       << "\n--caller_address=" << address(host, caller_port)
+       << "\n--readiness_address=" << address(host, ready_port)
+       << "\n--control_address=" << address(host, control_port) << "\n--peer_ports=" << peer_port << "\n"
+       << "--stop_grace_s=" << stop_grace_s << "\n--log_level=" << (++changes % 2 == 0 ? "debug" : "info")
+       << "\n";
+}
+
+auto soak_fleet::start_gateway(int number) -> void {
+  auto& gateway = gateways_[static_cast<std::size_t>(number)];
+  if (gateway.pid_ > 0) {
+    return;
+  }
+  auto words =
+      std::vector<std::string>{settings_.binary_, "gateway", "--settings_file=" + settings_file(number)};
+  auto pointers = std::vector<char*>{};
+  for (auto& word : words) {
+    pointers.push_back(word.data());
+  }
+  pointers.push_back(nullptr);
+  auto log = folder_ + "/gateway-" + std::to_string(number) + ".log";
+  auto actions = posix_spawn_file_actions_t{};
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  posix_spawn(&gateway.pid_, settings_.binary_.c_str(), &actions, nullptr, pointers.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  gateway.paused_ = false;
+  gateway.stopping_since_ = 0;
+}
+
+auto soak_fleet::signal_gateway(int number, int signal) -> void {
+  const auto& gateway = gateways_[static_cast<std::size_t>(number)];
+  if (gateway.pid_ > 0) {
+    kill(gateway.pid_, signal);
+  }
+}
+
+auto soak_fleet::kill_gateway(int number) -> void {
+  auto& gateway = gateways_[static_cast<std::size_t>(number)];
+  if (gateway.pid_ <= 0) {
+    return;
+  }
+  kill(gateway.pid_, SIGKILL);
+  waitpid(gateway.pid_, nullptr, 0);
+  gateway.pid_ = -1;
+  gateway.stopping_since_ = 0;
+}
+
+auto soak_fleet::reap(int number) -> bool {
+  auto& gateway = gateways_[static_cast<std::size_t>(number)];
+  if (gateway.pid_ > 0 && waitpid(gateway.pid_, nullptr, WNOHANG) == gateway.pid_) {
+    gateway.pid_ = -1;
+  }
+  return gateway.pid_ <= 0;
+}
+
+auto soak_fleet::look_at(gateway_process& gateway) -> task<> {
+  auto parsed = parse_address(address(first_gateway + gateway.number_, ready_port));
+  auto opened = co_await outgoing_connection::open(*loop_, value(parsed), look_limit);
+  auto good = false;
+  if (auto* connection = std::get_if<std::shared_ptr<outgoing_connection>>(&opened)) {
+    auto request = std::make_shared<http_request>(http::verb::get, names::readiness_path, 11);
+    request->set(http::field::host, "balancer");
+    (*connection)->send(request, look_limit);
+    auto head = co_await (*connection)->read_head();
+    const auto* answer = std::get_if<http_response>(&head);
+    good = answer != nullptr && answer->result() == http::status::ok;
+    (*connection)->abort();
+  }
+  gateway.misses_ = good ? 0 : gateway.misses_ + 1;
+  gateway.ready_ = good || (gateway.ready_ && gateway.misses_ < misses_until_out);
+}
+
+auto soak_fleet::look_at_all() -> task<> {
+  while (true) {
+    for (auto& gateway : gateways_) {
+      start(*loop_, "look_at", look_at(gateway));
+    }
+    co_await pause_for(*loop_, look_gap);
+  }
+}
+
+auto soak_fleet::pick_gateway(std::uint64_t draw) const -> int {
+  auto in = std::vector<int>{};
+  for (const auto& gateway : gateways_) {
+    if (gateway.ready_) {
+      in.push_back(gateway.number_);
+    }
+  }
+  if (2 * in.size() < gateways_.size()) {
+    return static_cast<int>(draw % gateways_.size());  // As the platform: below half it uses them all.
+  }
+  return in[draw % in.size()];
+}
+
+auto soak_fleet::add_upstream(bool engine) -> status {
+  auto number = made_upstreams_++;
+  auto identity = upstream_identity{(engine ? "engine-" : "tool-") + std::to_string(number),
+                                    engine ? engine_service : plain_service,
+                                    address(stand_in_host, upstream_port + number), engine};
+  auto made = upstream_stand_in::create(*loop_, identity, *ledger_, settings_.seed_ + 1000U + number);
+  if (!ok(made)) {
+    return failure(made);
+  }
+  upstreams_.push_back(std::move(value(made)));
+  list_upstream(identity, false);
+  return success;
+}
+
+auto soak_fleet::list_upstream(const upstream_identity& identity, bool leaving) -> void {
+  auto entry = json{{"service", identity.service_},
+                    {"address", identity.address_},
+                    {"zone", "hall-0"},
+                    {"version", "1"},
+                    {"slots", 16},
+                    {"state", leaving ? "draining" : "ready"},
+                    {"cold_left_ms", 0},
+                    {"sequence", 1}};
+  rows_->put({names::upstream_table, "", identity.id_}, entry.dump());
+}
+
+auto soak_fleet::unlist_upstream(const std::string& id) -> void {
+  rows_->remove({names::upstream_table, "", id});
+}
+
+auto soak_fleet::configure(int version) -> void {
+  auto turns = route("/turn/", "streaming", engine_service);
+  turns["retained"] = true;
+  turns["retention_s"] = 60;
+  auto routes =
+      json::array({turns, route("/safe/", "safe", plain_service), route("/once/", "unsafe", plain_service)});
+  for (auto extra = 2; extra <= version; ++extra) {
+    routes.push_back(route("/extra-" + std::to_string(extra) + "/", "safe", plain_service));
+  }
+  auto engines =
+      json{{"name", engine_service},
+           {"health_path", "/healthz"},
+           {"max_conns", 200},
+           {"engine",
+            {{"slots", 16}, {"kv_capacity", 200000}, {"chunk_tokens", upstream_stand_in::tokens_per_event}}}};
+  auto tools = json{{"name", plain_service}, {"health_path", "/healthz"}, {"max_conns", 200}};
+  auto whole = json{{"version", version}, {"routes", routes}, {"services", json::array({engines, tools})}};
+  rows_->put({names::operator_table, "", names::configuration_key}, whole.dump());
+}
+
+}  // namespace birchlever::soak
--- /dev/null
+++ b/soak/soak_fleet.h
@@ -0,0 +1,94 @@
+/// Gateways as processes, each with its own way to the store, before stand-ins in the soak's own process.
+#pragma once
+
+#include <sys/types.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "soak/row_store_server.h"
+#include "soak/tcp_proxy.h"
+#include "soak/upstream_stand_in.h"
+
+namespace birchlever::soak {
+
+/// One gateway process and what the soak knows of it.
+struct gateway_process {
+  int number_ = 0;
+  pid_t pid_ = -1;
+  std::shared_ptr<tcp_proxy> store_link_;
+  bool ready_ = false;  ///< By the last looks, as a balancer makes them.
+  int misses_ = 0;      ///< Looks in a row without a good answer.
+  bool paused_ = false;
+  milliseconds stopping_since_ = 0;  ///< 0 while no planned stop is under way.
+};
+
+/// Ends only processes that it started, by their ids.
+class soak_fleet {
+ public:
+  /// Starts stand-ins and gateways. Failures: invalid_setting.
+  static auto create(event_loop& loop, const soak_settings& settings, soak_ledger& ledger)
+      -> result<std::unique_ptr<soak_fleet>>;
+
+  ~soak_fleet();
+  soak_fleet(const soak_fleet&) = delete;
+  auto operator=(const soak_fleet&) -> soak_fleet& = delete;
+
+  /// Starts the process of a gateway that is not running.
+  auto start_gateway(int number) -> void;
+
+  /// Sends a signal to a gateway's process, if it has one.
+  auto signal_gateway(int number, int signal) -> void;
+
+  /// Kills a gateway's process and waits for its end.
+  auto kill_gateway(int number) -> void;
+
+  /// True when a process that was told to stop has ended.
+  auto reap(int number) -> bool;
+
+  /// Writes another settings file for a gateway.
+  auto change_settings(int number) -> void;
+
+  /// Asks every gateway whether it is ready, again and again; ends with the soak.
+  auto look_at_all() -> task<>;
+
+  /// The address for callers of a gateway that a balancer would use.
+  auto pick_gateway(std::uint64_t draw) const -> int;
+
+  [[nodiscard]] auto caller_address(int number) const -> std::string;
+  [[nodiscard]] auto gateways() -> std::vector<gateway_process>& { return gateways_; }
+  [[nodiscard]] auto upstreams() -> std::vector<std::unique_ptr<upstream_stand_in>>& { return upstreams_; }
+  [[nodiscard]] auto rows() -> memory_row_store& { return *rows_; }
+
+  /// Starts and lists one more upstream. Failures: invalid_setting.
+  auto add_upstream(bool engine) -> status;
+
+  /// Lists an upstream as leaving, or takes it off the list.
+  auto list_upstream(const upstream_identity& identity, bool leaving) -> void;
+  auto unlist_upstream(const std::string& id) -> void;
+
+  /// Puts a configuration in force; each has one more route, `/extra-VERSION/`, of the plain service.
+  auto configure(int version) -> void;
+
+ private:
+  soak_fleet(event_loop& loop, const soak_settings& settings, soak_ledger& ledger);
+
+  auto open() -> status;
+  [[nodiscard]] auto address(int last, int port) const -> std::string;
+  [[nodiscard]] auto settings_file(int number) const -> std::string;
+  auto look_at(gateway_process& gateway) -> task<>;
+
+  event_loop* loop_;
+  soak_settings settings_;
+  soak_ledger* ledger_;
+  std::string network_;
+  std::string folder_;
+  std::shared_ptr<memory_row_store> rows_;
+  std::unique_ptr<row_store_server> store_;
+  std::vector<gateway_process> gateways_;
+  std::vector<std::unique_ptr<upstream_stand_in>> upstreams_;
+  int made_upstreams_ = 0;
+};
+
+}  // namespace birchlever::soak
--- /dev/null
+++ b/soak/soak_ledger.cpp
@@ -0,0 +1,81 @@
+#include "soak/soak_ledger.h"
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+
+namespace birchlever::soak {
+
+auto name_of(promise broken) -> const char* {
+  constexpr auto names = std::array<const char*, 9>{
+      "at_most_once", "refusal_is_true",      "answer_is_whole", "chain_is_exact",           "budget_holds",
+      "turn_is_kept", "leaving_gets_nothing", "change_in_force", "planned_stop_cuts_nothing"};
+  return names.at(static_cast<std::size_t>(broken));
+}
+
+auto soak_ledger::broken(promise which, const std::string& detail) -> void {
+  faults_.push_back(std::string{name_of(which)} + ": " + detail);
+  std::cerr << "BROKEN " << faults_.back() << std::endl;
+}
+
+auto soak_ledger::sent(const std::string& request, const std::string& prompt, bool repeatable) -> void {
+  sent_[request] = {prompt, repeatable};
+}
+
+auto soak_ledger::ran(const std::string& request, const std::string& body, const std::string& upstream)
+    -> void {
+  auto count = ++runs_[request];
+  auto known = sent_.find(request);
+  if (known == sent_.end()) {
+    broken(promise::chain_is_exact, request + " runs at " + upstream + " and no caller sent it");
+    return;
+  }
+  if (count > 1 && !known->second.repeatable_) {
+    broken(promise::at_most_once,
+           request + " runs for the " + std::to_string(count) + ". time at " + upstream);
+  }
+  if (body != known->second.prompt_) {
+    broken(promise::chain_is_exact, request + " has " + std::to_string(body.size()) + " bytes at " +
+                                        upstream + " instead of " +
+                                        std::to_string(known->second.prompt_.size()));
+  }
+  if (refused_.count(request) != 0) {
+    broken(promise::refusal_is_true, request + " runs after its refusal at " + upstream);
+  }
+}
+
+auto soak_ledger::answered(const std::string& request, const std::string& bytes, bool whole) -> void {
+  answers_[request].push_back({bytes, whole});
+}
+
+auto soak_ledger::got(const std::string& request, const std::string& bytes, bool whole, bool proven) -> void {
+  if (!whole) {
+    return;
+  }
+  ++whole_answers_;
+  const auto& made = answers_[request];
+  auto same = std::any_of(made.begin(), made.end(),
+                          [&](const made_answer& one) { return one.whole_ && one.bytes_ == bytes; });
+  if (!same || !proven) {
+    broken(promise::answer_is_whole, request + " got " + std::to_string(bytes.size()) +
+                                         " bytes as whole that no upstream made so" +
+                                         (proven ? "" : ", unproven"));
+  }
+}
+
+auto soak_ledger::refused(const std::string& request) -> void {
+  refused_.insert(request);
+  if (runs_.count(request) != 0) {
+    broken(promise::refusal_is_true, request + " was refused as not run and had run");
+  }
+}
+
+auto soak_ledger::check_refusals() -> void {
+  for (const auto& request : refused_) {
+    if (runs_.count(request) != 0) {
+      broken(promise::refusal_is_true, request + " was refused as not run and ran");
+    }
+  }
+}
+
+}  // namespace birchlever::soak
--- /dev/null
+++ b/soak/soak_ledger.h
@@ -0,0 +1,78 @@
+/// What callers and upstreams saw, and the promises that are checked on it while the soak runs.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "birchlever/core/clock.h"
+
+namespace birchlever::soak {
+
+/// A promise of the system.
+enum class promise {
+  at_most_once,
+  refusal_is_true,
+  answer_is_whole,
+  chain_is_exact,
+  budget_holds,
+  turn_is_kept,
+  leaving_gets_nothing,
+  change_in_force,
+  planned_stop_cuts_nothing,
+};
+
+/// The stable name of a promise.
+[[nodiscard]] auto name_of(promise broken) -> const char*;
+
+/// For the soak's one thread.
+class soak_ledger {
+ public:
+  /// A caller is about to send a request; `prompt` is the body that the upstream must get.
+  auto sent(const std::string& request, const std::string& prompt, bool repeatable) -> void;
+
+  /// An upstream begins to run a request with a body.
+  auto ran(const std::string& request, const std::string& body, const std::string& upstream) -> void;
+
+  /// An upstream made an answer, or the part of one that it sent.
+  auto answered(const std::string& request, const std::string& bytes, bool whole) -> void;
+
+  /// A caller got a success; `whole` when it came to its end.
+  auto got(const std::string& request, const std::string& bytes, bool whole, bool proven) -> void;
+
+  /// A caller was told that the request did not run.
+  auto refused(const std::string& request) -> void;
+
+  /// Notes a broken promise.
+  auto broken(promise which, const std::string& detail) -> void;
+
+  /// Checks what can only be said at the end: no refused request ran, also not later.
+  auto check_refusals() -> void;
+
+  [[nodiscard]] auto faults() const -> const std::vector<std::string>& { return faults_; }
+  [[nodiscard]] auto runs() const -> std::size_t { return runs_.size(); }
+  [[nodiscard]] auto whole_answers() const -> int { return whole_answers_; }
+  [[nodiscard]] auto refusals() const -> std::size_t { return refused_.size(); }
+
+ private:
+  struct request_state {
+    std::string prompt_;
+    bool repeatable_ = false;
+  };
+
+  /// What an upstream sent for a request.
+  struct made_answer {
+    std::string bytes_;
+    bool whole_ = false;
+  };
+
+  std::map<std::string, request_state> sent_;
+  std::map<std::string, int> runs_;
+  std::map<std::string, std::vector<made_answer>> answers_;
+  std::set<std::string> refused_;
+  std::vector<std::string> faults_;
+  int whole_answers_ = 0;
+};
+
+}  // namespace birchlever::soak
--- /dev/null
+++ b/soak/soak_settings.h
@@ -0,0 +1,27 @@
+/// What one run of the soak is made of.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "birchlever/core/clock.h"
+
+namespace birchlever::soak {
+
+/// Sizes and times of a run. Times in ms.
+struct soak_settings {
+  std::string binary_ = "out/release/birchlever";  ///< The program under test.
+  std::string folder_ = "/tmp";                    ///< For settings files and logs of the gateways.
+  std::uint64_t seed_ = 1;                         ///< Decides faults, their times, and what callers do.
+  int gateways_ = 4;
+  int engines_ = 4;
+  int services_ = 3;
+  int callers_ = 12;               ///< Programs under way at once.
+  milliseconds duration_ = 12000;  ///< Of faults and load; healing and the last checks come after it.
+  milliseconds heal_ = 4000;       ///< From the last fault's end until the last checks begin.
+  milliseconds drain_ = 2000;  ///< After which a leaving upstream must get nothing (the platform's bound).
+  milliseconds configuration_ = 2000;  ///< After which a change is in force (the platform's bound).
+  milliseconds calm_ = 3000;           ///< Without a fault for so long, the bounds in time hold.
+};
+
+}  // namespace birchlever::soak
--- /dev/null
+++ b/soak/upstream_stand_in.cpp
@@ -0,0 +1,131 @@
+#include "soak/upstream_stand_in.h"
+
+#include "platform/names.h"
+
+namespace birchlever::soak {
+namespace {
+
+namespace names = platform::names;
+
+constexpr auto first_event_ms = milliseconds{10};  // A short prompt on an idle engine.
+constexpr auto event_gap_ms = milliseconds{8};
+constexpr auto work_ms = milliseconds{15};  // Of a plain service.
+
+auto event_bytes(const std::string& id, int number) -> std::string {
+  auto text = std::to_string(number);
+  return "id: " + text + "\ndata: " + id + "." + text + "\n\n";
+}
+
+/// The most events that a turn may have, by the second number of its token usage.
+auto events_of(const http_request& request) -> int {
+  auto usage = std::string{field_of(request, names::token_usage)};
+  auto comma = usage.find(',');
+  auto most = comma == std::string::npos ? std::nullopt : parse_count(usage.substr(comma + 1));
+  return static_cast<int>(most.value_or(0)) / upstream_stand_in::tokens_per_event;
+}
+
+}  // namespace
+
+upstream_stand_in::upstream_stand_in(event_loop& loop, upstream_identity identity, soak_ledger& ledger,
+                                     std::uint64_t seed)
+    : loop_{&loop}, identity_{std::move(identity)}, ledger_{&ledger}, random_{seed} {}
+
+auto upstream_stand_in::create(event_loop& loop, upstream_identity identity, soak_ledger& ledger,
+                               std::uint64_t seed) -> result<std::unique_ptr<upstream_stand_in>> {
+  auto made =
+      std::unique_ptr<upstream_stand_in>{new upstream_stand_in{loop, std::move(identity), ledger, seed}};
+  auto* self = made.get();
+  auto listening = http_listener::create(
+      loop, self->identity_.address_, [self](auto connection) { return self->serve(std::move(connection)); });
+  if (!ok(listening)) {
+    return failure(listening);
+  }
+  made->listener_ = value(listening);
+  return made;
+}
+
+auto upstream_stand_in::set_fault(upstream_fault fault, double share) -> void {
+  fault_ = fault;
+  fault_share_ = share;
+}
+
+auto upstream_stand_in::die() -> void {
+  dead_ = true;
+  listener_->stop();
+}
+
+auto upstream_stand_in::draw_fault() -> upstream_fault {
+  auto meets = std::uniform_real_distribution<double>{0, 1}(random_) < fault_share_;
+  return meets ? fault_ : upstream_fault::none;
+}
+
+auto upstream_stand_in::serve(std::shared_ptr<server_connection> connection) -> task<> {
+  auto limits = request_limits{};
+  auto keep = true;
+  while (keep && !dead_) {
+    auto read = co_await connection->read_request(limits);
+    auto* request = std::get_if<http_request>(&read);
+    if (request == nullptr || dead_) {
+      break;
+    }
+    keep = co_await handle(*request, *connection);
+  }
+  connection->close();
+}
+
+auto upstream_stand_in::handle(const http_request& request, server_connection& connection) -> task<bool> {
+  auto id = std::string{field_of(request, names::request_id)};
+  auto expected = std::string{field_of(request, names::expected_upstream)};
+  auto answer = http_response{http::status::ok, 11};
+  answer.set(names::request_id, id);
+  answer.keep_alive(true);
+  auto fault = draw_fault();
+  if (expected != identity_.id_ || fault == upstream_fault::refuses) {
+    answer.result(expected != identity_.id_ ? 421 : 503);
+    answer.set(names::not_run, "1");
+    answer.prepare_payload();
+    co_return co_await connection.write(std::move(answer));
+  }
+  if (fault == upstream_fault::resets) {
+    co_return false;
+  }
+  reached_at_ = clock_.now();
+  ledger_->ran(id, request.body(), identity_.id_);
+  answer.set(names::proof, "proof-" + id);
+  if (identity_.engine_) {
+    auto events = std::uniform_int_distribution<int>{1, std::max(1, events_of(request))}(random_);
+    if (fault == upstream_fault::loses_answer) {
+      co_return false;
+    }
+    co_return co_await stream(id, events, fault == upstream_fault::breaks_off, std::move(answer), connection);
+  }
+  co_await pause_for(*loop_, work_ms);
+  answer.body() = "answer to " + id;
+  answer.prepare_payload();
+  ledger_->answered(id, answer.body(), true);
+  if (fault == upstream_fault::loses_answer || fault == upstream_fault::breaks_off || dead_) {
+    co_return false;
+  }
+  co_return co_await connection.write(std::move(answer));
+}
+
+auto upstream_stand_in::stream(const std::string& id, int events, bool breaks, http_response head,
+                               server_connection& connection) -> task<bool> {
+  auto made = std::string{};
+  head.set(http::field::content_type, "text/event-stream");
+  co_await connection.write_head(std::move(head));
+  co_await pause_for(*loop_, first_event_ms);
+  for (auto number = 1; number <= events; ++number) {
+    auto bytes = event_bytes(id, number);
+    auto written = co_await connection.write_piece(bytes);
+    if (!written || dead_ || (breaks && number == events)) {
+      co_return false;
+    }
+    made += bytes;
+    co_await pause_for(*loop_, event_gap_ms);
+  }
+  ledger_->answered(id, made, true);
+  co_return co_await connection.write_end();
+}
+
+}  // namespace birchlever::soak
--- /dev/null
+++ b/soak/upstream_stand_in.h
@@ -0,0 +1,72 @@
+/// A stand-in of an upstream: a model engine that streams, or a plain service. It notes what it ran.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "birchlever/http/http_listener.h"
+#include "soak/soak_ledger.h"
+#include "soak/soak_settings.h"
+
+namespace birchlever::soak {
+
+/// What an upstream does with a request instead of answering it well.
+enum class upstream_fault { none, refuses, resets, loses_answer, breaks_off };
+
+/// Who an upstream is.
+struct upstream_identity {
+  std::string id_;
+  std::string service_;
+  std::string address_;  ///< "ip:port".
+  bool engine_ = false;
+};
+
+/// For the soak's one loop.
+class upstream_stand_in {
+ public:
+  static constexpr auto tokens_per_event = 4;
+
+  /// Serves at its address. Failures: invalid_setting.
+  static auto create(event_loop& loop, upstream_identity identity, soak_ledger& ledger, std::uint64_t seed)
+      -> result<std::unique_ptr<upstream_stand_in>>;
+
+  /// A share of the requests, 0 to 1, meets the fault from now on.
+  auto set_fault(upstream_fault fault, double share) -> void;
+
+  /// From this moment of the soak's clock on it is leaving, as the store has acknowledged.
+  auto leave(milliseconds now) -> void { left_at_ = now; }
+
+  /// Takes no more connections and answers nothing.
+  auto die() -> void;
+
+  [[nodiscard]] auto identity() const -> const upstream_identity& { return identity_; }
+  [[nodiscard]] auto left_at() const -> std::optional<milliseconds> { return left_at_; }
+
+  /// When a request last reached it, on the soak's clock.
+  [[nodiscard]] auto reached_at() const -> milliseconds { return reached_at_; }
+
+ private:
+  upstream_stand_in(event_loop& loop, upstream_identity identity, soak_ledger& ledger, std::uint64_t seed);
+
+  auto serve(std::shared_ptr<server_connection> connection) -> task<>;
+  auto handle(const http_request& request, server_connection& connection) -> task<bool>;
+  auto stream(const std::string& id, int events, bool breaks, http_response head,
+              server_connection& connection) -> task<bool>;
+  auto draw_fault() -> upstream_fault;
+
+  event_loop* loop_;
+  upstream_identity identity_;
+  soak_ledger* ledger_;
+  std::shared_ptr<http_listener> listener_;
+  std::mt19937_64 random_;
+  steady_clock clock_;
+  upstream_fault fault_ = upstream_fault::none;
+  double fault_share_ = 0;
+  std::optional<milliseconds> left_at_;
+  milliseconds reached_at_ = 0;
+  bool dead_ = false;
+};
+
+}  // namespace birchlever::soak
--- /dev/null
+++ b/unit_tests/soak/soak_ledger_test.cpp
@@ -0,0 +1,76 @@
+/// The soak's checks find what they are there for.
+#include "soak/soak_ledger.h"
+
+#include <catch2/catch.hpp>
+
+namespace birchlever::soak {
+namespace {
+
+auto only_fault(const soak_ledger& ledger) -> std::string {
+  REQUIRE(ledger.faults().size() == 1);
+  return ledger.faults().front().substr(0, ledger.faults().front().find(':'));
+}
+
+}  // namespace
+
+TEST_CASE("the soak's ledger is content with a request that ran once and came whole") {
+  auto ledger = soak_ledger{};
+  ledger.sent("r", "prompt", false);
+  ledger.ran("r", "prompt", "engine-1");
+  ledger.answered("r", "bytes", true);
+  ledger.got("r", "bytes", true, true);
+  ledger.check_refusals();
+  CHECK(ledger.faults().empty());
+  CHECK(ledger.whole_answers() == 1);
+}
+
+TEST_CASE("the soak's ledger sees a second run, unless the request may be repeated") {
+  auto ledger = soak_ledger{};
+  ledger.sent("safe", "", true);
+  ledger.sent("once", "", false);
+  for (auto run = 0; run < 2; ++run) {
+    ledger.ran("safe", "", "tool-1");
+    ledger.ran("once", "", "tool-2");
+  }
+  CHECK(only_fault(ledger) == name_of(promise::at_most_once));
+}
+
+TEST_CASE("the soak's ledger sees a refused request that ran before, or runs later") {
+  auto before = soak_ledger{};
+  before.sent("r", "", false);
+  before.ran("r", "", "tool-1");
+  before.refused("r");
+  CHECK(only_fault(before) == name_of(promise::refusal_is_true));
+  auto later = soak_ledger{};
+  later.sent("r", "", false);
+  later.refused("r");
+  later.ran("r", "", "tool-1");
+  CHECK(only_fault(later) == name_of(promise::refusal_is_true));
+}
+
+TEST_CASE("the soak's ledger sees a changed prompt and a request that nobody sent") {
+  auto changed = soak_ledger{};
+  changed.sent("r", "prompt", false);
+  changed.ran("r", "another", "engine-1");
+  CHECK(only_fault(changed) == name_of(promise::chain_is_exact));
+  auto unasked = soak_ledger{};
+  unasked.ran("r", "", "engine-1");
+  CHECK(only_fault(unasked) == name_of(promise::chain_is_exact));
+}
+
+TEST_CASE("the soak's ledger sees a broken answer passed as whole, other bytes, and a missing proof") {
+  auto broken = soak_ledger{};
+  broken.answered("r", "bytes", false);
+  broken.got("r", "bytes", true, true);
+  CHECK(only_fault(broken) == name_of(promise::answer_is_whole));
+  auto other = soak_ledger{};
+  other.answered("r", "bytes", true);
+  other.got("r", "byte", true, true);
+  CHECK(only_fault(other) == name_of(promise::answer_is_whole));
+  auto unproven = soak_ledger{};
+  unproven.answered("r", "bytes", true);
+  unproven.got("r", "bytes", true, false);
+  CHECK(only_fault(unproven) == name_of(promise::answer_is_whole));
+}
+
+}  // namespace birchlever::soak
