Health of upstreams from evidence, shared among daemons at once

Each of 64 daemons had to fail twice at each of 14 upstreams before it avoided one, and again after each avoidance. Ruled out: store (no call throttled), engines' queues (median of a turn 0.28 s). Change: upstream_health, a class of its own: two failures in a row make an upstream avoided, doubled after each that follows, with jitter; failures under way do not escalate, those far apart do not add up; an upstream's own 5xx counts, a stream that it broke off counts, silence of 1.5 s while requests wait counts. News go to up to 128 peers within 20 ms; what is heard counts like own evidence and is not told on. When under a quarter of a service is left, all of it is used.

--- a/birchlever/controllers/peer_exchange.cpp
+++ b/birchlever/controllers/peer_exchange.cpp
@@ -24,7 +24,11 @@
 auto encode(const peer_state& state) -> std::string {
   auto bytes = std::string{};
   auto silence = state.store_silence_ ? json(*state.store_silence_) : json(nullptr);
-  auto message = json{state.vm_, silence, state.configuration_, state.control_address_, state.running_};
+  auto news = json::array();
+  for (const auto& one : state.news_) {
+    news.push_back(json::array({one.id_, one.failed_}));
+  }
+  auto message = json{state.vm_, silence, state.configuration_, state.control_address_, state.running_, news};
   json::to_cbor(message, bytes);
   return bytes;
 }
@@ -40,6 +44,9 @@
     message.at(2).get_to(state.configuration_);
     message.at(3).get_to(state.control_address_);
     message.at(4).get_to(state.running_);
+    for (const auto& one : message.at(5)) {
+      state.news_.push_back({one.at(0).get<std::string>(), one.at(1).get<bool>()});
+    }
     return state;
   } catch (const json::exception& fault) {
     return error{error_code::malformed_json, std::string{"a peer's message can't be read: "} + fault.what()};
@@ -81,27 +88,46 @@
   return made;
 }
 
+auto peer_exchange::send(const peer_state& state, int most) -> void {
+  auto bytes = encode(state);
+  if (bytes.size() > most_datagram) {
+    log_event(log_level::warning, "peer_message_too_long",
+              {{"bytes", static_cast<std::int64_t>(bytes.size())}});
+    return;
+  }
+  auto count = std::min(receivers_.size(), static_cast<std::size_t>(most));
+  if (count < receivers_.size()) {
+    std::shuffle(receivers_.begin(), receivers_.end(), random_);
+  }
+  for (auto next = std::size_t{0}; next < count; ++next) {
+    auto ignored = boost::system::error_code{};  // A datagram may always be lost; the next follows soon.
+    socket_.send_to(asio::buffer(bytes), receivers_[next], 0, ignored);
+  }
+}
+
 auto peer_exchange::send_all() -> task<> {
   auto self = shared_from_this();
   while (true) {
     co_await pause_for(*loop_, settings_.send_gap_);
-    auto bytes = encode(describe_());
-    if (bytes.size() > most_datagram) {
-      log_event(log_level::warning, "peer_message_too_long",
-                {{"bytes", static_cast<std::int64_t>(bytes.size())}});
-      continue;
-    }
-    auto count = std::min(receivers_.size(), static_cast<std::size_t>(settings_.most_receivers_));
-    if (count < receivers_.size()) {
-      std::shuffle(receivers_.begin(), receivers_.end(), random_);
-    }
-    for (auto next = std::size_t{0}; next < count; ++next) {
-      auto ignored = boost::system::error_code{};  // A datagram may always be lost; the next follows soon.
-      socket_.send_to(asio::buffer(bytes), receivers_[next], 0, ignored);
-    }
+    send(describe_(), settings_.most_receivers_);
+  }
+}
+
+auto peer_exchange::tell(const upstream_news& news) -> void {
+  untold_.push_back(news);
+  if (untold_.size() == 1) {
+    start(*loop_, "peer_news", send_news());
   }
 }
 
+auto peer_exchange::send_news() -> task<> {
+  auto self = shared_from_this();
+  co_await pause_for(*loop_, settings_.news_gap_);
+  auto state = describe_();
+  state.news_ = std::exchange(untold_, {});
+  send(state, settings_.most_told_);
+}
+
 auto peer_exchange::receive_all() -> task<> {
   auto self = shared_from_this();
   auto buffer = std::vector<char>(most_datagram);
@@ -120,6 +146,11 @@
       log_failure(log_level::warning, "peer_message_unreadable", failure(decoded));
       continue;
     }
+    if (on_news_) {
+      for (const auto& one : value(decoded).news_) {
+        on_news_(one);
+      }
+    }
     auto vm = value(decoded).vm_;
     heard_[vm] = {std::move(value(decoded)), clock_.now()};
   }
--- a/birchlever/controllers/peer_exchange.h
+++ b/birchlever/controllers/peer_exchange.h
@@ -13,6 +13,7 @@
 
 #include "birchlever/http/task.h"
 #include "birchlever/storage/row_store_interface.h"
+#include "birchlever/upstream/upstream_directory.h"
 
 namespace birchlever {
 
@@ -24,6 +25,7 @@
   std::int64_t configuration_ = 0;      ///< Version in force there.
   std::string control_address_;         ///< Where it relays calls to the store, "ip:port".
   std::map<std::string, int> running_;  ///< Requests at each upstream.
+  std::vector<upstream_news> news_;     ///< What it just learned of upstreams; empty in regular messages.
 };
 
 /// The bytes of a message.
@@ -38,9 +40,11 @@
   std::string address_;            ///< "ip:port" of the datagrams, alike in form on all daemons.
   std::string table_ = "daemons";  ///< Where daemons find each other.
   milliseconds send_gap_ = 200;    ///< A burst fills an upstream within some hundred ms.
-  int most_receivers_ = 16;       ///< A message each gap to so many, drawn anew: bounds the cost at any size.
-  milliseconds fresh_ = 1500;     ///< Older views count no more.
-  milliseconds list_gap_ = 5000;  ///< Between two readings of the list of daemons.
+  milliseconds news_gap_ = 20;  ///< News of so long go out together, so that a bad second costs few messages.
+  int most_told_ = 128;         ///< Peers that get news, drawn anew each time.
+  int most_receivers_ = 16;     ///< A message each gap to so many, drawn anew: bounds the cost at any size.
+  milliseconds fresh_ = 1500;   ///< Older views count no more.
+  milliseconds list_gap_ = 5000;    ///< Between two readings of the list of daemons.
   milliseconds call_limit_ = 1500;  ///< For one call of the store.
   milliseconds forget_ = 600000;  ///< A peer that is listed and not heard for so long is taken from the list;
                                   ///< one that lives finds itself missing and lists itself again.
@@ -63,6 +67,13 @@
   /// Requests that peers have running at each upstream, by their latest words.
   [[nodiscard]] auto running_elsewhere() const -> std::map<std::string, double>;
 
+  /// Called with what a peer learned of an upstream.
+  using news_function = std::function<void(const upstream_news&)>;
+  auto on_news(news_function callback) -> void { on_news_ = std::move(callback); }
+
+  /// Tells peers soon what this daemon learned.
+  auto tell(const upstream_news& news) -> void;
+
   /// True when this daemon has the highest rendezvous weight for a subject among itself and the peers heard
   /// of.
   [[nodiscard]] auto preferred_for(std::string_view subject) const -> bool;
@@ -80,6 +91,8 @@
                 describe_function describe);
 
   auto send_all() -> task<>;
+  auto send_news() -> task<>;
+  auto send(const peer_state& state, int most) -> void;
   auto receive_all() -> task<>;
   auto follow_list() -> task<>;
   auto announce() -> task<bool>;
@@ -94,6 +107,8 @@
   steady_clock clock_;
   std::mt19937 random_;
   std::vector<asio::ip::udp::endpoint> receivers_;
+  std::vector<upstream_news> untold_;
+  news_function on_news_;
   std::map<std::string, heard_state> heard_;
   std::map<std::string, milliseconds> silent_since_;  ///< Listed peers, until they are heard.
 };
--- a/birchlever/gateway/gateway_request.h
+++ b/birchlever/gateway/gateway_request.h
@@ -17,6 +17,7 @@
   std::int64_t events_ = 0;
   bool whole_ = false;             ///< The upstream's answer came to its end.
   bool reached_upstream_ = false;  ///< Sent to an upstream, which may have run it.
+  bool upstream_broke_off_ = false;
   std::string upstream_;
 };
 
@@ -28,8 +29,8 @@
   request_facts facts_;
   const route* route_ = nullptr;  ///< Within configuration_.
   std::string service_;
-  std::string last_upstream_;     ///< Where the previous turn ran.
-  std::string reservation_;       ///< What the turn's budget is reserved under.
+  std::string last_upstream_;  ///< Where the previous turn ran.
+  std::string reservation_;    ///< What the turn's budget is reserved under.
   milliseconds received_at_ = 0;
   milliseconds due_ = 0;  ///< When the caller must have its final answer.
   bool keep_alive_ = true;
--- a/birchlever/gateway/upstream_dispatch.cpp
+++ b/birchlever/gateway/upstream_dispatch.cpp
@@ -11,7 +11,10 @@
 constexpr auto full_retry_ms =
     milliseconds{250};  // About one tool call or turn: a place is free again by then.
 
-auto evidence_of(offer_outcome outcome) -> upstream_evidence {
+constexpr auto first_failure_status = 500;
+
+/// An upstream's own failure counts like a lost one: its health check may be good all the same.
+auto evidence_of(offer_outcome outcome, const gateway_request& request) -> upstream_evidence {
   switch (outcome) {
     case offer_outcome::refused_full:
       return upstream_evidence::full;
@@ -20,12 +23,15 @@
     case offer_outcome::unknown:
     case offer_outcome::out_of_time:
       return upstream_evidence::failed;
-    case offer_outcome::relayed:
     case offer_outcome::cut:
+      return request.relayed_.upstream_broke_off_ ? upstream_evidence::failed : upstream_evidence::none;
     case offer_outcome::caller_gone:
+      return upstream_evidence::none;
+    case offer_outcome::relayed:
       break;
   }
-  return upstream_evidence::served;
+  return request.final_status_ >= first_failure_status ? upstream_evidence::failed
+                                                       : upstream_evidence::served;
 }
 
 }  // namespace
@@ -61,11 +67,11 @@
   }
   auto target = value(choice).chosen_;
   auto began = context_->clock_.now();
-  context_->upstreams_->begin(*target, wish);
-  auto offer = upstream_offer{*context_, request, *target};
+  auto sent_at = context_->upstreams_->begin(*target, wish);
+  auto offer = upstream_offer{*context_, request, *target, sent_at};
   auto outcome = co_await offer.run();
   request.connection_->on_gone(nullptr);
-  context_->upstreams_->end(*target, evidence_of(outcome));
+  context_->upstreams_->end(*target, sent_at, evidence_of(outcome, request));
   wish.excluded_.insert(target->entry().id_);
   ++so_far.offers_;
   auto took = context_->clock_.now() - began;
--- a/birchlever/gateway/upstream_offer.cpp
+++ b/birchlever/gateway/upstream_offer.cpp
@@ -90,6 +90,7 @@
     connection_->abort();
     co_return judge(*fault);
   }
+  context_->upstreams_->answered(*target_, sent_at_);
   auto& head = std::get<http_response>(read);
   auto facts = context_->dialect_->read_answer(head);
   if (facts.surely_not_run_) {
@@ -202,6 +203,8 @@
     auto read = co_await connection_->read_piece();
     if (auto* fault = std::get_if<exchange_fault>(&read)) {
       auto name = name_of(*fault);
+      request_->relayed_.upstream_broke_off_ =
+          *fault == exchange_fault::broken || *fault == exchange_fault::malformed;
       co_return cut(name.data());
     }
     auto& piece = std::get<body_piece>(read);
--- a/birchlever/gateway/upstream_offer.h
+++ b/birchlever/gateway/upstream_offer.h
@@ -28,8 +28,9 @@
 /// Used once.
 class upstream_offer {
  public:
-  upstream_offer(gateway_context& context, gateway_request& request, upstream& target)
-      : context_{&context}, request_{&request}, target_{&target} {}
+  /// `sent_at` is what the directory named the request by.
+  upstream_offer(gateway_context& context, gateway_request& request, upstream& target, milliseconds sent_at)
+      : context_{&context}, request_{&request}, target_{&target}, sent_at_{sent_at} {}
 
   /// Sends the request and relays its answer.
   auto run() -> task<offer_outcome>;
@@ -46,6 +47,7 @@
   gateway_context* context_;
   gateway_request* request_;
   upstream* target_;
+  milliseconds sent_at_;
   std::shared_ptr<outgoing_connection> connection_;
   event_stream events_;
   std::optional<std::int64_t> last_event_;
--- a/birchlever/upstream/upstream_directory.cpp
+++ b/birchlever/upstream/upstream_directory.cpp
@@ -3,12 +3,13 @@
 #include <algorithm>
 #include <functional>
 
+#include "birchlever/core/hashing.h"
 #include "birchlever/telemetry/log.h"
 
 namespace birchlever {
 namespace {
 
-constexpr auto failures_until_avoided = 2;  // One failure may be the request's own bad luck.
+constexpr auto jitter_steps = 1000U;
 constexpr auto retry_later_ms = milliseconds{300};
 
 }  // namespace
@@ -19,7 +20,9 @@
 auto upstream_directory::put(upstream_entry entry) -> void {
   auto& known = upstreams_[entry.id_];
   if (!known) {
-    known = std::make_shared<upstream>(std::move(entry));
+    auto draw = hash_of(entry.id_, settings_.jitter_seed_) % jitter_steps;
+    auto health = upstream_health{settings_.health_, static_cast<double>(draw) / jitter_steps};
+    known = std::make_shared<upstream>(std::move(entry), std::move(health));
     log_event(log_level::info, "upstream_listed",
               {{"upstream", known->entry_.id_},
                {"service", known->entry_.service_},
@@ -66,7 +69,7 @@
                      std::find(models.begin(), models.end(), wish.model_) != models.end();
     auto usable = one->entry_.service_ == wish.service_ && !one->entry_.leaving_ && has_model &&
                   wish.excluded_.count(id) == 0;
-    if (usable && (also_avoided || one->avoid_until_ <= now)) {
+    if (usable && (also_avoided || !one->health_.avoided(now))) {
       fitting.push_back(one);
     }
   }
@@ -91,8 +94,9 @@
 auto upstream_directory::choose(const policy_interface& policy, const upstream_wish& wish)
     -> result<upstream_choice> {
   auto fitting = candidates(wish, false);
-  if (fitting.empty()) {
-    fitting = candidates(wish, true);  // One that failed lately is better than a refusal.
+  auto all = candidates(wish, true);
+  if (static_cast<double>(fitting.size()) < settings_.least_kept_share_ * static_cast<double>(all.size())) {
+    fitting = std::move(all);
   }
   if (fitting.empty()) {
     return error{error_code::no_upstream, "no upstream of the service takes this request now",
@@ -123,35 +127,81 @@
   return chosen;
 }
 
-auto upstream_directory::begin(upstream& one, const upstream_wish& wish) -> void {
+auto upstream_directory::begin(upstream& one, const upstream_wish& wish) -> milliseconds {
+  auto now = clock_.now();
   ++one.running_;
+  one.health_.note_sent(now);
   if (!wish.parts_.empty()) {
     one.cache_.set_room(wish.cache_room_);
     one.cache_.used(wish.parts_);
   }
+  return now;
 }
 
-auto upstream_directory::end(upstream& one, upstream_evidence evidence) -> void {
+auto upstream_directory::answered(upstream& one, milliseconds began) -> void {
+  one.health_.note_answered(began, clock_.now());
+}
+
+auto upstream_directory::end(upstream& one, milliseconds began, upstream_evidence evidence) -> void {
   --one.running_;
+  one.health_.note_given_up(began);
   auto now = clock_.now();
-  if (evidence == upstream_evidence::full) {
-    one.full_until_ = now + settings_.full_memory_;
-    return;
+  switch (evidence) {
+    case upstream_evidence::full:
+      one.full_until_ = now + settings_.full_memory_;
+      break;
+    case upstream_evidence::served:
+      if (one.health_.note_success()) {
+        log_event(log_level::info, "upstream_serves_again", {{"upstream", one.entry_.id_}});
+        tell(one, false);
+      }
+      break;
+    case upstream_evidence::failed:
+      if (one.health_.note_failure(now)) {
+        log_avoided(one, "failures", now);
+      }
+      tell(one, true);
+      break;
+    case upstream_evidence::none:
+      break;
   }
-  if (evidence == upstream_evidence::served) {
-    one.failures_ = 0;
-    one.avoid_until_ = 0;
+}
+
+auto upstream_directory::hear(const upstream_news& news) -> void {
+  auto one = find(news.id_);
+  if (!one) {
     return;
   }
-  ++one.failures_;
-  if (one.failures_ < failures_until_avoided) {
-    return;
+  auto now = clock_.now();
+  if (!news.failed_) {
+    one->health_.note_success();
+  } else if (one->health_.note_failure(now)) {
+    log_avoided(*one, "peer", now);
+  }
+}
+
+auto upstream_directory::find_stalled() -> void {
+  auto now = clock_.now();
+  for (const auto& [id, one] : upstreams_) {
+    if (one->health_.note_stall(now)) {
+      log_avoided(*one, "silence", now);
+      tell(*one, true);
+    }
   }
-  auto doublings = std::min(one.failures_ - failures_until_avoided, 6);
-  auto avoidance = std::min(settings_.first_avoidance_ << doublings, settings_.longest_avoidance_);
-  one.avoid_until_ = now + avoidance;
+}
+
+auto upstream_directory::tell(const upstream& one, bool failed) -> void {
+  if (on_news_) {
+    on_news_({one.entry_.id_, failed});
+  }
+}
+
+auto upstream_directory::log_avoided(const upstream& one, const char* cause, milliseconds now) -> void {
   log_event(log_level::warning, "upstream_avoided",
-            {{"upstream", one.entry_.id_}, {"failures", std::int64_t{one.failures_}}, {"for_ms", avoidance}});
+            {{"upstream", one.entry_.id_},
+             {"cause", std::string{cause}},
+             {"failures", std::int64_t{one.health_.failures()}},
+             {"for_ms", one.health_.avoid_until() - now}});
 }
 
 auto upstream_directory::set_running_elsewhere(const std::string& id, double running) -> void {
--- a/birchlever/upstream/upstream_directory.h
+++ b/birchlever/upstream/upstream_directory.h
@@ -12,6 +12,7 @@
 #include "birchlever/core/clock.h"
 #include "birchlever/policy/policy_interface.h"
 #include "birchlever/upstream/prompt_cache.h"
+#include "birchlever/upstream/upstream_health.h"
 
 namespace birchlever {
 
@@ -27,12 +28,13 @@
 };
 
 /// What one request tells of an upstream.
-enum class upstream_evidence { served, full, failed };
+enum class upstream_evidence { served, full, failed, none };
 
 /// An upstream and what this daemon knows of it.
 class upstream {
  public:
-  explicit upstream(upstream_entry entry) : entry_{std::move(entry)} {}
+  explicit upstream(upstream_entry entry, upstream_health health = upstream_health{})
+      : entry_{std::move(entry)}, health_{std::move(health)} {}
 
   [[nodiscard]] auto entry() const -> const upstream_entry& { return entry_; }
   [[nodiscard]] auto running() const -> int { return running_; }
@@ -47,8 +49,7 @@
   bool listed_ = true;
   int running_ = 0;               ///< Requests of this daemon there now.
   double running_elsewhere_ = 0;  ///< Requests of other daemons, as they last said.
-  int failures_ = 0;              ///< In a row.
-  milliseconds avoid_until_ = 0;
+  upstream_health health_;
   milliseconds full_until_ = 0;
   prompt_cache cache_;
 };
@@ -77,10 +78,18 @@
 
 /// How evidence is weighed.
 struct upstream_directory_settings {
-  std::string data_hall_;               ///< Where this daemon stands.
-  milliseconds first_avoidance_ = 500;  ///< ms for which an upstream is avoided after failing twice in a row.
-  milliseconds longest_avoidance_ = 8000;  ///< Doubled with each further failure up to this many ms.
-  milliseconds full_memory_ = 60;          ///< ms for which an upstream that refused as full counts as full.
+  std::string data_hall_;          ///< Where this daemon stands.
+  std::uint64_t jitter_seed_ = 0;  ///< Differs between daemons.
+  upstream_health_settings health_;
+  double least_kept_share_ = 0.25;  ///< With fewer left than this share of a service, those avoided are used
+                                    ///< too: the load of all must not fall on a few.
+  milliseconds full_memory_ = 60;  ///< ms for which an upstream that refused as full counts as full.
+};
+
+/// What this daemon learned of an upstream, for its peers.
+struct upstream_news {
+  std::string id_;
+  bool failed_ = false;  ///< Else it serves again.
 };
 
 /// For coroutines of one loop.
@@ -103,11 +112,24 @@
   /// Chooses by the policy. Failures: no_upstream.
   auto choose(const policy_interface& policy, const upstream_wish& wish) -> result<upstream_choice>;
 
-  /// A request is sent there.
-  auto begin(upstream& one, const upstream_wish& wish) -> void;
+  /// Called with what peers should know at once.
+  using news_function = std::function<void(const upstream_news&)>;
+  auto on_news(news_function callback) -> void { on_news_ = std::move(callback); }
+
+  /// Takes in what a peer learned.
+  auto hear(const upstream_news& news) -> void;
+
+  /// Looks for upstreams that hang. Call some times a second.
+  auto find_stalled() -> void;
+
+  /// A request is sent there. Yields the moment, which names it below.
+  auto begin(upstream& one, const upstream_wish& wish) -> milliseconds;
+
+  /// The answer to a request that began then has begun.
+  auto answered(upstream& one, milliseconds began) -> void;
 
-  /// The request has ended.
-  auto end(upstream& one, upstream_evidence evidence) -> void;
+  /// The request that began then has ended.
+  auto end(upstream& one, milliseconds began, upstream_evidence evidence) -> void;
 
   /// Requests that other daemons have running there, as they say.
   auto set_running_elsewhere(const std::string& id, double running) -> void;
@@ -118,10 +140,13 @@
  private:
   auto candidates(const upstream_wish& wish, bool also_avoided) const -> std::vector<upstream_pointer>;
   auto view_of(const upstream& one, const upstream_wish& wish) const -> engine_view;
+  auto tell(const upstream& one, bool failed) -> void;
+  static auto log_avoided(const upstream& one, const char* cause, milliseconds now) -> void;
 
   upstream_directory_settings settings_;
   steady_clock clock_;
   std::map<std::string, upstream_pointer> upstreams_;
+  news_function on_news_;
 };
 
 }  // namespace birchlever
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -83,6 +83,7 @@
   }
   auto directory_settings = upstream_directory_settings{};
   directory_settings.data_hall_ = settings_.data_hall_;
+  directory_settings.jitter_seed_ = hash_of(settings_.vm_id_);
   context_->loop_ = &loop_;
   context_->dialect_ = std::make_shared<platform::header_dialect>();
   context_->upstream_connections_ = connection_pool::create(loop_, {});
@@ -203,6 +204,8 @@
     return failure(joined);
   }
   peers_ = std::move(value(joined));
+  peers_->on_news([this](const upstream_news& news) { context_->upstreams_->hear(news); });
+  context_->upstreams_->on_news([this](const upstream_news& news) { peers_->tell(news); });
   store_->set_relay([this] { return relay_through(); });
   start(loop_, "follow_peers", follow_peers());
   return success;
@@ -245,6 +248,7 @@
 auto gateway_daemon::follow_peers() -> task<> {
   while (true) {
     co_await pause_for(loop_, peer_look_gap);
+    context_->upstreams_->find_stalled();
     auto running = peers_->running_elsewhere();
     for (const auto& id : context_->upstreams_->ids()) {
       auto found = running.find(id);
--- a/unit_tests/controllers/peer_exchange_test.cpp
+++ b/unit_tests/controllers/peer_exchange_test.cpp
@@ -30,11 +30,13 @@
 }  // namespace
 
 TEST_CASE("a message survives its bytes, and other bytes are a typed error") {
-  auto state = peer_state{"vm-1", 20, 7, "10.0.0.1:80", {{"u1", 3}}};
+  auto state = peer_state{"vm-1", 20, 7, "10.0.0.1:80", {{"u1", 3}}, {{"u2", true}}};
   auto decoded = decode_peer_state(encode(state));
   REQUIRE(ok(decoded));
   REQUIRE(value(decoded).running_ == state.running_);
   REQUIRE(value(decoded).configuration_ == 7);
+  REQUIRE(value(decoded).news_.at(0).id_ == "u2");
+  REQUIRE(value(decoded).news_.at(0).failed_);
   REQUIRE(value(decoded).store_silence_ == 20);
   REQUIRE(failure(decode_peer_state("nonsense")).code_ == error_code::malformed_json);
   REQUIRE(failure(decode_peer_state("")).code_ == error_code::malformed_json);
@@ -43,8 +45,8 @@
 TEST_CASE("peers that found each other in the store share what they know") {
   auto loop = event_loop{1};
   auto rows = std::make_shared<memory_row_store>(loop);
-  auto one = join(loop, rows, "vm-1", {"", 50, 9, "10.0.0.1:80", {{"u1", 3}}});
-  auto two = join(loop, rows, "vm-2", {"", std::nullopt, 4, "", {{"u1", 2}, {"u2", 1}}});
+  auto one = join(loop, rows, "vm-1", {"", 50, 9, "10.0.0.1:80", {{"u1", 3}}, {}});
+  auto two = join(loop, rows, "vm-2", {"", std::nullopt, 4, "", {{"u1", 2}, {"u2", 1}}, {}});
   auto clock = steady_clock{};
   auto give_up = clock.now() + 4000;
   while ((one->fresh_peers() == 0 || two->fresh_peers() == 0) && clock.now() < give_up) {
@@ -55,6 +57,17 @@
   REQUIRE(two->answered_since(clock.now() - 30) == nullptr);
   REQUIRE(one->answered_since(0) == nullptr);
   REQUIRE(one->running_elsewhere().at("u1") == 2);
+  auto heard = std::vector<upstream_news>{};
+  one->on_news([&](const upstream_news& news) { heard.push_back(news); });
+  two->tell({"u1", true});
+  two->tell({"u2", false});
+  give_up = clock.now() + 4000;
+  while (heard.size() < 2 && clock.now() < give_up) {
+    loop.run_for(std::chrono::milliseconds{20});
+    loop.restart();
+  }
+  REQUIRE(heard.size() == 2);
+  REQUIRE(heard[1].id_ == "u2");
 }
 
 }  // namespace birchlever
--- a/unit_tests/upstream/upstream_directory_test.cpp
+++ b/unit_tests/upstream/upstream_directory_test.cpp
@@ -50,8 +50,8 @@
   auto fixture = directory_fixture{};
   auto wish = wish_for({{1, 2000}, {2, 500}});
   auto first = fixture.directory_.find("u2");
-  fixture.directory_.begin(*first, wish);
-  fixture.directory_.end(*first, upstream_evidence::served);
+  auto began = fixture.directory_.begin(*first, wish);
+  fixture.directory_.end(*first, began, upstream_evidence::served);
   for (auto seed = 0U; seed < 8; ++seed) {
     wish.seed_ = seed;
     REQUIRE(fixture.chosen(wish) == "u2");
@@ -73,8 +73,8 @@
   auto wish = wish_for({});
   auto bad = fixture.directory_.find("u1");
   for (auto failures = 0; failures < 2; ++failures) {
-    fixture.directory_.begin(*bad, wish);
-    fixture.directory_.end(*bad, upstream_evidence::failed);
+    auto began = fixture.directory_.begin(*bad, wish);
+    fixture.directory_.end(*bad, began, upstream_evidence::failed);
   }
   for (auto seed = 0U; seed < 8; ++seed) {
     wish.seed_ = seed;
@@ -86,6 +86,90 @@
   REQUIRE(fixture.chosen(wish).empty());
 }
 
+TEST_CASE("failures that peers tell count like own ones, and so does that it serves again") {
+  auto fixture = directory_fixture{};
+  auto told = std::vector<upstream_news>{};
+  fixture.directory_.on_news([&](const upstream_news& news) { told.push_back(news); });
+  auto wish = wish_for({});
+  auto bad = fixture.directory_.find("u1");
+  auto began = fixture.directory_.begin(*bad, wish);
+  fixture.directory_.end(*bad, began, upstream_evidence::failed);
+  REQUIRE(told.size() == 1);
+  REQUIRE(told[0].failed_);
+  fixture.directory_.hear({"u1", true});
+  fixture.directory_.hear({"unknown", true});
+  REQUIRE(told.size() == 1);  // What is heard is not told on.
+  for (auto seed = 0U; seed < 8; ++seed) {
+    wish.seed_ = seed;
+    REQUIRE(fixture.chosen(wish) == "u2");
+  }
+  fixture.directory_.hear({"u1", false});
+  auto used = std::set<std::string>{};
+  for (auto seed = 0U; seed < 8; ++seed) {
+    wish.seed_ = seed;
+    used.insert(fixture.chosen(wish));
+  }
+  REQUIRE(used.count("u1") == 1);
+}
+
+TEST_CASE("when most of a service is avoided, all of it is used, so that a few do not get the load of all") {
+  auto fixture = directory_fixture{};
+  for (const auto* id : {"u3", "u4", "u5"}) {
+    fixture.directory_.put(entry_of(id));
+  }
+  auto wish = wish_for({});
+  auto choices = [&] {
+    auto used = std::set<std::string>{};
+    for (auto seed = 0U; seed < 40; ++seed) {
+      wish.seed_ = seed;
+      used.insert(fixture.chosen(wish));
+    }
+    return used.size();
+  };
+  for (const auto* id : {"u1", "u2", "u3"}) {
+    fixture.directory_.hear({id, true});
+    fixture.directory_.hear({id, true});
+  }
+  REQUIRE(choices() == 2);
+  fixture.directory_.hear({"u4", true});
+  fixture.directory_.hear({"u4", true});
+  REQUIRE(choices() == 5);
+}
+
+TEST_CASE("an avoidance grows with failures that follow it, not with those sent before it") {
+  auto health = upstream_health{};
+  CHECK_FALSE(health.note_failure(10000));
+  CHECK(health.note_failure(10010));
+  CHECK(health.avoid_until() == 10510);
+  CHECK_FALSE(health.note_failure(10020));  // Was under way.
+  CHECK(health.avoid_until() == 10510);
+  CHECK(health.note_failure(10600));
+  CHECK(health.avoid_until() == 11600);
+  CHECK(health.note_success());
+  CHECK_FALSE(health.avoided(10700));
+}
+
+TEST_CASE("failures that lie far apart do not add up") {
+  auto health = upstream_health{};
+  for (auto now = milliseconds{10000}; now < 60000; now += 2000) {
+    CHECK_FALSE(health.note_failure(now));
+  }
+}
+
+TEST_CASE("an upstream hangs when requests wait and nothing was answered for long") {
+  auto health = upstream_health{};
+  health.note_sent(10000);
+  health.note_sent(10900);
+  CHECK_FALSE(health.note_stall(11400));
+  health.note_answered(10900, 11450);
+  CHECK_FALSE(health.note_stall(11600));  // It answers others.
+  CHECK(health.note_stall(13000));
+  CHECK(health.avoided(13100));
+  CHECK_FALSE(health.note_stall(13100));
+  health.note_given_up(10000);
+  CHECK_FALSE(health.note_stall(20000));
+}
+
 TEST_CASE("the view of a cache holds leading parts only and forgets the oldest") {
   auto cache = prompt_cache{};
   cache.set_room(1000);
