--- a/birchlever/http/connection_pool.cpp
+++ b/birchlever/http/connection_pool.cpp
@@ -28,6 +28,12 @@
   return nullptr;
 }
 
+auto connection_pool::has_idle(const asio::ip::tcp::endpoint& address, milliseconds most_idle) const -> bool {
+  auto found = idle_.find(address);
+  return found != idle_.end() && !found->second.empty() &&
+         clock_.now() - found->second.back().since_ <= most_idle;
+}
+
 auto connection_pool::take(asio::ip::tcp::endpoint address, milliseconds most_idle, milliseconds time_left)
     -> task<exchanged<std::shared_ptr<outgoing_connection>>> {
   if (auto kept = take_idle(address, most_idle)) {
--- a/birchlever/http/connection_pool.h
+++ b/birchlever/http/connection_pool.h
@@ -29,6 +29,9 @@
   auto take_idle(const asio::ip::tcp::endpoint& address, milliseconds most_idle)
       -> std::shared_ptr<outgoing_connection>;
 
+  /// True when a connection that was idle for at most `most_idle` ms is kept.
+  [[nodiscard]] auto has_idle(const asio::ip::tcp::endpoint& address, milliseconds most_idle) const -> bool;
+
   /// A kept connection, or a new one.
   auto take(asio::ip::tcp::endpoint address, milliseconds most_idle, milliseconds time_left)
       -> task<exchanged<std::shared_ptr<outgoing_connection>>>;
--- a/birchlever/policy/baseline_policies.cpp
+++ b/birchlever/policy/baseline_policies.cpp
@@ -68,7 +68,12 @@
 
 auto least_loaded_policy::choose(const call_view& call, const std::vector<engine_view>& engines) const
     -> result<decision> {
-  return cheapest(weigh_by_load(call, engines));
+  auto candidates = weigh_by_load(call, engines);
+  for (auto& one : candidates) {
+    const auto& engine = engines[one.engine_];
+    one.cost_ -= engine.connected_ ? connection_worth_ / std::max(1.0, engine.capacity_) : 0;
+  }
+  return cheapest(std::move(candidates));
 }
 
 auto prefix_affinity_policy::choose(const call_view& call, const std::vector<engine_view>& engines) const
@@ -116,7 +121,7 @@
       made = std::make_unique<round_robin_policy>();
       break;
     case policy_kind::least_loaded:
-      made = std::make_unique<least_loaded_policy>();
+      made = std::make_unique<least_loaded_policy>(settings.parameter("connection"));
       break;
     case policy_kind::prefix_affinity:
       made = std::make_unique<prefix_affinity_policy>(settings.parameter("overload"));
--- a/birchlever/policy/baseline_policies.h
+++ b/birchlever/policy/baseline_policies.h
@@ -15,8 +15,14 @@
 /// The engine with the fewest calls for its size.
 class least_loaded_policy final : public policy_interface {
  public:
+  /// `connection_worth`: calls by which an engine may be fuller when a kept connection to it is free.
+  explicit least_loaded_policy(double connection_worth) : connection_worth_{connection_worth} {}
+
   [[nodiscard]] auto choose(const call_view& call, const std::vector<engine_view>& engines) const
       -> result<decision> override;
+
+ private:
+  double connection_worth_ = 0;
 };
 
 /// The engine that holds most of the prompt, unless it is overloaded.
--- a/birchlever/policy/policy_settings.cpp
+++ b/birchlever/policy/policy_settings.cpp
@@ -9,6 +9,10 @@
 constexpr auto kind_names = std::array<std::string_view, 5>{"round_robin", "least_loaded", "prefix_affinity",
                                                             "least_attained_service", "program_aware"};
 
+const auto load_parameters = std::vector<policy_parameter>{
+    {"connection", 0, 0, 100, "calls by which an engine may be fuller when a kept connection to it is free"},
+};
+
 const auto affinity_parameters = std::vector<policy_parameter>{
     {"overload", 1.5, 1.0, 100.0, "leave the prefix's engine when its load is so many times the mean"},
 };
@@ -54,8 +58,9 @@
       return service_parameters;
     case policy_kind::program_aware:
       return aware_parameters;
-    case policy_kind::round_robin:
     case policy_kind::least_loaded:
+      return load_parameters;
+    case policy_kind::round_robin:
       break;
   }
   return {};
--- a/birchlever/policy/policy_view.h
+++ b/birchlever/policy/policy_view.h
@@ -22,6 +22,7 @@
   double report_age_ms_ = 0;      ///< Age of the report.
   double sent_since_report_ = 0;  ///< Calls this owner sent that the report cannot hold yet.
   double done_since_report_ = 0;  ///< Calls this owner saw end since.
+  bool connected_ = false;        ///< A kept connection to it is free here.
   double slowness_ = 1;           ///< Measured time per token over the expected one.
 };
 
--- a/birchlever/upstream/upstream_directory.cpp
+++ b/birchlever/upstream/upstream_directory.cpp
@@ -83,6 +83,7 @@
   view.models_ = one.entry_.models_;
   view.capacity_ = static_cast<double>(std::max<std::int64_t>(one.entry_.slots_, 1));
   view.running_ = one.running_ + one.running_elsewhere_;
+  view.connected_ = connected_ && connected_(one.entry_.address_);
   if (one.full_until_ > clock_.now()) {
     view.running_ = std::max(view.running_, view.capacity_);
   }
--- a/birchlever/upstream/upstream_directory.h
+++ b/birchlever/upstream/upstream_directory.h
@@ -83,7 +83,7 @@
   upstream_health_settings health_;
   double least_kept_share_ = 0.25;  ///< With fewer left than this share of a service, those avoided are used
                                     ///< too: the load of all must not fall on a few.
-  milliseconds full_memory_ = 60;  ///< ms for which an upstream that refused as full counts as full.
+  milliseconds full_memory_ = 60;   ///< ms for which an upstream that refused as full counts as full.
 };
 
 /// What this daemon learned of an upstream, for its peers.
@@ -116,6 +116,10 @@
   using news_function = std::function<void(const upstream_news&)>;
   auto on_news(news_function callback) -> void { on_news_ = std::move(callback); }
 
+  /// Tells whether a kept connection to an address is free.
+  using connected_function = std::function<bool(const boost::asio::ip::tcp::endpoint&)>;
+  auto on_connected(connected_function callback) -> void { connected_ = std::move(callback); }
+
   /// Takes in what a peer learned.
   auto hear(const upstream_news& news) -> void;
 
@@ -147,6 +151,7 @@
   steady_clock clock_;
   std::map<std::string, upstream_pointer> upstreams_;
   news_function on_news_;
+  connected_function connected_;
 };
 
 }  // namespace birchlever
--- a/unit_tests/policy/policy_test.cpp
+++ b/unit_tests/policy/policy_test.cpp
@@ -72,6 +72,18 @@
   CHECK(ok(check_policy({policy_kind::program_aware, {{"cache_weight", 2}}})));
 }
 
+TEST_CASE("a kept connection outweighs a little load, never much of it, and only where that is asked for") {
+  auto list = engines();
+  list[1].connected_ = true;
+  list[1].running_ = 3;
+  auto view = call();
+  CHECK(chosen(policy_kind::least_loaded, view, list) != 1);
+  auto policy = value(make_policy({policy_kind::least_loaded, {{"connection", 1.5}}}));
+  CHECK(value(policy->choose(view, list)).engine_ == 1);
+  list[1].running_ = 4;
+  CHECK(value(policy->choose(view, list)).engine_ != 1);
+}
+
 TEST_CASE("the upstream table leaves out what leaves, is drained or keeps failing") {
   auto table = upstream_table{};
   auto entry = [](const std::string& id) {
