--- a/birchlever/controllers/peer_exchange.h
+++ b/birchlever/controllers/peer_exchange.h
@@ -78,6 +78,9 @@
   /// of.
   [[nodiscard]] auto preferred_for(std::string_view subject) const -> bool;
 
+  /// Peers that the store lists.
+  [[nodiscard]] auto listed_peers() const -> std::size_t { return receivers_.size(); }
+
   /// Peers heard of lately.
   [[nodiscard]] auto fresh_peers() const -> std::size_t;
 
--- a/birchlever/gateway/gateway_context.h
+++ b/birchlever/gateway/gateway_context.h
@@ -38,6 +38,7 @@
   std::string service_policy_;  ///< Name of the policy that chooses plain upstreams.
   steady_clock clock_;
   gateway_limits limits_;
+  std::int64_t daemons_ = 1;  ///< Listed daemons, this one included: they share the upstreams' connections.
   bool stopping_ = false;
   int under_way_ = 0;  ///< Requests that have no final answer yet.
 };
--- a/birchlever/gateway/upstream_dispatch.cpp
+++ b/birchlever/gateway/upstream_dispatch.cpp
@@ -12,6 +12,8 @@
     milliseconds{250};  // About one tool call or turn: a place is free again by then.
 
 constexpr auto first_failure_status = 500;
+constexpr auto least_share =
+    std::int64_t{2};  // Of an upstream's connections, however many daemons there are.
 
 /// An upstream's own failure counts like a lost one: its health check may be good all the same.
 auto evidence_of(offer_outcome outcome, const gateway_request& request) -> upstream_evidence {
@@ -46,6 +48,11 @@
   wish.last_upstream_ = request.last_upstream_;
   wish.seed_ = hash_of(request.facts_.request_id_);
   const auto* service = request.configuration_->find_service(request.service_);
+  if (service != nullptr && service->max_connections_ > 0) {
+    // All daemons together may have so many connections to an upstream, which resets any more.
+    auto share = service->max_connections_ / std::max<std::int64_t>(context_->daemons_, 1);
+    wish.most_here_ = static_cast<int>(std::max<std::int64_t>(share, least_share));
+  }
   if (service != nullptr && service->engine_) {
     wish.cache_room_ = service->engine_->cache_tokens_;
   }
--- a/birchlever/upstream/upstream_directory.cpp
+++ b/birchlever/upstream/upstream_directory.cpp
@@ -84,7 +84,8 @@
   view.capacity_ = static_cast<double>(std::max<std::int64_t>(one.entry_.slots_, 1));
   view.running_ = one.running_ + one.running_elsewhere_;
   view.connected_ = connected_ && connected_(one.entry_.address_);
-  if (one.full_until_ > clock_.now()) {
+  auto share_used = wish.most_here_ > 0 && one.running_ >= wish.most_here_;
+  if (share_used || one.full_until_ > clock_.now()) {
     view.running_ = std::max(view.running_, view.capacity_);
   }
   view.cache_tokens_ = static_cast<double>(one.cache_.tokens());
--- a/birchlever/upstream/upstream_directory.h
+++ b/birchlever/upstream/upstream_directory.h
@@ -63,7 +63,8 @@
   std::int64_t prompt_tokens_ = 0;
   std::int64_t most_tokens_ = 0;
   std::vector<prompt_part> parts_;
-  std::string last_upstream_;       ///< Where the previous turn ran; empty when there was none.
+  std::string last_upstream_;  ///< Where the previous turn ran; empty when there was none.
+  int most_here_ = 0;  ///< Requests of this daemon after which an upstream counts as full; 0: no bound.
   std::int64_t cache_room_ = 0;     ///< Tokens an engine of the service holds; 0 for plain services.
   std::set<std::string> excluded_;  ///< Upstreams that refused or failed this request.
   std::uint64_t seed_ = 0;
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -252,6 +252,7 @@
   while (true) {
     co_await pause_for(loop_, peer_look_gap);
     context_->upstreams_->find_stalled();
+    context_->daemons_ = static_cast<std::int64_t>(peers_->listed_peers()) + 1;
     auto running = peers_->running_elsewhere();
     for (const auto& id : context_->upstreams_->ids()) {
       auto found = running.find(id);
--- a/unit_tests/upstream/upstream_directory_test.cpp
+++ b/unit_tests/upstream/upstream_directory_test.cpp
@@ -86,6 +86,19 @@
   REQUIRE(fixture.chosen(wish).empty());
 }
 
+TEST_CASE("an upstream at which this daemon has used its share of connections counts as full") {
+  auto fixture = directory_fixture{};
+  auto wish = wish_for({});
+  auto busy = fixture.directory_.find("u2");
+  for (auto number = 0; number < 2; ++number) {
+    fixture.directory_.begin(*busy, wish);
+    fixture.directory_.set_running_elsewhere("u1", 3);
+  }
+  REQUIRE(fixture.chosen(wish) == "u2");
+  wish.most_here_ = 2;
+  REQUIRE(fixture.chosen(wish) == "u1");
+}
+
 TEST_CASE("failures that peers tell count like own ones, and so does that it serves again") {
   auto fixture = directory_fixture{};
   auto told = std::vector<upstream_news>{};
