--- a/birchlever/coordination/program_record.cpp
+++ b/birchlever/coordination/program_record.cpp
@@ -77,7 +77,10 @@
     auto record = program_record{};
     row.at(spent_key).get_to(record.spent_);
     for (const auto& [name, held] : row.at(reserved_key).items()) {
-      record.reserved_[name] = {held.at(0).get<std::int64_t>(), held.at(1).get<milliseconds>()};
+      auto leased = held.is_array();  // A plain number is what the first release wrote.
+      record.reserved_[name] =
+          leased ? reservation{held.at(0).get<std::int64_t>(), held.at(1).get<milliseconds>()}
+                 : reservation{held.get<std::int64_t>(), 0};
     }
     row.at(touched_key).get_to(record.touched_at_);
     return record;
--- a/unit_tests/coordination/program_store_test.cpp
+++ b/unit_tests/coordination/program_store_test.cpp
@@ -125,6 +125,23 @@
   CHECK(fleet.rows_->reads() == reads);
 }
 
+TEST_CASE("records survive their bytes, those of the first release are read, others are a typed error") {
+  auto record = program_record{};
+  record.spent_ = 7;
+  record.reserved_ = {{"t1", {40, 0}}, {"t2+", {30, 1234}}};
+  auto decoded = decode_program(encode(record));
+  REQUIRE(ok(decoded));
+  CHECK(value(decoded).committed() == 77);
+  CHECK(value(decoded).reserved_.at("t2+").expires_at_ == 1234);
+  auto first_release = std::string{"\xA3\x61s\x05\x61r\xA1\x62t1\x18\x28\x61t\x00", 15};
+  auto old = decode_program(first_release);
+  REQUIRE(ok(old));
+  CHECK(value(old).committed() == 45);
+  CHECK_FALSE(value(old).has_leased());
+  CHECK(failure(decode_program("nonsense")).code_ == error_code::malformed_json);
+  CHECK(failure(decode_program("")).code_ == error_code::malformed_json);
+}
+
 TEST_CASE("a settling write whose answer was lost is made once, with what it leases") {
   for (auto fault = 0; fault < 3; ++fault) {
     auto fleet = two_daemons{};
