--- a/performance_test/main.cpp
+++ b/performance_test/main.cpp
@@ -1,4 +1,5 @@
-/// Performance tests: `policies` (deterministic, with regression bounds), `decisions`, `takeover`, `control`.
+/// Performance tests: `policies` (deterministic, with regression bounds), `decisions`, `takeover`, `control`,
+/// `latency`, `gateway`.
 #include <gflags/gflags.h>
 
 #include <iostream>
@@ -20,6 +21,6 @@
       return test.run_(settings) ? 0 : 1;
     }
   }
-  std::cerr << "usage: performance_test policies|decisions|takeover|control|latency [flags]\n";
+  std::cerr << "usage: performance_test policies|decisions|takeover|control|latency|gateway [flags]\n";
   return 2;
 }
--- a/performance_test/performance_tests.cpp
+++ b/performance_test/performance_tests.cpp
@@ -7,11 +7,8 @@
 namespace birchlever::performance {
 
 auto all_tests() -> std::vector<performance_test> {
-  return {{"policies", test_policies},
-          {"decisions", test_decisions},
-          {"takeover", test_takeover},
-          {"control", test_control},
-          {"latency", test_latency}};
+  return {{"policies", test_policies}, {"decisions", test_decisions}, {"takeover", test_takeover},
+          {"control", test_control},   {"latency", test_latency},     {"gateway", test_gateway}};
 }
 
 auto fit_line(const std::vector<std::pair<double, double>>& points) -> line_fit {
--- a/performance_test/performance_tests.h
+++ b/performance_test/performance_tests.h
@@ -35,6 +35,9 @@
 /// Added latency of the system against calling an engine directly, in processes.
 auto test_latency(const test_settings& settings) -> bool;
 
+/// What a gateway adds to a turn, and what a turn costs it, in one process.
+auto test_gateway(const test_settings& settings) -> bool;
+
 [[nodiscard]] auto all_tests() -> std::vector<performance_test>;
 
 /// A straight line through points, with its residual.
