--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -32,9 +32,7 @@
 constexpr auto balancer_looks_ms =
     milliseconds{2600};                              // It looks every second and takes out after two misses.
 constexpr auto leave_margin_ms = milliseconds{700};  // Kept free of the time until the platform kills.
-constexpr auto unready_after_ms =
-    milliseconds{1000};  // A store that is away for so long has turned us away or is down.
-constexpr auto peer_look_gap = milliseconds{100};      // Half of the gap between two messages of a peer.
+constexpr auto peer_look_gap = milliseconds{100};    // Half of the gap between two messages of a peer.
 constexpr auto peer_clock_margin = milliseconds{150};  // Calls that were under way when the store went away.
 constexpr auto finish_check_gap = milliseconds{20};
 
@@ -272,73 +270,6 @@
   return ok(parsed) ? std::optional{value(parsed)} : std::nullopt;
 }
 
-auto gateway_daemon::ready() const -> bool {
-  // Without the store, and without a peer that relays, callers go to others; when all are so, the balancer
-  // uses all.
-  auto store_answers = store_->away_for() < unready_after_ms;
-  return !context_->stopping_ && context_->configuration_ && upstream_follower_->primed() && store_answers;
-}
-
-auto gateway_daemon::readiness_page(const http_request& request) const -> task<http_response> {
-  auto known = request.target() == platform::names::readiness_path;
-  auto status = ready() ? http::status::ok : http::status::service_unavailable;
-  co_return http_response{known ? status : http::status::not_found, 11};
-}
-
-auto gateway_daemon::control_page(const http_request& request) -> task<http_response> {
-  if (platform::store_client::is_relay(request)) {
-    auto relayed = co_await store_->relay(request);
-    co_return relayed;
-  }
-  if (request.target() == "/metrics") {
-    co_return metrics_page();
-  }
-  co_return http_response{http::status::not_found, 11};
-}
-
-auto gateway_daemon::metrics_page() -> http_response {
-  auto& counters = *context_->metrics_;
-  counters.gauge("requests_under_way", context_->under_way_);
-  counters.gauge("caller_connections", static_cast<double>(server_->connections()));
-  const auto& usage = store_->usage();
-  counters.gauge("store_calls", static_cast<double>(usage.calls()));
-  counters.gauge("store_calls_by_kind{kind=\"transaction\"}", static_cast<double>(usage.transactions_));
-  counters.gauge("store_calls_by_kind{kind=\"read\"}", static_cast<double>(usage.reads_));
-  counters.gauge("store_calls_by_kind{kind=\"feed\"}", static_cast<double>(usage.looks_));
-  counters.gauge("store_calls_by_outcome{outcome=\"conflict\"}", static_cast<double>(usage.conflicts_));
-  counters.gauge("store_calls_by_outcome{outcome=\"throttled\"}", static_cast<double>(usage.throttled_));
-  counters.gauge("store_calls_by_outcome{outcome=\"failed\"}", static_cast<double>(usage.failed_));
-  counters.gauge("store_reachable", store_->reachable() ? 1 : 0);
-  counters.gauge("peers_heard", peers_ ? static_cast<double>(peers_->fresh_peers()) : 0);
-  counters.gauge("log_lines_dropped", static_cast<double>(dropped_log_lines()));
-  counters.gauge("programs_removed", static_cast<double>(sweeper_->removed()));
-  counters.gauge("history_cache_bytes", static_cast<double>(context_->programs_->cached_bytes()));
-  counters.gauge("upstream_connections_opened",
-                 static_cast<double>(context_->upstream_connections_->opened()));
-  counters.gauge("configuration_version",
-                 context_->configuration_ ? static_cast<double>(context_->configuration_->version_) : 0);
-  auto answer = http_response{http::status::ok, 11};
-  answer.set(http::field::content_type, "text/plain; version=0.0.4");
-  answer.body() = counters.to_prometheus();
-  return answer;
-}
-
-auto gateway_daemon::log_usage() -> void {
-  const auto& usage = store_->usage();
-  if (usage.calls() == std::exchange(logged_calls_, usage.calls())) {
-    return;
-  }
-  log_event(log_level::info, "store_usage",
-            {{"transactions", usage.transactions_},
-             {"conflicts", usage.conflicts_},
-             {"reads", usage.reads_},
-             {"feed_looks", usage.looks_},
-             {"throttled", usage.throttled_},
-             {"failed", usage.failed_},
-             {"history_cache_bytes", static_cast<std::int64_t>(context_->programs_->cached_bytes())},
-             {"under_way", std::int64_t{context_->under_way_}}});
-}
-
 auto gateway_daemon::keep_house() -> task<> {
   auto usage_due = context_->clock_.now() + usage_gap;
   settings_text_ = settings_file_.empty() ? std::string{} : read_text(settings_file_);
--- a/unit_tests/platform/store_client_test.cpp
+++ b/unit_tests/platform/store_client_test.cpp
@@ -1,5 +1,6 @@
 /// The store's client against a stand-in that speaks the store's calls: what each kind of answer means.
 #include "platform/store_client.h"
+#include "platform/store_format.h"
 
 #include <catch2/catch.hpp>
 #include <deque>
@@ -155,6 +156,14 @@
   }
 }
 
+TEST_CASE("an answer without its version or the store's clock is as good as none") {
+  for (const auto* body : {R"({"ver":5})", R"({"now_ms":7})", R"({"rows":[],"ver":5})"}) {
+    CHECK(failure(decode_outcome(body, true)).code_ == error_code::store_unknown);
+    CHECK(failure(decode_page(body)).code_ == error_code::store_unknown);
+  }
+  CHECK(value(decode_outcome(R"({"ver":5,"now_ms":7})", true)).store_now_ == 7);
+}
+
 TEST_CASE("a client that the store turns away calls through a peer, and directly again when it can") {
   auto store = store_stand_in{};
   store.steps_ = {{503, ""}, {503, ""}};
