Leases outlive the longest turn that a configuration allows; time that ran out is no failure of an upstream

Found by reading: with routes that allow turns longer than 8 s another daemon could have taken a reservation back while its turn still ran; now the lease's end counts the longest time limit of the routes that keep turns. And a caller with little time left, or an upstream's own 504, counted as failures that peers are told; under load that would avoid the busy upstreams and load the others. An upstream that hangs shows as silence. Tests for both; the second fails without the change.

--- a/birchlever/coordination/program_store.cpp
+++ b/birchlever/coordination/program_store.cpp
@@ -173,6 +173,7 @@
   wanted->reservation_ = ended.reservation_;
   wanted->tokens_ = ended.tokens_;
   wanted->most_tokens_ = ended.most_tokens_;
+  wanted->longest_turn_ = ended.longest_turn_;
   wanted->budget_ = ended.budget_;
   wanted->give_up_at_ = clock_.now() + std::max(time_left, settings_.cleanup_patience_);
   if (ended.whole_) {
--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -40,8 +40,9 @@
                                      ///< outages last seconds, and sooner tries only use up the caller's.
   milliseconds reservation_lease_ = 3000;  ///< ms for which a daemon may use a reservation that it holds for
                                            ///< the next turn: pauses and tools between turns take up to 2 s.
-  milliseconds longest_turn_ = 8000;  ///< ms after the lease until another daemon takes the reservation back:
-                                      ///< a turn that began under it has ended by then.
+  milliseconds longest_turn_ =
+      8000;  ///< ms after the lease until another daemon takes the reservation back, or
+             ///< later where turns may take longer: one that began under it has ended.
   milliseconds budget_view_ =
       400;  ///< ms for which a budget that was read holds for a refusal: less than half of
             ///< the second after which the platform counts what a turn really spent.
@@ -77,6 +78,7 @@
   std::int64_t tokens_ = 0;       ///< Handed to the caller.
   std::int64_t most_tokens_ = 0;  ///< The most that it could generate; the next turn may need as much.
   std::optional<std::int64_t> budget_;
+  milliseconds longest_turn_ = 0;     ///< ms that the program's next turn may take.
   std::optional<turn_record> whole_;  ///< Only of an answer that came whole.
 };
 
--- a/birchlever/coordination/program_store_state.h
+++ b/birchlever/coordination/program_store_state.h
@@ -31,6 +31,7 @@
   std::string reservation_;
   std::int64_t tokens_ = 0;
   std::int64_t most_tokens_ = 0;
+  milliseconds longest_turn_ = 0;
   std::optional<std::int64_t> budget_;
   std::shared_ptr<const turn_record> whole_;
   milliseconds give_up_at_ = 0;
--- a/birchlever/gateway/gateway_context.h
+++ b/birchlever/gateway/gateway_context.h
@@ -15,6 +15,9 @@
 class program_store;
 class upstream_directory;
 
+/// ms for which a request is held when neither its caller nor an operator sets a limit.
+inline constexpr auto unlimited_ms = milliseconds{60000};
+
 /// Settings of serving that no operator changes while it runs.
 struct gateway_limits {
   milliseconds safety_ms_ = 20;  ///< An upstream is given so much less than is left, for the way back.
--- a/birchlever/gateway/route_filter.cpp
+++ b/birchlever/gateway/route_filter.cpp
@@ -4,7 +4,6 @@
 namespace {
 
 constexpr auto not_ready_retry_ms = milliseconds{300};
-constexpr auto unlimited_ms = milliseconds{60000};  // When neither caller nor operator sets a limit.
 
 auto least_limit(const gateway_request& request) -> milliseconds {
   auto limit = request.facts_.time_left_.value_or(unlimited_ms);
--- a/birchlever/gateway/turn_filter.cpp
+++ b/birchlever/gateway/turn_filter.cpp
@@ -20,6 +20,16 @@
   return facts.program_.empty() ? "single-" + facts.request_id_ : facts.program_;
 }
 
+/// How long any turn may take; a program may go on through another route.
+auto longest_turn(const serving_configuration& configuration) -> milliseconds {
+  auto longest = milliseconds{0};
+  for (const auto& one : configuration.routes_) {
+    auto limit = one.time_limit_ > 0 ? one.time_limit_ : unlimited_ms;
+    longest = one.keeps_turns_ ? std::max(longest, limit) : longest;
+  }
+  return longest;
+}
+
 auto turn_end_of(const gateway_request& request, const std::string& program) -> turn_end {
   auto ended = turn_end{};
   ended.program_ = program;
@@ -28,6 +38,7 @@
   ended.tokens_ = tokens_of(request);
   ended.most_tokens_ = request.facts_.most_tokens_;
   ended.budget_ = request.facts_.budget_;
+  ended.longest_turn_ = longest_turn(*request.configuration_);
   return ended;
 }
 
--- a/birchlever/gateway/upstream_dispatch.cpp
+++ b/birchlever/gateway/upstream_dispatch.cpp
@@ -12,10 +12,12 @@
     milliseconds{250};  // About one tool call or turn: a place is free again by then.
 
 constexpr auto first_failure_status = 500;
+constexpr auto timeout_status = 504;
 constexpr auto least_share =
     std::int64_t{2};  // Of an upstream's connections, however many daemons there are.
 
-/// An upstream's own failure counts like a lost one: its health check may be good all the same.
+/// An upstream's own failure counts like a lost answer: its health check may be good all the same. Time that
+/// ran out does not: it tells of load, and avoiding loaded upstreams would load the others.
 auto evidence_of(offer_outcome outcome, const gateway_request& request) -> upstream_evidence {
   switch (outcome) {
     case offer_outcome::refused_full:
@@ -23,8 +25,10 @@
     case offer_outcome::not_reached:
     case offer_outcome::refused:
     case offer_outcome::unknown:
-    case offer_outcome::out_of_time:
       return upstream_evidence::failed;
+    case offer_outcome::out_of_time:  // The caller may have had little time; an upstream that hangs shows as
+                                      // silent.
+      return upstream_evidence::none;
     case offer_outcome::cut:
       return request.relayed_.upstream_broke_off_ ? upstream_evidence::failed : upstream_evidence::none;
     case offer_outcome::caller_gone:
--- a/birchlever/upstream/upstream_directory.h
+++ b/birchlever/upstream/upstream_directory.h
@@ -38,6 +38,7 @@
 
   [[nodiscard]] auto entry() const -> const upstream_entry& { return entry_; }
   [[nodiscard]] auto running() const -> int { return running_; }
+  [[nodiscard]] auto health() const -> const upstream_health& { return health_; }
 
   /// False from the moment it was told to leave or its entry is gone.
   [[nodiscard]] auto takes_requests() const -> bool { return listed_ && !entry_.leaving_; }
--- a/unit_tests/coordination/program_store_test.cpp
+++ b/unit_tests/coordination/program_store_test.cpp
@@ -28,7 +28,8 @@
 
   auto end(program_store& daemon, const std::string& turn, const std::string& previous,
            const turn_grant& grant, std::int64_t budget, std::int64_t tokens) -> status {
-    auto ended = turn_end{"p", turn, grant.reservation_, tokens, most_tokens, budget, std::nullopt};
+    auto ended =
+        turn_end{"p", turn, grant.reservation_, tokens, most_tokens, budget, longest_turn_, std::nullopt};
     ended.whole_ = turn_record{previous, "input of " + turn, "output of " + turn, "engine-1"};
     return run_to_end(loop_, daemon.end_turn(std::move(ended), patience));
   }
@@ -45,6 +46,7 @@
 
   auto run_for(milliseconds duration) -> void { run_loop_for(loop_, duration); }
 
+  milliseconds longest_turn_ = 0;  ///< As the next turns are told.
   event_loop loop_{1};
   std::shared_ptr<memory_row_store> rows_;
   std::shared_ptr<program_store> here_;
@@ -96,6 +98,19 @@
   CHECK(code_of(fleet.begin(*fleet.here_, "t4", "t1", budget)) == error_code::budget_exhausted);
 }
 
+TEST_CASE("a leased reservation outlives the longest turn that may have begun under it") {
+  auto settings = program_store_settings{};
+  settings.reservation_lease_ = 60;
+  settings.longest_turn_ = 30;
+  auto fleet = two_daemons{settings};
+  fleet.longest_turn_ = 60000;
+  constexpr auto budget = std::int64_t{120};
+  fleet.turn(*fleet.here_, "t1", "", budget);
+  REQUIRE(ok(fleet.begin(*fleet.there_, "t2", "t1", budget)));
+  fleet.run_for(settings.reservation_lease_ + settings.longest_turn_ + 20);
+  CHECK(code_of(fleet.begin(*fleet.there_, "t3", "t1", budget)) == error_code::store_unavailable);
+}
+
 TEST_CASE("a turn whose reservation was taken back meanwhile is still charged and kept") {
   auto settings = program_store_settings{};
   settings.reservation_lease_ = 60;
--- a/unit_tests/coordination/program_sweeper_test.cpp
+++ b/unit_tests/coordination/program_sweeper_test.cpp
@@ -30,8 +30,8 @@
   auto turn(const std::string& program, const std::string& id, const std::string& previous) -> void {
     auto granted = run_to_end(loop_, programs_->begin_turn({program, id, previous, 1000, 10, "in"}, 1000));
     REQUIRE(ok(granted));
-    auto ended =
-        turn_end{program, id, value(granted).reservation_, 10, 10, 1000, turn_record{previous, "in", "out"}};
+    auto ended = turn_end{program, id, value(granted).reservation_,       10, 10,
+                          1000,    0,  turn_record{previous, "in", "out"}};
     REQUIRE(ok(run_to_end(loop_, programs_->end_turn(std::move(ended), 1000))));
   }
 
--- a/unit_tests/gateway/gateway_test.cpp
+++ b/unit_tests/gateway/gateway_test.cpp
@@ -134,6 +134,29 @@
   REQUIRE(clock.now() - began < 1000);
 }
 
+TEST_CASE("an upstream's own failures make it avoided; time that ran out does not") {
+  auto fixture = gateway_fixture{};
+  auto avoided = [&] {
+    auto now = steady_clock{}.now();
+    return fixture.context_->upstreams_->find("tool-1")->health().avoided(now) ||
+           fixture.context_->upstreams_->find("tool-2")->health().avoided(now);
+  };
+  auto headers = std::map<std::string, std::string>{{"X-Request-Id", "short"}, {"X-Deadline-Ms", "60"}};
+  for (auto number = 0; number < 4; ++number) {
+    fixture.scripts_ = {{script::kind::silence}};
+    REQUIRE(fixture.ask("/unsafe/x", headers, "body").status_ == 504);
+  }
+  REQUIRE_FALSE(avoided());
+  headers["X-Deadline-Ms"] = "1000";
+  for (auto number = 0; number < 4; ++number) {
+    auto failing = script{};
+    failing.status_ = 500;
+    fixture.scripts_ = {failing};
+    REQUIRE(fixture.ask("/unsafe/x", headers, "body").status_ == 500);
+  }
+  REQUIRE(avoided());
+}
+
 TEST_CASE("a stream that breaks off or skips an event is never ended as complete, and is not kept") {
   for (auto kind : {script::kind::cut_stream, script::kind::skip_event}) {
     auto fixture = gateway_fixture{};
