A looked-up turn is looked up again after each transaction without an answer

Found by reading: a settling write whose reservation was taken back, and whose answer was lost after its turn had been looked for, would have been made twice and charged twice. Test fails without the change. The store in memory loses the answer of a commit that was made only, as its comment says.

--- a/birchlever/coordination/program_store_write.cpp
+++ b/birchlever/coordination/program_store_write.cpp
@@ -251,6 +251,7 @@
     }
     for (const auto& [wanted, what] : planned.changes_) {
       wanted->sent_ = true;
+      wanted->looked_up_ = false;  // What was looked up before does not tell of this transaction.
     }
     auto asked_at = clock_.now();
     auto committed = co_await rows_->commit(planned.transaction_, settings_.call_limit_);
--- a/birchlever/storage/memory_row_store.cpp
+++ b/birchlever/storage/memory_row_store.cpp
@@ -79,7 +79,7 @@
     co_return unknown();
   }
   auto outcome = apply(transaction);
-  if (faults_.lose_answers_ > 0) {
+  if (outcome.committed_ && faults_.lose_answers_ > 0) {
     --faults_.lose_answers_;
     co_return unknown();
   }
--- a/unit_tests/coordination/program_store_test.cpp
+++ b/unit_tests/coordination/program_store_test.cpp
@@ -130,6 +130,25 @@
   CHECK(code_of(fleet.begin(*fleet.there_, "t6", "t2", 200)) == error_code::budget_exhausted);
 }
 
+TEST_CASE("a turn whose reservation was taken back is charged once, also when answers are lost twice") {
+  auto settings = program_store_settings{};
+  settings.reservation_lease_ = 60;
+  settings.longest_turn_ = 30;
+  auto fleet = two_daemons{settings};
+  constexpr auto budget = std::int64_t{120};
+  fleet.turn(*fleet.here_, "t1", "", budget);
+  auto held_up = fleet.begin(*fleet.here_, "t2", "t1", budget);
+  REQUIRE(ok(held_up));
+  fleet.run_for(settings.reservation_lease_ + settings.longest_turn_ + 20);
+  REQUIRE(ok(fleet.begin(*fleet.there_, "t3", "t1", budget)));
+  REQUIRE(ok(fleet.begin(*fleet.there_, "t4", "t1", budget)));  // Takes the overdue reservation back.
+  fleet.rows_->faults().lose_calls_ = 1;                        // The first write is not made,
+  fleet.rows_->faults().lose_answers_ = 1;                      // the second is, and both give no answer.
+  REQUIRE(ok(fleet.end(*fleet.here_, "t2", "t1", value(held_up), budget, most_tokens)));
+  // Spent: t1 and t2. Reserved: t3 and t4.
+  CHECK(ok(fleet.begin(*fleet.there_, "t5", "t2", 5 * most_tokens)));
+}
+
 TEST_CASE("a spent budget is refused without a call, and one in use without a call for a while") {
   auto fleet = two_daemons{};
   fleet.turn(*fleet.here_, "t1", "", 60);
