--- a/unit_tests/coordination/program_store_test.cpp
+++ b/unit_tests/coordination/program_store_test.cpp
@@ -53,6 +53,26 @@
   std::shared_ptr<program_store> there_;
 };
 
+auto short_leases() -> program_store_settings {
+  auto settings = program_store_settings{};
+  settings.reservation_lease_ = 60;
+  settings.longest_turn_ = 30;
+  return settings;
+}
+
+constexpr auto tight_budget = std::int64_t{120};  // Three turns: one spent, one leased, room for one more.
+
+/// Turn t2 runs here under a lease that is over; t3 and t4 begin there, and t4 takes t2's reservation back.
+auto take_back_reservation(two_daemons& fleet) -> turn_grant {
+  fleet.turn(*fleet.here_, "t1", "", tight_budget);
+  auto held_up = fleet.begin(*fleet.here_, "t2", "t1", tight_budget);
+  REQUIRE(ok(held_up));
+  fleet.run_for(short_leases().reservation_lease_ + short_leases().longest_turn_ + 20);
+  REQUIRE(ok(fleet.begin(*fleet.there_, "t3", "t1", tight_budget)));
+  REQUIRE(ok(fleet.begin(*fleet.there_, "t4", "t1", tight_budget)));
+  return value(held_up);
+}
+
 auto code_of(const result<turn_grant>& granted) -> error_code {
   REQUIRE(!ok(granted));
   return failure(granted).code_;
@@ -99,31 +119,18 @@
 }
 
 TEST_CASE("a leased reservation outlives the longest turn that may have begun under it") {
-  auto settings = program_store_settings{};
-  settings.reservation_lease_ = 60;
-  settings.longest_turn_ = 30;
-  auto fleet = two_daemons{settings};
+  auto fleet = two_daemons{short_leases()};
   fleet.longest_turn_ = 60000;
-  constexpr auto budget = std::int64_t{120};
-  fleet.turn(*fleet.here_, "t1", "", budget);
-  REQUIRE(ok(fleet.begin(*fleet.there_, "t2", "t1", budget)));
-  fleet.run_for(settings.reservation_lease_ + settings.longest_turn_ + 20);
-  CHECK(code_of(fleet.begin(*fleet.there_, "t3", "t1", budget)) == error_code::store_unavailable);
+  fleet.turn(*fleet.here_, "t1", "", tight_budget);
+  REQUIRE(ok(fleet.begin(*fleet.there_, "t2", "t1", tight_budget)));
+  fleet.run_for(short_leases().reservation_lease_ + short_leases().longest_turn_ + 20);
+  CHECK(code_of(fleet.begin(*fleet.there_, "t3", "t1", tight_budget)) == error_code::store_unavailable);
 }
 
 TEST_CASE("a turn whose reservation was taken back meanwhile is still charged and kept") {
-  auto settings = program_store_settings{};
-  settings.reservation_lease_ = 60;
-  settings.longest_turn_ = 30;
-  auto fleet = two_daemons{settings};
-  constexpr auto budget = std::int64_t{120};
-  fleet.turn(*fleet.here_, "t1", "", budget);
-  auto held_up = fleet.begin(*fleet.here_, "t2", "t1", budget);
-  REQUIRE(ok(held_up));
-  fleet.run_for(settings.reservation_lease_ + settings.longest_turn_ + 20);
-  REQUIRE(ok(fleet.begin(*fleet.there_, "t3", "t1", budget)));
-  REQUIRE(ok(fleet.begin(*fleet.there_, "t4", "t1", budget)));  // Takes the overdue reservation back.
-  REQUIRE(ok(fleet.end(*fleet.here_, "t2", "t1", value(held_up), budget, most_tokens)));
+  auto fleet = two_daemons{short_leases()};
+  auto held_up = take_back_reservation(fleet);
+  REQUIRE(ok(fleet.end(*fleet.here_, "t2", "t1", held_up, tight_budget, most_tokens)));
   auto next = fleet.begin(*fleet.there_, "t5", "t2", 1000);
   REQUIRE(ok(next));
   CHECK(value(next).prompt_ == "input of t1output of t1input of t2output of t2input of t5");
@@ -131,20 +138,11 @@
 }
 
 TEST_CASE("a turn whose reservation was taken back is charged once, also when answers are lost twice") {
-  auto settings = program_store_settings{};
-  settings.reservation_lease_ = 60;
-  settings.longest_turn_ = 30;
-  auto fleet = two_daemons{settings};
-  constexpr auto budget = std::int64_t{120};
-  fleet.turn(*fleet.here_, "t1", "", budget);
-  auto held_up = fleet.begin(*fleet.here_, "t2", "t1", budget);
-  REQUIRE(ok(held_up));
-  fleet.run_for(settings.reservation_lease_ + settings.longest_turn_ + 20);
-  REQUIRE(ok(fleet.begin(*fleet.there_, "t3", "t1", budget)));
-  REQUIRE(ok(fleet.begin(*fleet.there_, "t4", "t1", budget)));  // Takes the overdue reservation back.
-  fleet.rows_->faults().lose_calls_ = 1;                        // The first write is not made,
-  fleet.rows_->faults().lose_answers_ = 1;                      // the second is, and both give no answer.
-  REQUIRE(ok(fleet.end(*fleet.here_, "t2", "t1", value(held_up), budget, most_tokens)));
+  auto fleet = two_daemons{short_leases()};
+  auto held_up = take_back_reservation(fleet);
+  fleet.rows_->faults().lose_calls_ = 1;    // The first write is not made,
+  fleet.rows_->faults().lose_answers_ = 1;  // a later one is, and both give no answer.
+  REQUIRE(ok(fleet.end(*fleet.here_, "t2", "t1", held_up, tight_budget, most_tokens)));
   // Spent: t1 and t2. Reserved: t3 and t4.
   CHECK(ok(fleet.begin(*fleet.there_, "t5", "t2", 5 * most_tokens)));
 }
