--- a/birchlever/gateway/upstream_dispatch.cpp
+++ b/birchlever/gateway/upstream_dispatch.cpp
@@ -12,12 +12,11 @@
     milliseconds{250};  // About one tool call or turn: a place is free again by then.
 
 constexpr auto first_failure_status = 500;
-constexpr auto timeout_status = 504;
 constexpr auto least_share =
     std::int64_t{2};  // Of an upstream's connections, however many daemons there are.
 
 /// An upstream's own failure counts like a lost answer: its health check may be good all the same. Time that
-/// ran out does not: it tells of load, and avoiding loaded upstreams would load the others.
+/// ran out here does not: it tells of load, and avoiding loaded upstreams would load the others.
 auto evidence_of(offer_outcome outcome, const gateway_request& request) -> upstream_evidence {
   switch (outcome) {
     case offer_outcome::refused_full:
