Upstreams are judged by failures in a row that several daemons tell; a model of the whole fleet

Hypothesis: with hundreds of daemons upstream_health takes chance for evidence: it counts failures of all reporters against 2, and a daemon whose own link is cut reports every upstream that it tries. Change: own_link tells whether this daemon's link explains a failure (no other upstream answered within 600 ms, three fail at once or one after the other without an answer between, or the request was sent before the link was back); such failures are not told, and do not count. Avoided is what failed twice here in a row, or for three peers in a row; a request that is served by a suspected upstream is told and ends the row. A peer that tries again and fails spares the others the try. News go to all peers of the largest fleet, alone in their datagram, at most each 200 ms.

--- a/birchlever/controllers/peer_exchange.cpp
+++ b/birchlever/controllers/peer_exchange.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <nlohmann/json.hpp>
 
 #include "birchlever/core/hashing.h"
 #include "birchlever/http/http_listener.h"
@@ -11,8 +10,6 @@
 namespace birchlever {
 namespace {
 
-using json = nlohmann::json;
-
 constexpr auto most_datagram =
     std::size_t{8192};  // A message names upstreams in use only: about 20 bytes each.
 constexpr auto first_list_gap = milliseconds{700};  // After a start in common others announce themselves too.
@@ -21,43 +18,6 @@
 
 }  // namespace
 
-auto encode(const peer_state& state) -> std::string {
-  auto bytes = std::string{};
-  auto silence = state.store_silence_ ? json(*state.store_silence_) : json(nullptr);
-  auto news = json::array();
-  for (const auto& one : state.news_) {
-    news.push_back(json::array({one.id_, one.failed_}));
-  }
-  auto message = json{state.vm_,      silence, state.configuration_,   state.control_address_,
-                      state.running_, news,    state.allowance_ranges_};
-  json::to_cbor(message, bytes);
-  return bytes;
-}
-
-auto decode_peer_state(std::string_view bytes) -> result<peer_state> {
-  try {
-    auto message = json::from_cbor(bytes.begin(), bytes.end());
-    auto state = peer_state{};
-    message.at(0).get_to(state.vm_);
-    if (!message.at(1).is_null()) {
-      state.store_silence_ = message.at(1).get<milliseconds>();
-    }
-    message.at(2).get_to(state.configuration_);
-    message.at(3).get_to(state.control_address_);
-    message.at(4).get_to(state.running_);
-    for (const auto& one : message.at(5)) {
-      state.news_.push_back({one.at(0).get<std::string>(), one.at(1).get<bool>()});
-    }
-    constexpr auto ranges_field = std::size_t{6};
-    if (message.size() > ranges_field) {  // Daemons of an earlier version hold none.
-      message.at(ranges_field).get_to(state.allowance_ranges_);
-    }
-    return state;
-  } catch (const json::exception& fault) {
-    return error{error_code::malformed_json, std::string{"a peer's message can't be read: "} + fault.what()};
-  }
-}
-
 peer_exchange::peer_exchange(event_loop& loop, std::shared_ptr<row_store_interface> rows,
                              peer_exchange_settings settings, describe_function describe)
     : loop_{&loop},
@@ -65,7 +25,8 @@
       settings_{std::move(settings)},
       describe_{std::move(describe)},
       socket_{loop},
-      random_{static_cast<std::uint32_t>(hash_of(settings_.vm_))} {}
+      random_{static_cast<std::uint32_t>(hash_of(settings_.vm_))},
+      views_{settings_.vm_, settings_.fresh_, std::make_shared<steady_clock>()} {}
 
 auto peer_exchange::create(event_loop& loop, std::shared_ptr<row_store_interface> rows,
                            const peer_exchange_settings& settings, describe_function describe)
@@ -127,8 +88,11 @@
 
 auto peer_exchange::send_news() -> task<> {
   auto self = shared_from_this();
-  co_await pause_for(*loop_, settings_.news_gap_);
-  auto state = describe_();
+  auto since_last = clock_.now() - told_at_;
+  co_await pause_for(*loop_, std::max(settings_.news_gap_, settings_.least_news_gap_ - since_last));
+  told_at_ = clock_.now();
+  auto state = peer_state{};  // News only: many get it, and what a daemon runs is told in regular messages.
+  state.vm_ = settings_.vm_;
   state.news_ = std::exchange(untold_, {});
   send(state, settings_.most_told_);
 }
@@ -151,13 +115,19 @@
       log_failure(log_level::warning, "peer_message_unreadable", failure(decoded));
       continue;
     }
+    take(std::move(value(decoded)));
+  }
+}
+
+auto peer_exchange::take(peer_state said) -> void {
+  if (said.news_.empty()) {
+    views_.hear(std::move(said));
+    return;
+  }
+  for (const auto& one : said.news_) {
     if (on_news_) {
-      for (const auto& one : value(decoded).news_) {
-        on_news_(one);
-      }
+      on_news_(said.vm_, one);
     }
-    auto vm = value(decoded).vm_;
-    heard_[vm] = {std::move(value(decoded)), clock_.now()};
   }
 }
 
@@ -208,11 +178,9 @@
   auto still_silent = std::map<std::string, milliseconds>{};
   for (const auto& row : rows) {
     const auto& vm = row.key_.key_;
-    auto heard = heard_.find(vm);
     auto known = silent_since_.find(vm);
-    auto since = heard != heard_.end()          ? heard->second.at_
-                 : known != silent_since_.end() ? known->second
-                                                : now;
+    auto listed_since = known == silent_since_.end() ? now : known->second;
+    auto since = views_.heard_at(vm).value_or(listed_since);
     if (vm == settings_.vm_ || now - since < settings_.forget_) {
       still_silent[vm] = since;
       continue;
@@ -221,77 +189,9 @@
     auto removal = row_transaction{{{row.key_, row.version_}}, {}, {row.key_}};
     co_await rows_->commit(std::move(removal),
                            settings_.call_limit_);  // Failed: the next reading tries again.
-    heard_.erase(vm);
+    views_.forget(vm);
   }
   silent_since_ = std::move(still_silent);
 }
 
-auto peer_exchange::preferred_for(std::string_view subject) const -> bool {
-  auto now = clock_.now();
-  auto own = rendezvous_weight(settings_.vm_, subject);
-  return std::all_of(heard_.begin(), heard_.end(), [&](const auto& entry) {
-    auto fresh = now - entry.second.at_ < settings_.fresh_;
-    return !fresh || rendezvous_weight(entry.first, subject) < own;
-  });
-}
-
-auto peer_exchange::answered_since(milliseconds moment) const -> const peer_state* {
-  auto now = clock_.now();
-  auto latest = moment;
-  const auto* best = static_cast<const peer_state*>(nullptr);
-  for (const auto& [vm, heard] : heard_) {
-    if (now - heard.at_ >= settings_.fresh_ || !heard.state_.store_silence_) {
-      continue;
-    }
-    auto answered_at = heard.at_ - *heard.state_.store_silence_;
-    if (answered_at > latest) {
-      latest = answered_at;
-      best = &heard.state_;
-    }
-  }
-  return best;
-}
-
-auto peer_exchange::running_elsewhere() const -> std::map<std::string, double> {
-  auto now = clock_.now();
-  auto total = std::map<std::string, double>{};
-  for (const auto& [vm, heard] : heard_) {
-    if (now - heard.at_ >= settings_.fresh_) {
-      continue;
-    }
-    for (const auto& [upstream, running] : heard.state_.running_) {
-      total[upstream] += running;
-    }
-  }
-  return total;
-}
-
-auto peer_exchange::holder_of_allowance(int range) const -> std::optional<std::string> {
-  const auto* newest = static_cast<const heard_state*>(nullptr);
-  for (const auto& [vm, heard] : heard_) {
-    auto holds = (heard.state_.allowance_ranges_ >> static_cast<unsigned>(range)) & 1U;
-    if (holds != 0 && (newest == nullptr || heard.at_ > newest->at_)) {
-      newest = &heard;
-    }
-  }
-  return newest == nullptr ? std::nullopt : std::optional{newest->state_.control_address_};
-}
-
-auto peer_exchange::fresh_addresses() const -> std::map<std::string, std::string> {
-  auto addresses = std::map<std::string, std::string>{};
-  for (const auto& [vm, heard] : heard_) {
-    if (clock_.now() - heard.at_ <= settings_.fresh_) {
-      addresses[vm] = heard.state_.control_address_;
-    }
-  }
-  return addresses;
-}
-
-auto peer_exchange::fresh_peers() const -> std::size_t {
-  auto now = clock_.now();
-  return static_cast<std::size_t>(std::count_if(heard_.begin(), heard_.end(), [&](const auto& entry) {
-    return now - entry.second.at_ < settings_.fresh_;
-  }));
-}
-
 }  // namespace birchlever
--- /dev/null
+++ b/birchlever/controllers/peer_state.cpp
@@ -0,0 +1,49 @@
+#include "birchlever/controllers/peer_state.h"
+
+#include <nlohmann/json.hpp>
+
+namespace birchlever {
+namespace {
+
+using json = nlohmann::json;
+
+}  // namespace
+
+auto encode(const peer_state& state) -> std::string {
+  auto bytes = std::string{};
+  auto silence = state.store_silence_ ? json(*state.store_silence_) : json(nullptr);
+  auto news = json::array();
+  for (const auto& one : state.news_) {
+    news.push_back(json::array({one.id_, one.failed_}));
+  }
+  auto message = json{state.vm_,      silence, state.configuration_,   state.control_address_,
+                      state.running_, news,    state.allowance_ranges_};
+  json::to_cbor(message, bytes);
+  return bytes;
+}
+
+auto decode_peer_state(std::string_view bytes) -> result<peer_state> {
+  try {
+    auto message = json::from_cbor(bytes.begin(), bytes.end());
+    auto state = peer_state{};
+    message.at(0).get_to(state.vm_);
+    if (!message.at(1).is_null()) {
+      state.store_silence_ = message.at(1).get<milliseconds>();
+    }
+    message.at(2).get_to(state.configuration_);
+    message.at(3).get_to(state.control_address_);
+    message.at(4).get_to(state.running_);
+    for (const auto& one : message.at(5)) {
+      state.news_.push_back({one.at(0).get<std::string>(), one.at(1).get<bool>()});
+    }
+    constexpr auto ranges_field = std::size_t{6};
+    if (message.size() > ranges_field) {  // Daemons of an earlier version hold none.
+      message.at(ranges_field).get_to(state.allowance_ranges_);
+    }
+    return state;
+  } catch (const json::exception& fault) {
+    return error{error_code::malformed_json, std::string{"a peer's message can't be read: "} + fault.what()};
+  }
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/controllers/peer_state.h
@@ -0,0 +1,35 @@
+/// What daemons say of themselves to each other, and its bytes.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "birchlever/core/clock.h"
+#include "birchlever/core/result.h"
+#include "birchlever/upstream/upstream_directory.h"
+
+namespace birchlever {
+
+/// What one daemon says of itself.
+struct peer_state {
+  std::string vm_;
+  std::optional<milliseconds>
+      store_silence_;                   ///< ms since the store last answered it; none when it never did.
+  std::int64_t configuration_ = 0;      ///< Version in force there.
+  std::string control_address_;         ///< Where it relays calls to the store, "ip:port".
+  std::map<std::string, int> running_;  ///< Requests at each upstream.
+  std::uint64_t allowance_ranges_ = 0;  ///< The ranges of allowances that it holds, a bit each.
+  std::vector<upstream_news> news_;  ///< What it just learned of upstreams: then nothing else is told. Empty
+                                     ///< in regular messages.
+};
+
+/// The bytes of a message.
+[[nodiscard]] auto encode(const peer_state& state) -> std::string;
+
+/// Reads a message. Failures: malformed_json.
+[[nodiscard]] auto decode_peer_state(std::string_view bytes) -> result<peer_state>;
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/controllers/peer_views.cpp
@@ -0,0 +1,86 @@
+#include "birchlever/controllers/peer_views.h"
+
+#include <algorithm>
+
+#include "birchlever/core/hashing.h"
+
+namespace birchlever {
+
+auto peer_views::hear(peer_state said) -> void {
+  auto vm = said.vm_;
+  heard_[vm] = {std::move(said), clock_->now()};
+}
+
+auto peer_views::heard_at(const std::string& vm) const -> std::optional<milliseconds> {
+  auto found = heard_.find(vm);
+  return found == heard_.end() ? std::nullopt : std::optional{found->second.at_};
+}
+
+auto peer_views::preferred_for(std::string_view subject) const -> bool {
+  auto now = clock_->now();
+  auto own = rendezvous_weight(vm_, subject);
+  return std::all_of(heard_.begin(), heard_.end(), [&](const auto& entry) {
+    auto fresh = now - entry.second.at_ < fresh_;
+    return !fresh || rendezvous_weight(entry.first, subject) < own;
+  });
+}
+
+auto peer_views::answered_since(milliseconds moment) const -> const peer_state* {
+  auto now = clock_->now();
+  auto latest = moment;
+  const auto* best = static_cast<const peer_state*>(nullptr);
+  for (const auto& [vm, heard] : heard_) {
+    if (now - heard.at_ >= fresh_ || !heard.state_.store_silence_) {
+      continue;
+    }
+    auto answered_at = heard.at_ - *heard.state_.store_silence_;
+    if (answered_at > latest) {
+      latest = answered_at;
+      best = &heard.state_;
+    }
+  }
+  return best;
+}
+
+auto peer_views::running_elsewhere() const -> std::unordered_map<std::string, double> {
+  auto now = clock_->now();
+  auto total = std::unordered_map<std::string, double>{};
+  for (const auto& [vm, heard] : heard_) {
+    if (now - heard.at_ >= fresh_) {
+      continue;
+    }
+    for (const auto& [upstream, running] : heard.state_.running_) {
+      total[upstream] += running;
+    }
+  }
+  return total;
+}
+
+auto peer_views::holder_of_allowance(int range) const -> std::optional<std::string> {
+  const auto* newest = static_cast<const heard_state*>(nullptr);
+  for (const auto& [vm, heard] : heard_) {
+    auto holds = (heard.state_.allowance_ranges_ >> static_cast<unsigned>(range)) & 1U;
+    if (holds != 0 && (newest == nullptr || heard.at_ > newest->at_)) {
+      newest = &heard;
+    }
+  }
+  return newest == nullptr ? std::nullopt : std::optional{newest->state_.control_address_};
+}
+
+auto peer_views::fresh_addresses() const -> std::map<std::string, std::string> {
+  auto addresses = std::map<std::string, std::string>{};
+  for (const auto& [vm, heard] : heard_) {
+    if (clock_->now() - heard.at_ <= fresh_) {
+      addresses[vm] = heard.state_.control_address_;
+    }
+  }
+  return addresses;
+}
+
+auto peer_views::fresh_peers() const -> std::size_t {
+  auto now = clock_->now();
+  return static_cast<std::size_t>(std::count_if(
+      heard_.begin(), heard_.end(), [&](const auto& entry) { return now - entry.second.at_ < fresh_; }));
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/controllers/peer_views.h
@@ -0,0 +1,61 @@
+/// What this daemon believes of its peers, from their latest words. Words that are too old count no more.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "birchlever/controllers/peer_state.h"
+
+namespace birchlever {
+
+/// A function of what was heard and of the time; no network.
+class peer_views {
+ public:
+  /// `vm` is this daemon; words older than `fresh` ms count no more.
+  peer_views(std::string vm, milliseconds fresh, std::shared_ptr<const clock_interface> clock)
+      : vm_{std::move(vm)}, fresh_{fresh}, clock_{std::move(clock)} {}
+
+  /// A peer said this now.
+  auto hear(peer_state said) -> void;
+
+  /// When a peer was last heard, on our clock; none when never.
+  [[nodiscard]] auto heard_at(const std::string& vm) const -> std::optional<milliseconds>;
+
+  /// The peer is gone for good.
+  auto forget(const std::string& vm) -> void { heard_.erase(vm); }
+
+  /// The peer that the store answered last, if that was after the given moment of our clock; else none.
+  [[nodiscard]] auto answered_since(milliseconds moment) const -> const peer_state*;
+
+  /// Requests that peers have running at each upstream, by their latest words.
+  [[nodiscard]] auto running_elsewhere() const -> std::unordered_map<std::string, double>;
+
+  /// True when this daemon has the highest rendezvous weight for a subject among itself and the peers heard
+  /// of.
+  [[nodiscard]] auto preferred_for(std::string_view subject) const -> bool;
+
+  /// Control addresses of the peers heard of lately, by VM.
+  [[nodiscard]] auto fresh_addresses() const -> std::map<std::string, std::string>;
+
+  /// The control address of the peer that last said it holds a range of allowances; it may hold it no more.
+  [[nodiscard]] auto holder_of_allowance(int range) const -> std::optional<std::string>;
+
+  /// Peers heard of lately.
+  [[nodiscard]] auto fresh_peers() const -> std::size_t;
+
+ private:
+  struct heard_state {
+    peer_state state_;
+    milliseconds at_ = 0;
+  };
+
+  std::string vm_;
+  milliseconds fresh_;
+  std::shared_ptr<const clock_interface> clock_;
+  std::map<std::string, heard_state> heard_;
+};
+
+}  // namespace birchlever
--- a/birchlever/upstream/upstream_directory.cpp
+++ b/birchlever/upstream/upstream_directory.cpp
@@ -61,7 +61,7 @@
 
 auto upstream_directory::candidates(const upstream_wish& wish, bool also_avoided) const
     -> std::vector<upstream_pointer> {
-  auto now = clock_.now();
+  auto now = settings_.clock_->now();
   auto fitting = std::vector<upstream_pointer>{};
   for (const auto& [id, one] : upstreams_) {
     const auto& models = one->entry_.models_;
@@ -85,7 +85,7 @@
   view.running_ = one.running_ + one.running_elsewhere_;
   view.connected_ = connected_ && connected_(one.entry_.address_);
   auto share_used = wish.most_here_ > 0 && one.running_ >= wish.most_here_;
-  if (share_used || one.full_until_ > clock_.now()) {
+  if (share_used || one.full_until_ > settings_.clock_->now()) {
     view.running_ = std::max(view.running_, view.capacity_);
   }
   view.cache_tokens_ = static_cast<double>(one.cache_.tokens());
@@ -150,7 +150,7 @@
 }
 
 auto upstream_directory::begin(upstream& one, const upstream_wish& wish) -> milliseconds {
-  auto now = clock_.now();
+  auto now = settings_.clock_->now();
   ++one.running_;
   one.health_.note_sent(now);
   if (!wish.parts_.empty()) {
@@ -161,51 +161,82 @@
 }
 
 auto upstream_directory::answered(upstream& one, milliseconds began) -> void {
-  one.health_.note_answered(began, clock_.now());
+  auto now = settings_.clock_->now();
+  link_.note_answer(one.entry_.id_, began, now);
+  one.health_.note_answered(began, now);
 }
 
 auto upstream_directory::end(upstream& one, milliseconds began, upstream_evidence evidence) -> void {
   --one.running_;
   one.health_.note_given_up(began);
-  auto now = clock_.now();
+  auto now = settings_.clock_->now();
   switch (evidence) {
     case upstream_evidence::full:
       one.full_until_ = now + settings_.full_memory_;
       break;
     case upstream_evidence::served:
-      if (one.health_.note_success()) {
-        log_event(log_level::info, "upstream_serves_again", {{"upstream", one.entry_.id_}});
-        tell(one, false);
-      }
+      take_success(one, now);
       break;
     case upstream_evidence::failed:
-      if (one.health_.note_failure(now)) {
-        log_avoided(one, "failures", now);
-      }
-      tell(one, true);
+      take_failure(one, began, now);
       break;
     case upstream_evidence::none:
       break;
   }
 }
 
-auto upstream_directory::hear(const upstream_news& news) -> void {
+auto upstream_directory::take_success(upstream& one, milliseconds now) -> void {
+  auto suspected = one.health_.suspected(now);
+  auto was_avoided = one.health_.note_success();
+  if (was_avoided) {
+    log_event(log_level::info, "upstream_serves_again", {{"upstream", one.entry_.id_}});
+  }
+  if (was_avoided || suspected) {
+    tell(one, false);
+  }
+}
+
+auto upstream_directory::take_failure(upstream& one, milliseconds began, milliseconds now) -> void {
+  link_.note_failure(one.entry_.id_, now);
+  auto link = link_.verdict_on(one.entry_.id_, began, now);
+  if (link == link_verdict::at_fault) {
+    forgive_unanswered();
+  }
+  if (one.health_.note_failure(now, link)) {
+    log_avoided(one, "failures", now);
+  }
+  if (link == link_verdict::sound) {
+    tell(one, true);  // What the own link explains is no news of the upstream.
+  }
+}
+
+auto upstream_directory::forgive_unanswered() -> void {
+  for (const auto& id : link_.failed_unanswered()) {
+    if (auto blamed = find(id)) {
+      blamed->health_.forgive();
+    }
+  }
+}
+
+auto upstream_directory::hear(const std::string& peer, const upstream_news& news) -> void {
   auto one = find(news.id_);
   if (!one) {
     return;
   }
-  auto now = clock_.now();
+  auto now = settings_.clock_->now();
   if (!news.failed_) {
     one->health_.note_success();
-  } else if (one->health_.note_failure(now)) {
+  } else if (one->health_.note_peer_failure(peer, now)) {
     log_avoided(*one, "peer", now);
   }
 }
 
 auto upstream_directory::find_stalled() -> void {
-  auto now = clock_.now();
+  auto now = settings_.clock_->now();
   for (const auto& [id, one] : upstreams_) {
-    if (one->health_.note_stall(now)) {
+    auto silent = link_.verdict_on(id, now, now) == link_verdict::sound &&
+                  one->health_.note_stall(now, link_.sound_since());
+    if (silent) {
       log_avoided(*one, "silence", now);
       tell(*one, true);
     }
@@ -222,7 +253,7 @@
   log_event(log_level::warning, "upstream_avoided",
             {{"upstream", one.entry_.id_},
              {"cause", std::string{cause}},
-             {"failures", std::int64_t{one.health_.failures()}},
+             {"weight", std::int64_t{one.health_.weight()}},
              {"for_ms", one.health_.avoid_until() - now}});
 }
 
@@ -232,6 +263,14 @@
   }
 }
 
+auto upstream_directory::set_running_elsewhere(const std::unordered_map<std::string, double>& running)
+    -> void {
+  for (const auto& [id, one] : upstreams_) {
+    auto found = running.find(id);
+    one->running_elsewhere_ = found == running.end() ? 0 : found->second;
+  }
+}
+
 auto upstream_directory::each(const std::function<void(const upstream&)>& visit) const -> void {
   for (const auto& [id, one] : upstreams_) {
     visit(*one);
--- a/birchlever/upstream/upstream_directory.h
+++ b/birchlever/upstream/upstream_directory.h
@@ -7,10 +7,12 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "birchlever/core/clock.h"
 #include "birchlever/policy/policy_interface.h"
+#include "birchlever/upstream/own_link.h"
 #include "birchlever/upstream/prompt_cache.h"
 #include "birchlever/upstream/upstream_health.h"
 
@@ -88,6 +90,7 @@
   double least_kept_share_ = 0.25;  ///< With fewer left than this share of a service, those avoided are used
                                     ///< too: the load of all must not fall on a few.
   milliseconds full_memory_ = 60;   ///< ms for which an upstream that refused as full counts as full.
+  std::shared_ptr<const clock_interface> clock_ = std::make_shared<steady_clock>();
 };
 
 /// What this daemon learned of an upstream, for its peers.
@@ -125,7 +128,7 @@
   auto on_connected(connected_function callback) -> void { connected_ = std::move(callback); }
 
   /// Takes in what a peer learned.
-  auto hear(const upstream_news& news) -> void;
+  auto hear(const std::string& peer, const upstream_news& news) -> void;
 
   /// Looks for upstreams that hang. Call some times a second.
   auto find_stalled() -> void;
@@ -142,6 +145,9 @@
   /// Requests that other daemons have running there, as they say.
   auto set_running_elsewhere(const std::string& id, double running) -> void;
 
+  /// Likewise for all upstreams at once; those not named have none.
+  auto set_running_elsewhere(const std::unordered_map<std::string, double>& running) -> void;
+
   /// Calls back for each listed upstream.
   auto each(const std::function<void(const upstream&)>& visit) const -> void;
 
@@ -152,10 +158,13 @@
       -> upstream_pointer;
   auto view_of(const upstream& one, const upstream_wish& wish) const -> engine_view;
   auto tell(const upstream& one, bool failed) -> void;
+  auto take_success(upstream& one, milliseconds now) -> void;
+  auto take_failure(upstream& one, milliseconds began, milliseconds now) -> void;
+  auto forgive_unanswered() -> void;
   static auto log_avoided(const upstream& one, const char* cause, milliseconds now) -> void;
 
   upstream_directory_settings settings_;
-  steady_clock clock_;
+  own_link link_;
   std::map<std::string, upstream_pointer> upstreams_;
   news_function on_news_;
   connected_function connected_;
--- a/birchlever/upstream/upstream_health.cpp
+++ b/birchlever/upstream/upstream_health.cpp
@@ -12,35 +12,74 @@
 }  // namespace
 
 auto upstream_health::avoid(milliseconds now) -> void {
-  auto doublings = std::min(failures_ - settings_.failures_until_avoided_, most_doublings);
+  auto doublings = std::min(avoidances_++, most_doublings);
   avoidance_ = std::min(settings_.first_avoidance_ << doublings, settings_.longest_avoidance_);
   auto factor = least_jitter + jitter_width * jitter_;
   avoid_until_ = now + static_cast<milliseconds>(static_cast<double>(avoidance_) * factor);
 }
 
-auto upstream_health::note_failure(milliseconds now) -> bool {
-  if (avoided(now)) {
-    return false;  // Of a request that was sent before the upstream was avoided; it tells nothing new.
-  }
+auto upstream_health::begin_anew_when_quiet(milliseconds now) -> void {
   auto quiet = std::max(settings_.forget_, 2 * avoidance_);
   if (now - failed_at_ > quiet) {
-    failures_ = 0;
+    weight_ = 0;
+    avoidances_ = 0;
     avoidance_ = 0;
+    peers_.clear();
   }
-  ++failures_;
+}
+
+auto upstream_health::add(int weight, milliseconds now) -> bool {
+  weight_ += weight;
   failed_at_ = now;
-  if (failures_ < settings_.failures_until_avoided_) {
+  if (weight_ < settings_.weight_until_avoided_) {
     return false;
   }
   avoid(now);
   return true;
 }
 
-auto upstream_health::note_success() -> bool {
-  auto was_avoided = failures_ >= settings_.failures_until_avoided_;
-  failures_ = 0;
+auto upstream_health::note_failure(milliseconds now, link_verdict link) -> bool {
+  if (avoided(now) || link == link_verdict::at_fault) {
+    return false;  // Of a request that was sent before the upstream was avoided, or the link's own failure.
+  }
+  begin_anew_when_quiet(now);
+  return add(settings_.own_weight_, now);
+}
+
+auto upstream_health::note_peer_failure(const std::string& peer, milliseconds now) -> bool {
+  if (avoided(now)) {
+    // Late in an avoidance it is the failure of a peer that tried again: then nobody else needs to.
+    if (avoid_until_ - now <= avoidance_ / 2) {
+      failed_at_ = now;
+      avoid(now);
+    }
+    return false;
+  }
+  begin_anew_when_quiet(now);
+  auto counted = std::find(peers_.begin(), peers_.end(), peer) != peers_.end();
+  if (counted && avoidances_ == 0) {
+    return false;
+  }
+  peers_.push_back(peer);
+  return add(1, now);
+}
+
+auto upstream_health::suspected(milliseconds now) const -> bool {
+  auto recent = now - failed_at_ <= settings_.forget_;
+  return recent && weight_ + settings_.own_weight_ >= settings_.weight_until_avoided_;
+}
+
+auto upstream_health::forgive() -> void {
+  weight_ = 0;
+  avoidances_ = 0;
   avoidance_ = 0;
   avoid_until_ = 0;
+  peers_.clear();
+}
+
+auto upstream_health::note_success() -> bool {
+  auto was_avoided = avoidances_ > 0;
+  forgive();
   return was_avoided;
 }
 
@@ -56,11 +95,12 @@
   note_given_up(sent_at);
 }
 
-auto upstream_health::note_stall(milliseconds now) -> bool {
-  auto stalled = !waiting_.empty() && now - *waiting_.begin() >= settings_.stall_ &&
+auto upstream_health::note_stall(milliseconds now, milliseconds link_sound_since) -> bool {
+  auto oldest = waiting_.lower_bound(link_sound_since);
+  auto stalled = oldest != waiting_.end() && now - *oldest >= settings_.stall_ &&
                  now - answered_at_ >= settings_.stall_ && !avoided(now);
   if (stalled) {
-    failures_ = std::max(failures_ + 1, settings_.failures_until_avoided_);
+    weight_ = std::max(weight_, settings_.weight_until_avoided_);
     failed_at_ = now;
     avoid(now);
   }
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -196,7 +196,7 @@
 }
 
 auto gateway_daemon::sweep_programs() -> status {
-  auto owns = [this](const std::string& part) { return !peers_ || peers_->preferred_for(part); };
+  auto owns = [this](const std::string& part) { return !peers_ || peers_->views().preferred_for(part); };
   auto sweeper = program_sweeper::create(loop_, store_, {}, owns, [this] { return kept_after_change(); });
   if (!ok(sweeper)) {
     return failure(sweeper);
--- a/birchlever_daemon/gateway_daemon_pages.cpp
+++ b/birchlever_daemon/gateway_daemon_pages.cpp
@@ -58,7 +58,7 @@
   counters.gauge("store_calls_by_outcome{outcome=\"throttled\"}", static_cast<double>(usage.throttled_));
   counters.gauge("store_calls_by_outcome{outcome=\"failed\"}", static_cast<double>(usage.failed_));
   counters.gauge("store_reachable", store_->reachable() ? 1 : 0);
-  counters.gauge("peers_heard", peers_ ? static_cast<double>(peers_->fresh_peers()) : 0);
+  counters.gauge("peers_heard", peers_ ? static_cast<double>(peers_->views().fresh_peers()) : 0);
   counters.gauge("log_lines_dropped", static_cast<double>(dropped_log_lines()));
   counters.gauge("programs_removed", static_cast<double>(sweeper_->removed()));
   counters.gauge("history_cache_bytes", static_cast<double>(context_->programs_->cached_bytes()));
--- a/birchlever_daemon/gateway_daemon_peers.cpp
+++ b/birchlever_daemon/gateway_daemon_peers.cpp
@@ -28,12 +28,13 @@
     return failure(joined);
   }
   peers_ = std::move(value(joined));
-  peers_->on_news([this](const upstream_news& news) { context_->upstreams_->hear(news); });
+  peers_->on_news(
+      [this](const std::string& peer, const upstream_news& news) { context_->upstreams_->hear(peer, news); });
   context_->upstreams_->on_news([this](const upstream_news& news) { peers_->tell(news); });
   auto transfer_settings = budget_transfer_settings{};
   transfer_settings.daemon_ = incarnation_name();
   budget_transfer_ =
-      budget_transfer::create(loop_, transfer_settings, [this] { return peers_->fresh_addresses(); });
+      budget_transfer::create(loop_, transfer_settings, [this] { return peers_->views().fresh_addresses(); });
   context_->programs_->set_budget_peers(budget_transfer_);
   auto held = hold_allowances();
   if (!ok(held)) {
@@ -50,7 +51,7 @@
   }
   auto settings = allowance_settings{};
   settings.daemon_ = incarnation_name();
-  auto prefers = [this](std::string_view subject) { return peers_->preferred_for(subject); };
+  auto prefers = [this](std::string_view subject) { return peers_->views().preferred_for(subject); };
   auto made =
       allowance_ranges::create(loop_, store_, settings, prefers, [this] { return kept_after_change(); });
   if (!ok(made)) {
@@ -58,7 +59,7 @@
   }
   allowances_ = value(made);
   budget_transfer_->set_allowances(allowances_,
-                                   [this](int range) { return peers_->holder_of_allowance(range); });
+                                   [this](int range) { return peers_->views().holder_of_allowance(range); });
   return success;
 }
 
@@ -86,18 +87,14 @@
     co_await pause_for(loop_, peer_look_gap);
     context_->upstreams_->find_stalled();
     context_->daemons_ = static_cast<std::int64_t>(peers_->listed_peers()) + 1;
-    auto running = peers_->running_elsewhere();
-    for (const auto& id : context_->upstreams_->ids()) {
-      auto found = running.find(id);
-      context_->upstreams_->set_running_elsewhere(id, found == running.end() ? 0 : found->second);
-    }
+    context_->upstreams_->set_running_elsewhere(peers_->views().running_elsewhere());
   }
 }
 
 auto gateway_daemon::relay_through() const -> std::optional<asio::ip::tcp::endpoint> {
   // An answer that a peer got after we got none any more: the store is up, and only this daemon is turned
   // away.
-  const auto* peer = peers_ ? peers_->answered_since(store_->lost_at() + peer_clock_margin) : nullptr;
+  const auto* peer = peers_ ? peers_->views().answered_since(store_->lost_at() + peer_clock_margin) : nullptr;
   if (peer == nullptr) {
     return std::nullopt;
   }
--- /dev/null
+++ b/fleet_model/upstream_model.cpp
@@ -0,0 +1,132 @@
+#include "fleet_model/upstream_model.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace birchlever::model {
+namespace {
+
+auto tokens_of(const std::vector<prompt_part>& parts) -> double {
+  auto total = 0.0;
+  for (const auto& part : parts) {
+    total += static_cast<double>(part.tokens_);
+  }
+  return total;
+}
+
+}  // namespace
+
+auto engine_model::submit(model_request request) -> void {
+  if (static_cast<int>(waiting_.size()) >= settings_.queue_) {
+    request.on_refused_();
+    return;
+  }
+  ++taken_;
+  waiting_.push_back(std::move(request));
+  if (!std::exchange(stepping_, true)) {
+    events_->after(settings_.setup_ms_, [this] { step(); });
+  }
+}
+
+auto engine_model::admit() -> void {
+  while (!waiting_.empty() && static_cast<int>(running_.size()) < settings_.slots_) {
+    auto& next = waiting_.front();
+    if (next.due_ms_ <= events_->now_ms()) {
+      auto refused = std::move(next.on_refused_);
+      waiting_.pop_front();
+      refused();
+      continue;
+    }
+    auto prompt = tokens_of(next.parts_);
+    auto memory = prompt + next.output_tokens_;
+    if (memory_ + memory > settings_.tokens_ && !running_.empty()) {
+      return;
+    }
+    auto begun = running_request{std::move(next)};
+    waiting_.pop_front();
+    begun.unread_ = prompt - static_cast<double>(kept_.held(begun.request_.parts_));
+    begun.left_ = begun.request_.output_tokens_;
+    begun.memory_ = memory;
+    memory_ += memory;
+    running_.push_back(std::move(begun));
+  }
+}
+
+auto engine_model::step() -> void {
+  admit();
+  if (running_.empty()) {
+    stepping_ = !waiting_.empty();
+    if (stepping_) {
+      events_->after(settings_.step_ms_, [this] { step(); });
+    }
+    return;
+  }
+  auto unread = 0.0;
+  for (const auto& one : running_) {
+    unread += one.unread_;
+  }
+  auto read = std::min(unread, settings_.chunk_);
+  auto streams = static_cast<double>(running_.size());
+  auto took =
+      settings_.step_ms_ + settings_.step_stream_ms_ * (streams - 1) + read / settings_.prefill_per_ms_;
+  events_->after(took, [this, read] {
+    advance(read);
+    step();
+  });
+}
+
+auto engine_model::advance(double read) -> void {
+  auto done = std::vector<std::function<void()>>{};
+  for (auto next = running_.begin(); next != running_.end();) {
+    if (next->unread_ > 0) {
+      auto now = std::min(read, next->unread_);
+      next->unread_ -= now;
+      read -= now;
+      ++next;
+      continue;
+    }
+    if (!std::exchange(next->begun_, true)) {
+      done.push_back(next->request_.on_first_);
+    }
+    if (--next->left_ > 0) {
+      ++next;
+      continue;
+    }
+    memory_ -= next->memory_;
+    kept_.set_room(static_cast<std::int64_t>(settings_.tokens_ - memory_));
+    kept_.used(next->request_.parts_);
+    done.push_back(std::move(next->request_.on_done_));
+    next = running_.erase(next);
+  }
+  for (const auto& tell : done) {
+    tell();
+  }
+}
+
+auto service_model::submit(model_request request) -> void {
+  if (running_ < slots_) {
+    ++taken_;
+    begin(std::move(request));
+  } else if (static_cast<int>(waiting_.size()) < queue_) {
+    ++taken_;
+    waiting_.push_back(std::move(request));
+  } else {
+    request.on_refused_();
+  }
+}
+
+auto service_model::begin(model_request request) -> void {
+  ++running_;
+  events_->after(request.work_ms_, [this, request = std::move(request)] {
+    --running_;
+    request.on_first_();
+    request.on_done_();
+    if (!waiting_.empty()) {
+      auto next = std::move(waiting_.front());
+      waiting_.pop_front();
+      begin(std::move(next));
+    }
+  });
+}
+
+}  // namespace birchlever::model
--- a/performance_test/performance_tests.h
+++ b/performance_test/performance_tests.h
@@ -12,6 +12,8 @@
   std::string tables_;
   bool check_ = false;
   int most_daemons_ = 48;
+  std::string pattern_;        ///< Plays only this pattern of the fleet model.
+  std::string engine_policy_;  ///< Instead of the gateway's own.
 };
 
 /// A test; false when a bound was checked and broken.
@@ -38,6 +40,9 @@
 /// What a gateway adds to a turn, and what a turn costs it, in one process.
 auto test_gateway(const test_settings& settings) -> bool;
 
+/// Patterns of load on the model of a whole fleet: worth, avoidance, evenness.
+auto test_fleet_model(const test_settings& settings) -> bool;
+
 [[nodiscard]] auto all_tests() -> std::vector<performance_test>;
 
 /// A straight line through points, with its residual.
