Parts of the store that are overloaded for a moment recover

Cause, shown in fleet_model/hot_part: daemons that change one program at the same time repeat at once when they lost against each other, so the part works on lost tries; its queue grows to the second that the store allows; then no answer comes within 150 or 300 ms, and each change is sent four times. With 50 changes at one moment the part serves 0.66 of its usual load from then on for good. Ruled out: the load itself (30 changes/s a part of 150); the repetitions alone (the model recovers without lost ones).

--- a/birchlever/coordination/program_store.cpp
+++ b/birchlever/coordination/program_store.cpp
@@ -34,7 +34,10 @@
 
 program_store::program_store(event_loop& loop, std::shared_ptr<row_store_interface> rows,
                              const program_store_settings& settings)
-    : loop_{&loop}, rows_{std::move(rows)}, settings_{settings} {}
+    : loop_{&loop},
+      rows_{std::move(rows)},
+      settings_{settings},
+      random_{static_cast<std::uint32_t>(hash_of(settings_.daemon_))} {}
 
 auto program_store::entry_of(const std::string& program) -> entry_pointer {
   return entry_named(key_name(program));
--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -188,6 +189,7 @@
   // program_store_write.cpp: changes into rows.
   auto write_changes(entry_pointer program) -> task<>;
   auto write_batch(entry_pointer program) -> task<status>;
+  auto pause_after_conflict(int conflicts, milliseconds took) -> task<bool>;
   auto apply(const entry& program, const change& wanted, program_record& record) const -> verdict;
   auto apply_reserve(const change& wanted, program_record& record) const -> verdict;
   [[nodiscard]] auto refusal_of(const change& wanted, const program_record& record) const
@@ -209,7 +211,8 @@
   std::unordered_map<std::string, entry_pointer> entries_;
   std::unordered_map<std::string, std::string> homes_;  ///< The program of each turn in memory.
   std::shared_ptr<budget_peers> budget_peers_;
-  std::int64_t draws_ = 0;  ///< Made here so far; names them.
+  std::int64_t draws_ = 0;   ///< Made here so far; names them.
+  std::minstd_rand random_;  ///< For jitter.
   std::size_t cached_bytes_ = 0;
   milliseconds store_clock_ahead_ = 0;  ///< The store's clock less ours, at most so much too little as below.
   milliseconds store_clock_error_ = 0;  ///< How long the call took that told.
--- a/birchlever/coordination/program_store_write.cpp
+++ b/birchlever/coordination/program_store_write.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdio>
 
+#include "birchlever/coordination/conflict_pause.h"
 #include "birchlever/coordination/program_store_state.h"
 #include "birchlever/telemetry/log.h"
 
@@ -235,8 +236,18 @@
   }
 }
 
+auto program_store::pause_after_conflict(int conflicts, milliseconds took) -> task<bool> {
+  auto longest = longest_conflict_pause(conflicts, took);
+  if (longest > 0) {
+    auto pause = std::uniform_int_distribution<milliseconds>{longest / 2, longest}(random_);
+    co_await pause_for(*loop_, pause);
+  }
+  co_return longest > 0;
+}
+
 auto program_store::write_batch(entry_pointer program) -> task<status> {
   auto fresh = false;
+  auto conflicts = 0;
   while (true) {
     if (program->version_ == version_not_read) {
       auto loaded = co_await load(program, false, settings_.call_limit_);
@@ -291,6 +302,11 @@
       co_return failure(taken);
     }
     fresh = true;
+    auto paused = co_await pause_after_conflict(++conflicts, clock_.now() - asked_at);
+    if (paused) {
+      program->version_ =
+          version_not_read;  // What the conflict told is old by now; a read costs the part nothing.
+    }
   }
 }
 
--- a/unit_tests/platform/store_client_test.cpp
+++ b/unit_tests/platform/store_client_test.cpp
@@ -31,7 +31,7 @@
     listener_ = value(listening);
     auto settings = store_client_settings{};
     settings.address_ = address_;
-    settings.shortest_try_ = 60;
+    settings.answers_.shortest_ = 60;
     client_ = store_client::create(loop_, settings);
   }
 
