--- a/birchlever/coordination/program_store_draw.cpp
+++ b/birchlever/coordination/program_store_draw.cpp
@@ -85,7 +85,10 @@
   if (program->drawn_ < most) {
     co_await add_allowance(program, most);
   }
-  if (auto taken = take_drawn(*program, most, least_of(most))) {
+  // A store that is reached and only has not answered in time is no outage: its caller comes back soon, and a
+  // stream that is cut for want of tokens would be lost for nothing.
+  auto least = rows_->reachable() ? most : least_of(most);
+  if (auto taken = take_drawn(*program, most, least)) {
     log_event(log_level::info, "budget_drawn_without_store",
               {{"request", order.turn_}, {"program", program->name_}, {"tokens", *taken}, {"most", most}});
     co_return *taken;
--- a/unit_tests/coordination/budget_draw_test.cpp
+++ b/unit_tests/coordination/budget_draw_test.cpp
@@ -217,6 +217,19 @@
   CHECK(failure(refused).code_ == error_code::budget_exhausted);
 }
 
+TEST_CASE(
+    "a store that is reached and answers nothing for a while makes no turn begin with less than its most") {
+  auto all = fleet{1, 0.0};
+  all.cut_from_peers_ = true;
+  REQUIRE(all.turn("vm@0", most_tokens / 2));  // Leaves half of a turn's most.
+  all.rows_->faults().lose_calls_ = 1000;
+  REQUIRE(all.rows_->reachable());
+  CHECK_FALSE(all.turn("vm@0", most_tokens));
+  CHECK(all.last_failure_ == error_code::store_unavailable);
+  all.rows_->faults().down_ = true;
+  CHECK(all.turn("vm@0", most_tokens) == most_tokens / 2);  // In an outage it is better than nothing.
+}
+
 TEST_CASE("turns that begin at the same time share one budget") {
   auto all = fleet{2};
   CHECK(all.begin_together(all.name_of(0), 5) == 3);
