--- a/birchlever/controllers/peer_feed.cpp
+++ b/birchlever/controllers/peer_feed.cpp
@@ -110,6 +110,7 @@
 auto peer_feed::changes(std::string table, std::int64_t after) -> task<result<row_page>> {
   auto self = shared_from_this();
   auto peer = must_follow() ? std::nullopt : choose_peer();
+  note_source(peer ? peer->first : std::string{});
   if (!peer) {
     co_return co_await look_at_store(std::move(table), after);
   }
@@ -123,6 +124,13 @@
   co_return co_await look_at_store(std::move(table), after);
 }
 
+auto peer_feed::note_source(const std::string& peer) -> void {
+  if (peer != source_) {
+    log_event(log_level::info, "upstreams_followed_through", {{"peer", peer.empty() ? "the store" : peer}});
+    source_ = peer;
+  }
+}
+
 auto peer_feed::take_scan(const std::vector<stored_row>& rows, std::int64_t version) -> void {
   log_.reset(rows, version);
   store_answered_at_ = clock_.now();
--- a/birchlever/controllers/peer_feed.h
+++ b/birchlever/controllers/peer_feed.h
@@ -67,6 +67,7 @@
   [[nodiscard]] auto may_answer() const -> bool;
   [[nodiscard]] auto choose_peer() const -> std::optional<std::pair<std::string, std::string>>;
   [[nodiscard]] auto current() const -> bool;
+  auto note_source(const std::string& peer) -> void;
   auto look_at_store(std::string table, std::int64_t after) -> task<result<row_page>>;
   auto look_at_peer(std::string address, std::int64_t after) -> task<result<row_page>>;
 
@@ -78,6 +79,7 @@
   loop_signal changed_;
   std::shared_ptr<connection_pool> connections_;
   steady_clock clock_;
+  std::string source_;                           ///< The peer looked at last; empty for the store.
   milliseconds store_answered_at_ = 0;           ///< 0 when never.
   std::map<std::string, milliseconds> avoided_;  ///< Peers that failed, until when.
 };
--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -189,7 +189,8 @@
   // program_store_write.cpp: changes into rows.
   auto write_changes(entry_pointer program) -> task<>;
   auto write_batch(entry_pointer program) -> task<status>;
-  auto pause_after_conflict(int conflicts, milliseconds took) -> task<bool>;
+  /// Waits as long as so many conflicts in a row ask for. False when that was not at all.
+  auto pause_after_conflict(std::string name, int conflicts, milliseconds took) -> task<bool>;
   auto apply(const entry& program, const change& wanted, program_record& record) const -> verdict;
   auto apply_reserve(const change& wanted, program_record& record) const -> verdict;
   [[nodiscard]] auto refusal_of(const change& wanted, const program_record& record) const
--- a/birchlever/coordination/program_store_write.cpp
+++ b/birchlever/coordination/program_store_write.cpp
@@ -236,10 +236,13 @@
   }
 }
 
-auto program_store::pause_after_conflict(int conflicts, milliseconds took) -> task<bool> {
+auto program_store::pause_after_conflict(std::string name, int conflicts, milliseconds took) -> task<bool> {
   auto longest = longest_conflict_pause(conflicts, took);
   if (longest > 0) {
     auto pause = std::uniform_int_distribution<milliseconds>{longest / 2, longest}(random_);
+    log_event(
+        log_level::info, "program_contended",
+        {{"program", name}, {"conflicts", std::int64_t{conflicts}}, {"took_ms", took}, {"pause_ms", pause}});
     co_await pause_for(*loop_, pause);
   }
   co_return longest > 0;
@@ -302,7 +305,7 @@
       co_return failure(taken);
     }
     fresh = true;
-    auto paused = co_await pause_after_conflict(++conflicts, clock_.now() - asked_at);
+    auto paused = co_await pause_after_conflict(program->name_, ++conflicts, clock_.now() - asked_at);
     if (paused) {
       program->version_ =
           version_not_read;  // What the conflict told is old by now; a read costs the part nothing.
--- a/birchlever/policy/policy_settings.cpp
+++ b/birchlever/policy/policy_settings.cpp
@@ -32,8 +32,6 @@
     {"service_step", 2048, 1, 1e9, "tokens of service per priority level"},
     {"crowding", 1.0, 0, 10,
      "how much longer a token takes on a full engine than on an empty one, as a share"},
-    {"interference", 0.0, 0, 100,
-     "weight of the time for which reading a prompt holds up each stream that runs there"},
     {"eviction_weight", 0.5, 0, 100, "weight of pushing other programs' prefixes out"},
 };
 
--- a/birchlever/policy/program_aware_policy.cpp
+++ b/birchlever/policy/program_aware_policy.cpp
@@ -28,7 +28,6 @@
       cache_weight_{settings.parameter("cache_weight")},
       waste_weight_{settings.parameter("waste_weight")},
       crowding_{settings.parameter("crowding")},
-      interference_{settings.parameter("interference")},
       eviction_weight_{settings.parameter("eviction_weight")},
       half_life_ms_{settings.parameter("view_half_life")},
       hall_ms_{settings.parameter("hall_ms")},
@@ -58,9 +57,8 @@
   auto pushed_out = std::max(0.0, missing + answer - cache_room);
   auto way = engine.data_hall_ == call.data_hall_ ? 0.0 : 2 * hall_ms_;
   weighed.wait_ms_ = queue_weight_ * place_wait + way;
-  auto held_up = interference_ * std::min(load, engine.capacity_);
   weighed.compute_ms_ =
-      (cache_weight_ + held_up) * missing / prefill_per_ms_ * engine.slowness_ + stream_ms * (1 + crowding);
+      cache_weight_ * missing / prefill_per_ms_ * engine.slowness_ + stream_ms * (1 + crowding);
   weighed.waste_ms_ = waste_weight_ * (held_elsewhere - held) / prefill_per_ms_ +
                       eviction_weight_ * pushed_out / prefill_per_ms_;
   weighed.cost_ = weighed.wait_ms_ + weighed.compute_ms_ + weighed.waste_ms_;
--- a/birchlever/policy/program_aware_policy.h
+++ b/birchlever/policy/program_aware_policy.h
@@ -27,7 +27,6 @@
   double cache_weight_ = 0;
   double waste_weight_ = 0;
   double crowding_ = 1;
-  double interference_ = 0;
   double eviction_weight_ = 0;
   double half_life_ms_ = 0;
   double hall_ms_ = 0;
--- a/birchlever/storage/answer_times.h
+++ b/birchlever/storage/answer_times.h
@@ -36,6 +36,9 @@
   /// A call was answered.
   auto note_answer(const std::string& place, milliseconds took) -> void;
 
+  /// True while a place is known to be slow, so that calls to it get more time.
+  [[nodiscard]] auto slow(const std::string& place) const -> bool { return slow_.count(place) != 0; }
+
   /// A call was not answered within its limit.
   auto note_silence(const std::string& place, milliseconds limit) -> void;
 
--- a/birchlever/upstream/upstream_directory.cpp
+++ b/birchlever/upstream/upstream_directory.cpp
@@ -174,6 +174,9 @@
 auto upstream_directory::answered(upstream& one, milliseconds began) -> void {
   auto now = settings_.clock_->now();
   link_.note_answer(one.entry_.id_, began, now);
+  if (std::exchange(link_blamed_, false)) {
+    log_event(log_level::info, "link_answers_again", {{"upstream", one.entry_.id_}});
+  }
   one.health_.note_answered(began, now);
 }
 
@@ -222,6 +225,10 @@
 }
 
 auto upstream_directory::forgive_unanswered() -> void {
+  auto failing = static_cast<std::int64_t>(link_.failed_unanswered().size());
+  if (!std::exchange(link_blamed_, true)) {
+    log_event(log_level::warning, "link_at_fault", {{"upstreams_failing", failing}});
+  }
   for (const auto& id : link_.failed_unanswered()) {
     if (auto blamed = find(id)) {
       blamed->health_.forgive();
--- a/birchlever/upstream/upstream_directory.h
+++ b/birchlever/upstream/upstream_directory.h
@@ -168,6 +168,7 @@
 
   upstream_directory_settings settings_;
   own_link link_;
+  bool link_blamed_ = false;  ///< Failures are put down to the link, until an upstream answers.
   std::map<std::string, upstream_pointer> upstreams_;
   news_function on_news_;
   connected_function connected_;
--- a/fleet_model/fleet_model.cpp
+++ b/fleet_model/fleet_model.cpp
@@ -224,6 +224,7 @@
     begun->request_.parts_ = program->parts();
     begun->request_.output_tokens_ = turn.output_;
     begun->request_.due_ms_ = begun->due_ms_;
+    begun->request_.urgency_ = program->shape_->rank_;
     auto& wish = begun->wish_;
     wish.service_ = engine_service;
     wish.parts_ = begun->request_.parts_;
--- a/fleet_model/upstream_model.cpp
+++ b/fleet_model/upstream_model.cpp
@@ -22,7 +22,9 @@
     return;
   }
   ++taken_;
-  waiting_.push_back(std::move(request));
+  auto less_urgent = [&](const model_request& one) { return one.urgency_ > request.urgency_; };
+  auto place = std::find_if(waiting_.begin(), waiting_.end(), less_urgent);
+  waiting_.insert(place, std::move(request));
   if (!std::exchange(stepping_, true)) {
     events_->after(settings_.setup_ms_, [this] { step(); });
   }
--- a/fleet_model/upstream_model.h
+++ b/fleet_model/upstream_model.h
@@ -18,6 +18,7 @@
   double output_tokens_ = 0;
   double work_ms_ = 0;                ///< Of a tool.
   double due_ms_ = 0;                 ///< Not begun by then, it is refused.
+  int urgency_ = 0;                   ///< An engine lets in the lowest first.
   std::function<void()> on_first_;    ///< The answer begins.
   std::function<void()> on_done_;     ///< The answer is whole.
   std::function<void()> on_refused_;  ///< Surely not run.
@@ -73,7 +74,7 @@
 
   event_queue* events_;
   engine_model_settings settings_;
-  std::list<model_request> waiting_;
+  std::list<model_request> waiting_;  ///< By urgency, then by arrival.
   std::list<running_request> running_;
   prompt_cache kept_;
   double memory_ = 0;  ///< Of running requests.
