Parts of prompts that many programs share are expected at every engine

Hypothesis: a daemon knows of its own requests only, so of a shared part it believes that one or two engines hold it and sends all programs there, queues or not; in fact all engines hold it. Change: common_parts. A part that several programs carry counts as held by any engine with the probability that one of the requests that read its memory full carried it: occurrences per token read, times the room, from own traffic alone.

--- a/birchlever/gateway/upstream_dispatch.cpp
+++ b/birchlever/gateway/upstream_dispatch.cpp
@@ -53,6 +53,7 @@
   wish.prompt_tokens_ = request.facts_.prompt_tokens_;
   wish.most_tokens_ = request.facts_.most_tokens_;
   wish.parts_ = request.facts_.parts_;
+  wish.program_ = request.facts_.program_;
   wish.last_upstream_ = request.last_upstream_;
   if (context_->home_upstreams_ && !request.route_->keeps_turns_) {
     wish.home_subject_ = request.facts_.program_;
--- /dev/null
+++ b/birchlever/upstream/common_parts.cpp
@@ -0,0 +1,64 @@
+#include "birchlever/upstream/common_parts.h"
+
+#include <cmath>
+
+namespace birchlever {
+namespace {
+
+constexpr auto fade_ms = 5000.0;  // Time constant: an engine's memory is read full in some seconds.
+constexpr auto ms_per_second = 1000.0;
+constexpr auto most_parts = std::size_t{1024};  // Few parts are shared; the others fade and are dropped.
+constexpr auto rare_per_s = 0.05;               // Of one program, some seconds ago.
+constexpr auto least_probability = 0.5;         // What is held by chance only is not counted on.
+
+}  // namespace
+
+auto common_parts::fading_rate::now(milliseconds moment) const -> double {
+  return per_s_ * std::exp(-static_cast<double>(moment - at_) / fade_ms);
+}
+
+auto common_parts::fading_rate::add(double amount, milliseconds moment) -> void {
+  per_s_ = now(moment) + amount * ms_per_second / fade_ms;
+  at_ = moment;
+}
+
+auto common_parts::note(const std::string& program, const std::vector<prompt_part>& parts,
+                        std::int64_t read_tokens, milliseconds now) -> void {
+  read_.add(static_cast<double>(read_tokens), now);
+  for (const auto& part : parts) {
+    auto& use = uses_[part.id_];
+    if (use.last_program_ != program) {
+      use.programs_.add(use.last_program_.empty() ? 0 : 1, now);  // One program alone shares nothing.
+      use.last_program_ = program;
+    }
+  }
+  if (uses_.size() > most_parts) {
+    forget_rare(now);
+  }
+}
+
+auto common_parts::forget_rare(milliseconds now) -> void {
+  for (auto next = uses_.begin(); next != uses_.end();) {
+    next = next->second.programs_.now(now) < rare_per_s ? uses_.erase(next) : std::next(next);
+  }
+}
+
+auto common_parts::expected_tokens(const std::vector<prompt_part>& parts, std::int64_t room,
+                                   milliseconds now) const -> std::int64_t {
+  auto read_per_s = read_.now(now);
+  auto expected = 0.0;
+  auto probability = 1.0;
+  for (const auto& part : parts) {
+    auto use = uses_.find(part.id_);
+    auto per_s = use == uses_.end() ? 0.0 : use->second.programs_.now(now);
+    auto in_memory = read_per_s > 0 ? per_s / read_per_s * static_cast<double>(room) : 0.0;
+    probability *= 1 - std::exp(-in_memory);
+    if (probability < least_probability) {
+      break;
+    }
+    expected += probability * static_cast<double>(part.tokens_);
+  }
+  return static_cast<std::int64_t>(expected);
+}
+
+}  // namespace birchlever
--- a/birchlever/upstream/upstream_directory.cpp
+++ b/birchlever/upstream/upstream_directory.cpp
@@ -118,6 +118,14 @@
   return home;
 }
 
+auto upstream_directory::common_tokens(const upstream_wish& wish) const -> std::int64_t {
+  auto common = common_.find(wish.service_);
+  if (common == common_.end()) {
+    return 0;
+  }
+  return common->second.expected_tokens(wish.parts_, wish.cache_room_, settings_.clock_->now());
+}
+
 auto upstream_directory::choose(const policy_interface& policy, const upstream_wish& wish)
     -> result<upstream_choice> {
   auto fitting = candidates(wish, false);
@@ -137,9 +145,10 @@
   call.seed_ = wish.seed_;
   auto views = std::vector<engine_view>{};
   auto home = home_of(wish, fitting);
+  auto common = common_tokens(wish);
   for (const auto& one : fitting) {
     views.push_back(view_of(*one, wish));
-    auto held = one->cache_.held(wish.parts_);
+    auto held = std::max(one->cache_.held(wish.parts_), common);
     if (one == home && !wish.parts_.empty()) {
       // Where other daemons sent this program's turns; a first turn goes there unless others are much freer.
       auto own = wish.parts_.back().tokens_;
@@ -165,6 +174,8 @@
   ++one.running_;
   one.health_.note_sent(now);
   if (!wish.parts_.empty()) {
+    auto held = std::max(one.cache_.held(wish.parts_), common_tokens(wish));
+    common_[wish.service_].note(wish.program_, wish.parts_, wish.prompt_tokens_ - held, now);
     one.cache_.set_room(wish.cache_room_);
     one.cache_.used(wish.parts_);
   }
--- a/birchlever/upstream/upstream_directory.h
+++ b/birchlever/upstream/upstream_directory.h
@@ -12,6 +12,7 @@
 
 #include "birchlever/core/clock.h"
 #include "birchlever/policy/policy_interface.h"
+#include "birchlever/upstream/common_parts.h"
 #include "birchlever/upstream/own_link.h"
 #include "birchlever/upstream/prompt_cache.h"
 #include "birchlever/upstream/upstream_health.h"
@@ -69,6 +70,7 @@
   std::int64_t prompt_tokens_ = 0;
   std::int64_t most_tokens_ = 0;
   std::vector<prompt_part> parts_;
+  std::string program_;        ///< Whose prompt it is; empty outside programs.
   std::string last_upstream_;  ///< Where the previous turn ran; empty when there was none.
   std::string home_subject_;  ///< Requests of one subject prefer the same upstream, through any daemon; empty
                               ///< when it is known where the previous turn ran.
@@ -156,6 +158,8 @@
 
  private:
   auto candidates(const upstream_wish& wish, bool also_avoided) const -> std::vector<upstream_pointer>;
+  /// Prompt tokens that any engine of the service probably holds.
+  [[nodiscard]] auto common_tokens(const upstream_wish& wish) const -> std::int64_t;
   /// The upstream with the highest rendezvous weight for the wish's subject, or none.
   static auto home_of(const upstream_wish& wish, const std::vector<upstream_pointer>& fitting)
       -> upstream_pointer;
@@ -169,6 +173,7 @@
   upstream_directory_settings settings_;
   own_link link_;
   bool link_blamed_ = false;  ///< Failures are put down to the link, until an upstream answers.
+  std::map<std::string, common_parts> common_;  ///< By service.
   std::map<std::string, upstream_pointer> upstreams_;
   news_function on_news_;
   connected_function connected_;
--- a/fleet_model/fleet_model.cpp
+++ b/fleet_model/fleet_model.cpp
@@ -233,6 +233,7 @@
     }
     constexpr auto most_over_mean = 4.0;  // Callers name about so many times the mean as the most.
     wish.most_tokens_ = static_cast<std::int64_t>(most_over_mean * program->shape_->output_);
+    wish.program_ = std::to_string(program->id_);
     wish.last_upstream_ = program->last_upstream_;
     wish.cache_room_ = static_cast<std::int64_t>(pattern_->engine_tokens_);
     wish.seed_ = hash_of(std::to_string(program->id_), program->turn_);
