One begun turn's reservation is no spent budget: 503 with when to come back, not 402

Cause: refusal_of counted every reservation that is not leased as a turn that runs. Change: where a single begun turn, let begin by another daemon, makes the difference, the answer is 503. Turns that run here, and two or more elsewhere, exhaust a budget as before.

--- a/birchlever/coordination/program_record.cpp
+++ b/birchlever/coordination/program_record.cpp
@@ -64,6 +64,16 @@
                      [](const auto& entry) { return entry.second.expires_at_ > 0; });
 }
 
+auto program_record::begun_turns() const -> std::vector<std::string> {
+  auto begun = std::vector<std::string>{};
+  for (const auto& [name, held] : reserved_) {
+    if (held.expires_at_ == 0) {
+      begun.push_back(name);
+    }
+  }
+  return begun;
+}
+
 auto encode(const program_record& record) -> std::string {
   auto reserved = json::object();
   for (const auto& [name, held] : record.reserved_) {
--- a/birchlever/coordination/program_record.h
+++ b/birchlever/coordination/program_record.h
@@ -43,6 +43,9 @@
 
   /// True while some daemon may still use a leased reservation.
   [[nodiscard]] auto has_leased() const -> bool;
+
+  /// Reservations of turns that were let begin: under way, or given up and not yet taken back.
+  [[nodiscard]] auto begun_turns() const -> std::vector<std::string>;
 };
 
 /// A turn whose answer was delivered whole.
--- a/birchlever/coordination/program_store.cpp
+++ b/birchlever/coordination/program_store.cpp
@@ -97,6 +97,7 @@
   }
   auto grant = turn_grant{};
   grant.reservation_ = reservation.value_or(order.turn_);
+  program->begun_.insert(grant.reservation_);
   const auto& turns = value(past).turns_;
   for (auto turn = turns.rbegin(); turn != turns.rend(); ++turn) {
     grant.prompt_ += (*turn)->input_;
@@ -171,6 +172,7 @@
 auto program_store::end_turn(turn_end ended, milliseconds time_left) -> task<status> {
   auto self = shared_from_this();
   auto program = entry_of(ended.program_);
+  program->begun_.erase(ended.reservation_);
   auto wanted = std::make_shared<change>(*loop_);
   wanted->kind_ = change::kind::settle;
   wanted->turn_ = ended.turn_;
@@ -193,6 +195,7 @@
   wanted->turn_ = reservation;
   wanted->reservation_ = reservation;
   wanted->give_up_at_ = clock_.now() + settings_.cleanup_patience_;
+  entry_of(program)->begun_.erase(reservation);
   queue(entry_of(program), wanted);
 }
 
--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -173,7 +173,7 @@
       -> task<handed_tokens>;
   static auto take_drawn(entry& program, std::int64_t tokens, std::int64_t least)
       -> std::optional<std::int64_t>;
-  auto apply_draw(const change& wanted, program_record& record) const -> verdict;
+  auto apply_draw(const entry& program, const change& wanted, program_record& record) const -> verdict;
   auto conclude_draw(entry& program, const change& wanted, verdict what, const program_record& record) const
       -> void;
 
@@ -192,9 +192,9 @@
   /// Waits as long as so many conflicts in a row ask for. False when that was not at all.
   auto pause_after_conflict(std::string name, int conflicts, milliseconds took) -> task<bool>;
   auto apply(const entry& program, const change& wanted, program_record& record) const -> verdict;
-  auto apply_reserve(const change& wanted, program_record& record) const -> verdict;
-  [[nodiscard]] auto refusal_of(const change& wanted, const program_record& record) const
-      -> std::optional<verdict>;
+  auto apply_reserve(const entry& program, const change& wanted, program_record& record) const -> verdict;
+  [[nodiscard]] auto refusal_of(const entry& program, const change& wanted,
+                                const program_record& record) const -> std::optional<verdict>;
   static auto apply_settle(const entry& program, const change& wanted, program_record& record) -> verdict;
   auto lease_next(entry& program, const change& settled, batch_plan& planned) const -> void;
   [[nodiscard]] auto store_now() const -> milliseconds { return clock_.now() + store_clock_ahead_; }
--- a/birchlever/coordination/program_store_draw.cpp
+++ b/birchlever/coordination/program_store_draw.cpp
@@ -164,16 +164,17 @@
   co_return store_away("the store has not answered in time");
 }
 
-auto program_store::apply_draw(const change& wanted, program_record& record) const -> verdict {
+auto program_store::apply_draw(const entry& program, const change& wanted, program_record& record) const
+    -> verdict {
   auto before = record.drawn_.find(settings_.daemon_);
   if (before != record.drawn_.end() && before->second.last_draw_ == wanted.reservation_) {
     return verdict::done_before;
   }
-  if (refusal_of(wanted, record) && store_clock_known_) {
+  if (refusal_of(program, wanted, record) && store_clock_known_) {
     record.drop_expired(store_now());
   }
   auto drawn = wanted.tokens_;
-  if (auto refused = refusal_of(wanted, record)) {
+  if (auto refused = refusal_of(program, wanted, record)) {
     return *refused;
   }
   auto left = std::max<std::int64_t>(*wanted.budget_ - record.committed() - drawn - wanted.most_tokens_, 0);
--- a/birchlever/coordination/program_store_state.h
+++ b/birchlever/coordination/program_store_state.h
@@ -69,6 +69,7 @@
   std::optional<milliseconds> record_at_;  ///< When the record was known to be the newest, on our clock.
   std::unordered_map<std::string, std::shared_ptr<const turn_record>> turns_;
   std::vector<leased_reservation> leased_;
+  std::set<std::string> begun_;      ///< Reservations of turns that run through this daemon.
   std::int64_t drawn_ = 0;           ///< Tokens that this daemon drew and that no turn uses now.
   std::set<std::string> handed_to_;  ///< Daemons that got some of what was drawn here.
   std::deque<change_pointer> queue_;
--- a/birchlever/coordination/program_store_write.cpp
+++ b/birchlever/coordination/program_store_write.cpp
@@ -72,23 +72,30 @@
   store_clock_known_ = true;
 }
 
-auto program_store::refusal_of(const change& wanted, const program_record& record) const
+auto program_store::refusal_of(const entry& program, const change& wanted, const program_record& record) const
     -> std::optional<verdict> {
   if (!wanted.budget_ || record.committed() + wanted.tokens_ <= *wanted.budget_) {
     return std::nullopt;
   }
   auto spent_alone = record.spent_ + wanted.tokens_ > *wanted.budget_;
-  return record.has_leased() && !spent_alone ? verdict::budget_leased : verdict::over_budget;
+  // A single turn that another daemon let begin may be one that was refused since its reservation was not
+  // answered in time: the caller's next try comes before that reservation is taken back. Several are lines of
+  // turns that run.
+  auto begun = record.begun_turns();
+  auto may_be_given_up = begun.size() == 1 && program.begun_.count(begun.front()) == 0;
+  auto held = record.has_leased() || may_be_given_up;
+  return held && !spent_alone ? verdict::budget_leased : verdict::over_budget;
 }
 
-auto program_store::apply_reserve(const change& wanted, program_record& record) const -> verdict {
+auto program_store::apply_reserve(const entry& program, const change& wanted, program_record& record) const
+    -> verdict {
   if (record.reserved_.count(wanted.reservation_) != 0) {
     return verdict::done_before;
   }
-  if (refusal_of(wanted, record) && store_clock_known_) {
+  if (refusal_of(program, wanted, record) && store_clock_known_) {
     record.drop_expired(store_now());
   }
-  if (auto refused = refusal_of(wanted, record)) {
+  if (auto refused = refusal_of(program, wanted, record)) {
     return *refused;
   }
   record.reserved_[wanted.reservation_] = {wanted.tokens_, 0};
@@ -119,9 +126,9 @@
     -> verdict {
   switch (wanted.kind_) {
     case change::kind::reserve:
-      return apply_reserve(wanted, record);
+      return apply_reserve(program, wanted, record);
     case change::kind::draw:
-      return apply_draw(wanted, record);
+      return apply_draw(program, wanted, record);
     case change::kind::settle:
       return apply_settle(program, wanted, record);
     case change::kind::release:
--- a/unit_tests/coordination/program_store_test.cpp
+++ b/unit_tests/coordination/program_store_test.cpp
@@ -118,6 +118,19 @@
   CHECK(code_of(fleet.begin(*fleet.here_, "t4", "t1", budget)) == error_code::budget_exhausted);
 }
 
+TEST_CASE("a reservation of one begun turn is no spent budget, several turns that run exhaust it") {
+  auto fleet = two_daemons{};
+  // Also where the turn was refused, because its reservation's answer was lost, and is not taken back yet.
+  auto first = fleet.begin(*fleet.here_, "t1", "", 60);
+  REQUIRE(ok(first));
+  CHECK(code_of(fleet.begin(*fleet.there_, "t1-again", "", 60)) == error_code::store_unavailable);
+  fleet.here_->cancel_turn("p", value(first).reservation_);
+  fleet.run_for(2 * program_store_settings{}.budget_view_);
+  REQUIRE(ok(fleet.begin(*fleet.there_, "t1-again", "", 60)));
+  REQUIRE(ok(fleet.begin(*fleet.here_, "t2", "", 100)));
+  CHECK(code_of(fleet.begin(*fleet.there_, "t3", "", 100)) == error_code::budget_exhausted);
+}
+
 TEST_CASE("a leased reservation outlives the longest turn that may have begun under it") {
   auto fleet = two_daemons{short_leases()};
   fleet.longest_turn_ = 60000;
