--- a/fleet_model/upstream_model.cpp
+++ b/fleet_model/upstream_model.cpp
@@ -119,7 +119,8 @@
 
 auto service_model::begin(model_request request) -> void {
   ++running_;
-  events_->after(request.work_ms_, [this, request = std::move(request)] {
+  auto work_ms = request.work_ms_;
+  events_->after(work_ms, [this, request = std::move(request)] {
     --running_;
     request.on_first_();
     request.on_done_();
