--- a/birchlever/controllers/peer_views.cpp
+++ b/birchlever/controllers/peer_views.cpp
@@ -67,20 +67,12 @@
   return newest == nullptr ? std::nullopt : std::optional{newest->state_.control_address_};
 }
 
-auto peer_views::fresh_addresses() const -> std::map<std::string, std::string> {
-  auto addresses = std::map<std::string, std::string>{};
-  for (const auto& [vm, heard] : heard_) {
-    if (clock_->now() - heard.at_ <= fresh_) {
-      addresses[vm] = heard.state_.control_address_;
-    }
-  }
-  return addresses;
-}
-
-auto peer_views::fresh_followers() const -> std::map<std::string, std::string> {
+auto peer_views::addresses_of(bool followers_only) const -> std::map<std::string, std::string> {
   auto addresses = std::map<std::string, std::string>{};
+  auto now = clock_->now();
   for (const auto& [vm, heard] : heard_) {
-    if (heard.state_.follows_ && clock_->now() - heard.at_ <= fresh_) {
+    auto wanted = heard.state_.follows_ || !followers_only;
+    if (wanted && now - heard.at_ <= fresh_) {
       addresses[vm] = heard.state_.control_address_;
     }
   }
--- a/birchlever/controllers/peer_views.h
+++ b/birchlever/controllers/peer_views.h
@@ -38,10 +38,14 @@
   [[nodiscard]] auto preferred_for(std::string_view subject) const -> bool;
 
   /// Control addresses of the peers heard of lately, by VM.
-  [[nodiscard]] auto fresh_addresses() const -> std::map<std::string, std::string>;
+  [[nodiscard]] auto fresh_addresses() const -> std::map<std::string, std::string> {
+    return addresses_of(false);
+  }
 
   /// Likewise of those that follow the table of upstreams themselves.
-  [[nodiscard]] auto fresh_followers() const -> std::map<std::string, std::string>;
+  [[nodiscard]] auto fresh_followers() const -> std::map<std::string, std::string> {
+    return addresses_of(true);
+  }
 
   /// The control address of the peer that last said it holds a range of allowances; it may hold it no more.
   [[nodiscard]] auto holder_of_allowance(int range) const -> std::optional<std::string>;
@@ -55,6 +59,8 @@
     milliseconds at_ = 0;
   };
 
+  [[nodiscard]] auto addresses_of(bool followers_only) const -> std::map<std::string, std::string>;
+
   std::string vm_;
   milliseconds fresh_;
   std::shared_ptr<const clock_interface> clock_;
--- a/fleet_model/load_pattern.cpp
+++ b/fleet_model/load_pattern.cpp
@@ -159,10 +159,6 @@
 
 }  // namespace
 
-auto name_of(disturbance_kind kind) -> std::string_view {
-  return kind_names.at(static_cast<std::size_t>(kind));
-}
-
 auto parse_pattern(std::string_view text) -> result<load_pattern> {
   auto made = load_pattern{};
   auto whole = whole_numbers{made};
--- a/fleet_model/load_pattern.h
+++ b/fleet_model/load_pattern.h
@@ -19,9 +19,6 @@
   burst            ///< So many times as many programs begin.
 };
 
-/// The stable name of a kind.
-[[nodiscard]] auto name_of(disturbance_kind kind) -> std::string_view;
-
 /// One disturbance. Times in ms from the start.
 struct disturbance {
   disturbance_kind kind_ = disturbance_kind::burst;
