--- /dev/null
+++ b/birchlever/accounts/account_book.cpp
@@ -0,0 +1,69 @@
+#include "birchlever/accounts/account_book.h"
+
+#include <cmath>
+
+#include "birchlever/accounts/key_digest.h"
+
+namespace birchlever {
+namespace {
+
+auto invalid(std::string detail) -> error {
+  return error{error_code::invalid_account, std::move(detail)};
+}
+
+auto check(const client_account& account) -> status {
+  if (account.name_.empty()) {
+    return invalid("an account has no name");
+  }
+  auto sound = [](double number) { return std::isfinite(number) && number >= 0; };
+  if (!sound(account.allotment_.rate_per_s_) || !sound(account.allotment_.burst_)) {
+    return invalid("account " + account.name_ + " has a negative rate or burst");
+  }
+  return success;
+}
+
+}  // namespace
+
+auto account_book::add_keys_of(std::size_t index) -> status {
+  for (const auto& digest : accounts_[index].key_digests_) {
+    auto [place, added] = by_digest_.emplace(digest, index);
+    if (!added && place->second != index) {
+      return invalid("key " + shown_digest(digest) + " belongs to two accounts: " +
+                     accounts_[place->second].name_ + " and " + accounts_[index].name_);
+    }
+  }
+  return success;
+}
+
+auto account_book::create(std::vector<client_account> accounts)
+    -> result<std::shared_ptr<const account_book>> {
+  auto made = std::shared_ptr<account_book>{new account_book{}};
+  made->accounts_ = std::move(accounts);
+  for (auto index = std::size_t{0}; index < made->accounts_.size(); ++index) {
+    const auto& account = made->accounts_[index];
+    auto checked = check(account);
+    if (!ok(checked)) {
+      return failure(checked);
+    }
+    if (!made->by_name_.emplace(account.name_, index).second) {
+      return invalid("account " + account.name_ + " stands twice");
+    }
+    auto added = made->add_keys_of(index);
+    if (!ok(added)) {
+      return failure(added);
+    }
+  }
+  return std::shared_ptr<const account_book>{std::move(made)};
+}
+
+auto account_book::holder_of(const std::string& key_digest) const -> const client_account* {
+  auto found = by_digest_.find(key_digest);
+  return found == by_digest_.end() ? nullptr : &accounts_[found->second];
+}
+
+auto account_book::find(const std::string& name) const -> const client_account* {
+  auto found = by_name_.find(name);
+  return found == by_name_.end() ? nullptr : &accounts_[found->second];
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/accounts/allotment_bucket.cpp
@@ -0,0 +1,70 @@
+#include "birchlever/accounts/allotment_bucket.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace birchlever {
+namespace {
+
+constexpr auto ms_per_second = 1000.0;
+constexpr auto least_burst = 1.0;       // A bucket that can't hold one request would grant none.
+constexpr auto duration_weight = 0.05;  // Of the newest program in the mean duration.
+
+}  // namespace
+
+auto allotment_bucket::refill(const account_allotment& allotment, double share, milliseconds now) -> void {
+  if (!filled_at_) {
+    reopen(allotment, settings_.first_share_, now);
+  }
+  auto most = std::max(allotment.burst_ * share, least_burst);
+  auto passed = static_cast<double>(std::max<milliseconds>(now - *filled_at_, 0));
+  filled_at_ = std::max(*filled_at_, now);
+  level_ = std::min(level_ + passed * allotment.rate_per_s_ * share / ms_per_second, most);
+  auto span = std::max(program_ms_, static_cast<double>(settings_.least_program_)) * settings_.programs_fill_;
+  committed_ *= std::exp(-passed / span);
+}
+
+auto allotment_bucket::reopen(const account_allotment& allotment, double part, milliseconds now) -> void {
+  auto most = std::max(allotment.burst_ * part, least_burst);
+  level_ = filled_at_ ? std::min(level_, most) : most;
+  filled_at_ = now;
+}
+
+auto allotment_bucket::refused(double missing, double rate_per_ms) const -> allotment_verdict {
+  auto longest = static_cast<double>(settings_.longest_retry_);
+  auto needed = rate_per_ms > 0 ? std::ceil(missing / rate_per_ms) : longest;
+  auto retry = std::clamp(needed, static_cast<double>(settings_.least_retry_), longest);
+  return {false, 0, static_cast<milliseconds>(retry)};
+}
+
+auto allotment_bucket::grant_start(const allotment_claim& wanted, double rate_per_ms) -> allotment_verdict {
+  auto duration = static_cast<double>(std::max(wanted.program_ms_, settings_.least_program_));
+  program_ms_ = program_ms_ == 0 ? duration : program_ms_ + duration_weight * (duration - program_ms_);
+  auto room = level_ + rate_per_ms * program_ms_ * settings_.programs_fill_;
+  if (level_ < 1 || committed_ > room) {
+    return refused(std::max(1 - level_, committed_ - room), rate_per_ms);
+  }
+  level_ -= 1;
+  committed_ += std::max(wanted.program_requests_ - 1, 0.0);
+  return {true, 0, 0};
+}
+
+auto allotment_bucket::grant_later(double rate_per_ms) -> allotment_verdict {
+  auto after = level_ - 1;
+  auto deepest = -rate_per_ms * static_cast<double>(settings_.longest_wait_);
+  if (after < std::min(deepest, 0.0)) {
+    return refused(1 - level_, rate_per_ms);
+  }
+  level_ = after;
+  auto wait = after < 0 ? std::ceil(-after / rate_per_ms) : 0.0;
+  return {true, static_cast<milliseconds>(wait), 0};
+}
+
+auto allotment_bucket::claim(const allotment_claim& wanted, double share, milliseconds now)
+    -> allotment_verdict {
+  refill(wanted.allotment_, share, now);
+  auto rate_per_ms = wanted.allotment_.rate_per_s_ * share / ms_per_second;
+  return wanted.begins_program_ ? grant_start(wanted, rate_per_ms) : grant_later(rate_per_ms);
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/accounts/equal_shares.cpp
@@ -0,0 +1,44 @@
+#include "birchlever/accounts/equal_shares.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace birchlever {
+namespace {
+
+constexpr auto ms_per_second = 1000.0;
+
+}  // namespace
+
+auto equal_shares::recent(const std::string& account) -> moments& {
+  auto& granted = granted_[account];
+  auto oldest = clock_->now() - settings_.window_;
+  while (!granted.empty() && granted.front() <= oldest) {
+    granted.pop_front();
+  }
+  return granted;
+}
+
+auto equal_shares::note_granted(const std::string& account) -> void {
+  recent(account).push_back(clock_->now());
+}
+
+auto equal_shares::decide(const allotment_claim& wanted) -> allotment_verdict {
+  auto daemons = static_cast<double>(std::max<std::int64_t>(daemons_(), 1));
+  auto whole = wanted.allotment_.most_in(static_cast<double>(settings_.window_) / ms_per_second);
+  auto share = settings_.part_ * whole / daemons;
+  auto usable = wanted.begins_program_ ? share * (1 - settings_.begun_reserve_) : share;
+  auto& granted = recent(wanted.account_);
+  if (static_cast<double>(granted.size()) + 1 <= usable) {
+    granted.push_back(clock_->now());
+    return {true, 0, 0};
+  }
+  auto first_free = granted.empty() ? settings_.window_ : granted.front() + settings_.window_ - clock_->now();
+  return {false, 0, std::max<milliseconds>(first_free, 1)};
+}
+
+auto equal_shares::claim(allotment_claim wanted) -> task<allotment_verdict> {
+  co_return decide(wanted);
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/accounts/grantor_desk.cpp
@@ -0,0 +1,29 @@
+#include "birchlever/accounts/grantor_desk.h"
+
+#include <algorithm>
+
+namespace birchlever {
+
+auto grantor_desk::claim(const allotment_claim& wanted, double share, bool first, double granted_alone,
+                         milliseconds now) -> allotment_verdict {
+  auto [place, added] = counters_.try_emplace(wanted.account_, counter{allotment_bucket{settings_.buckets_}});
+  auto& known = place->second;
+  if (added || now - known.claimed_ > settings_.break_) {
+    known.since_ = now;
+    known.bucket_.reopen(wanted.allotment_, first ? settings_.buckets_.first_share_ : 0, now);
+  }
+  known.claimed_ = now;
+  known.bucket_.debit(granted_alone);
+  auto unsure = !first && now - known.since_ < settings_.unsure_;
+  auto part = unsure ? std::min(share, settings_.first_stand_in_share_) : share;
+  return known.bucket_.claim(wanted, part, now);
+}
+
+auto grantor_desk::debit(const std::string& account, double tokens) -> void {
+  auto known = counters_.find(account);
+  if (known != counters_.end()) {
+    known->second.bucket_.debit(tokens);
+  }
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/accounts/key_digest.cpp
@@ -0,0 +1,31 @@
+#include "birchlever/accounts/key_digest.h"
+
+#include <openssl/evp.h>
+
+#include <array>
+
+namespace birchlever {
+namespace {
+
+constexpr auto shown_letters = std::size_t{8};  // 32 bits: one of 4,800 keys is mistaken once in a million.
+
+}  // namespace
+
+auto sha256_of(std::string_view text) -> std::string {
+  auto digest = std::array<unsigned char, EVP_MAX_MD_SIZE>{};
+  auto length = 0U;
+  EVP_Digest(text.data(), text.size(), digest.data(), &length, EVP_sha256(), nullptr);
+  constexpr auto* digits = "0123456789abcdef";
+  auto hexadecimal = std::string{};
+  for (auto index = 0U; index < length; ++index) {
+    hexadecimal += digits[digest.at(index) >> 4U];
+    hexadecimal += digits[digest.at(index) & 15U];
+  }
+  return hexadecimal;
+}
+
+auto shown_digest(std::string_view digest) -> std::string {
+  return std::string{digest.substr(0, shown_letters)};
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/accounts/reached_share.cpp
@@ -0,0 +1,29 @@
+#include "birchlever/accounts/reached_share.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace birchlever {
+namespace {
+
+constexpr auto good_share = 0.85;  // Of the peers that chance lets be heard: three deviations at 67 daemons.
+
+}  // namespace
+
+auto reached_share(const heard_peers& peers) -> double {
+  if (peers.listed_ == 0 || peers.listening_ < peers.window_) {
+    return 1;
+  }
+  auto listed = static_cast<double>(peers.listed_);
+  auto told = std::min(1.0, static_cast<double>(peers.receivers_) / listed);
+  auto messages =
+      static_cast<double>(peers.window_) / static_cast<double>(std::max<milliseconds>(peers.send_gap_, 1));
+  auto expected = listed * (1 - std::pow(1 - told, messages));
+  auto heard = static_cast<double>(peers.heard_) / std::max(expected, 1.0);
+  if (heard >= good_share) {
+    return 1;
+  }
+  return (1 + heard * listed) / (1 + listed);
+}
+
+}  // namespace birchlever
--- a/birchlever/controllers/peer_exchange.cpp
+++ b/birchlever/controllers/peer_exchange.cpp
@@ -128,7 +128,11 @@
 
 auto peer_exchange::take(peer_state said) -> void {
   if (said.news_.empty()) {
+    auto vm = said.vm_;
     views_.hear(std::move(said));
+    if (on_heard_) {
+      on_heard_(vm);
+    }
     return;
   }
   for (const auto& one : said.news_) {
@@ -146,14 +150,11 @@
 
 auto peer_exchange::follow_list() -> task<> {
   auto self = shared_from_this();
-  auto announced = false;
-  while (!announced) {
-    announced = co_await announce();
-    co_await pause_for(*loop_, announced ? first_list_gap : retry_gap);
-  }
+  auto read_before = false;
   while (true) {
     auto good = co_await read_list();
-    co_await pause_for(*loop_, good ? settings_.list_gap_ : retry_gap);
+    auto next = std::exchange(read_before, read_before || good) ? settings_.list_gap_ : first_list_gap;
+    co_await pause_for(*loop_, good ? next : retry_gap);
   }
 }
 
@@ -166,14 +167,20 @@
   receivers_.clear();
   known_.clear();
   auto listed_here = false;
+  auto listed = std::map<std::string, asio::ip::udp::endpoint>{};
   for (const auto& row : value(page).rows_) {
     auto parsed = parse_address(row.value_);
     auto ours = row.key_.key_ == settings_.vm_;
-    listed_here = listed_here || ours;
+    listed_here = listed_here || (ours && row.value_ == settings_.address_);
     if (!ours && ok(parsed)) {
-      learn({value(parsed).address(), value(parsed).port()});
+      auto endpoint = asio::ip::udp::endpoint{value(parsed).address(), value(parsed).port()};
+      learn(endpoint);
+      listed.emplace(row.key_.key_, endpoint);
     }
   }
+  if (on_list_) {
+    on_list_(listed);
+  }
   if (!listed_here) {
     co_return co_await announce();
   }
--- a/birchlever/controllers/peer_exchange.h
+++ b/birchlever/controllers/peer_exchange.h
@@ -49,6 +49,8 @@
                      const peer_exchange_settings& settings, describe_function describe)
       -> result<std::shared_ptr<peer_exchange>>;
 
+  [[nodiscard]] auto settings() const -> const peer_exchange_settings& { return settings_; }
+
   /// What peers said.
   [[nodiscard]] auto views() const -> const peer_views& { return views_; }
 
@@ -56,6 +58,14 @@
   using news_function = std::function<void(const std::string&, const upstream_news&)>;
   auto on_news(news_function callback) -> void { on_news_ = std::move(callback); }
 
+  /// Called with all other listed daemons, by VM, each time that the list was read.
+  using list_function = std::function<void(const std::map<std::string, asio::ip::udp::endpoint>&)>;
+  auto on_list(list_function callback) -> void { on_list_ = std::move(callback); }
+
+  /// Called with a peer's VM when a regular message of it came.
+  using heard_function = std::function<void(const std::string&)>;
+  auto on_heard(heard_function callback) -> void { on_heard_ = std::move(callback); }
+
   /// Tells peers soon what this daemon learned.
   auto tell(const upstream_news& news) -> void;
 
@@ -89,6 +99,8 @@
   std::vector<upstream_news> untold_;
   milliseconds told_at_ = 0;
   news_function on_news_;
+  list_function on_list_;
+  heard_function on_heard_;
   peer_views views_;
   std::map<std::string, milliseconds> silent_since_;  ///< Listed peers, until they are heard.
 };
--- a/birchlever/controllers/peer_views.cpp
+++ b/birchlever/controllers/peer_views.cpp
@@ -79,10 +79,14 @@
   return addresses;
 }
 
-auto peer_views::fresh_peers() const -> std::size_t {
+auto peer_views::heard_within(milliseconds span) const -> std::size_t {
   auto now = clock_->now();
   return static_cast<std::size_t>(std::count_if(
-      heard_.begin(), heard_.end(), [&](const auto& entry) { return now - entry.second.at_ < fresh_; }));
+      heard_.begin(), heard_.end(), [&](const auto& entry) { return now - entry.second.at_ < span; }));
+}
+
+auto peer_views::fresh_peers() const -> std::size_t {
+  return heard_within(fresh_);
 }
 
 }  // namespace birchlever
--- a/birchlever/controllers/peer_views.h
+++ b/birchlever/controllers/peer_views.h
@@ -50,6 +50,9 @@
   /// The control address of the peer that last said it holds a range of allowances; it may hold it no more.
   [[nodiscard]] auto holder_of_allowance(int range) const -> std::optional<std::string>;
 
+  /// Peers heard of within so many ms.
+  [[nodiscard]] auto heard_within(milliseconds span) const -> std::size_t;
+
   /// Peers heard of lately.
   [[nodiscard]] auto fresh_peers() const -> std::size_t;
 
--- a/birchlever/controllers/table_follower.cpp
+++ b/birchlever/controllers/table_follower.cpp
@@ -29,7 +29,7 @@
     if (scan_needed_) {
       good = co_await scan();
     } else {
-      good = co_await look();
+      good = co_await look(settings_.wait_);
     }
     co_await pause_for(*loop_, good ? settings_.settle_ : settings_.retry_gap_);
   }
@@ -42,6 +42,24 @@
   }
 }
 
+auto table_follower::tell_answered(milliseconds began_at) -> void {
+  if (events_.answered_) {
+    events_.answered_(began_at);
+  }
+}
+
+auto table_follower::look_now() -> task<bool> {
+  auto self = shared_from_this();
+  auto good = false;
+  if (!scan_needed_) {
+    good = co_await look(0);
+  }
+  if (scan_needed_) {
+    good = co_await scan();
+  }
+  co_return good;
+}
+
 auto table_follower::unanswered(const error& reason) -> void {
   if (!std::exchange(lost_, true)) {
     log_event(log_level::warning, "store_lost",
@@ -54,6 +72,7 @@
 
 auto table_follower::scan() -> task<bool> {
   auto range = row_range{settings_.table_, "", "", ""};
+  auto began_at = clock_.now();
   auto page = co_await read_all(*rows_, range, settings_.scan_limit_, no_limit);
   if (!ok(page)) {
     unanswered(failure(page));
@@ -71,12 +90,14 @@
   scan_needed_ = false;
   primed_ = true;
   events_.snapshot_(value(page).rows_, version_);
+  tell_answered(began_at);
   co_return true;
 }
 
-auto table_follower::look() -> task<bool> {
+auto table_follower::look(milliseconds wait) -> task<bool> {
+  auto began_at = clock_.now();
   auto waiting = settings_.changes_ ? settings_.changes_(settings_.table_, version_)
-                                    : rows_->changes(settings_.table_, version_, settings_.wait_);
+                                    : rows_->changes(settings_.table_, version_, wait);
   auto page = co_await std::move(waiting);
   if (!ok(page)) {
     if (failure(page).code_ == error_code::store_conflict) {
@@ -96,6 +117,7 @@
   if (!read.rows_.empty()) {
     events_.changes_(read.rows_);
   }
+  tell_answered(began_at);
   co_return true;
 }
 
--- a/birchlever/controllers/table_follower.h
+++ b/birchlever/controllers/table_follower.h
@@ -31,6 +31,9 @@
   std::function<void(const std::vector<stored_row>&, std::int64_t)> snapshot_;
   /// Rows that changed since, in order.
   std::function<void(const std::vector<stored_row>&)> changes_;
+  /// A scan or a look that began at this moment of our clock was answered and told: what is known here was
+  /// true then. May be empty.
+  std::function<void(milliseconds)> answered_;
 };
 
 /// For coroutines of one loop. What it tells never goes back in time.
@@ -41,6 +44,10 @@
                      const table_follower_settings& settings, table_follower_events events)
       -> std::shared_ptr<table_follower>;
 
+  /// Asks once, at once, whether anything has changed, beside a look that the store may hold or lose. True
+  /// when it was answered.
+  auto look_now() -> task<bool>;
+
   /// True once a first scan was told.
   [[nodiscard]] auto primed() const -> bool { return primed_; }
 
@@ -56,8 +63,9 @@
 
   auto follow() -> task<>;
   auto scan() -> task<bool>;
-  auto look() -> task<bool>;
+  auto look(milliseconds wait) -> task<bool>;
   auto answered() -> void;
+  auto tell_answered(milliseconds began_at) -> void;
   auto unanswered(const error& reason) -> void;
 
   event_loop* loop_;
--- a/birchlever/coordination/fleet_configuration.cpp
+++ b/birchlever/coordination/fleet_configuration.cpp
@@ -1,10 +1,9 @@
 #include "birchlever/coordination/fleet_configuration.h"
 
-#include <openssl/evp.h>
-
 #include <array>
 #include <nlohmann/json.hpp>
 
+#include "birchlever/accounts/key_digest.h"
 #include "birchlever/core/hashing.h"
 
 namespace birchlever {
@@ -21,6 +20,19 @@
           {"share", policy.share_}};
 }
 
+auto account_to_json(const client_account& account) -> json {
+  auto digest = account.key_digests_.empty() ? std::string{} : account.key_digests_.front();
+  return {{"key_sha256", std::move(digest)}, {"max_in_flight", account.max_in_flight_}};
+}
+
+auto account_from_json(const std::string& name, const json& body) -> client_account {
+  auto account = client_account{};
+  account.name_ = name;
+  account.key_digests_ = {body.at("key_sha256")};
+  account.max_in_flight_ = body.at("max_in_flight");
+  return account;
+}
+
 auto policy_from_json(const json& body) -> fleet_policy {
   auto policy = fleet_policy{};
   auto kind = parse_policy_kind(body.at("kind").get<std::string>());
@@ -42,19 +54,6 @@
   return state_names.at(static_cast<std::size_t>(state));
 }
 
-auto sha256_of(const std::string& text) -> std::string {
-  auto digest = std::array<unsigned char, EVP_MAX_MD_SIZE>{};
-  auto length = 0U;
-  EVP_Digest(text.data(), text.size(), digest.data(), &length, EVP_sha256(), nullptr);
-  constexpr auto* digits = "0123456789abcdef";
-  auto hexadecimal = std::string{};
-  for (auto index = 0U; index < length; ++index) {
-    hexadecimal += digits[digest.at(index) >> 4U];
-    hexadecimal += digits[digest.at(index) & 15U];
-  }
-  return hexadecimal;
-}
-
 auto fleet_configuration::parse(const std::string& text) -> result<fleet_configuration> {
   auto parsed = fleet_configuration{};
   if (text.empty()) {
@@ -63,8 +62,7 @@
   try {
     auto body = json::parse(text);
     for (const auto& [name, account] : body.at("accounts").items()) {
-      parsed.accounts_[name] = {account.at("key_sha256"), account.at("max_in_flight")};
-      parsed.account_by_digest_[account.at("key_sha256")] = name;
+      parsed.accounts_[name] = account_from_json(name, account);
     }
     for (const auto& [name, policy] : body.at("policies").items()) {
       parsed.policies_[name] = policy_from_json(policy);
@@ -77,13 +75,22 @@
   } catch (const std::exception& fault) {
     return error{error_code::malformed_json, std::string{"configuration is not readable: "} + fault.what()};
   }
+  auto accounts = std::vector<client_account>{};
+  for (const auto& [name, account] : parsed.accounts_) {
+    accounts.push_back(account);
+  }
+  auto book = account_book::create(std::move(accounts));
+  if (!ok(book)) {
+    return failure(book);
+  }
+  parsed.book_ = std::move(value(book));
   return parsed;
 }
 
 auto fleet_configuration::to_text() const -> std::string {
   auto accounts = json::object();
   for (const auto& [name, account] : accounts_) {
-    accounts[name] = {{"key_sha256", account.key_digest_}, {"max_in_flight", account.max_in_flight_}};
+    accounts[name] = account_to_json(account);
   }
   auto policies = json::object();
   for (const auto& [name, policy] : policies_) {
@@ -102,8 +109,8 @@
 }
 
 auto fleet_configuration::account_of(const std::string& key) const -> std::string {
-  auto found = account_by_digest_.find(sha256_of(key));  // Of digests, a lookup's time tells nothing useful.
-  return found == account_by_digest_.end() ? std::string{} : found->second;
+  const auto* holder = book_ ? book_->holder_of(sha256_of(key)) : nullptr;
+  return holder == nullptr ? std::string{} : holder->name_;
 }
 
 auto fleet_configuration::policy_for(const std::string& account, const std::string& program) const
--- a/birchlever/coordination/fleet_configuration.h
+++ b/birchlever/coordination/fleet_configuration.h
@@ -3,21 +3,17 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
 
+#include "birchlever/accounts/account_book.h"
 #include "birchlever/core/result.h"
 #include "birchlever/policy/policy_settings.h"
 
 namespace birchlever {
 
-/// A client account.
-struct client_account {
-  std::string key_digest_;            ///< SHA-256 of its key, in hexadecimal.
-  std::int64_t max_in_flight_ = 256;  ///< Calls it may have under way on one daemon.
-};
-
 /// Where a policy stands.
 enum class policy_state { created, loaded, shadow, retired };
 
@@ -31,13 +27,13 @@
 /// Everything operators change while the fleet runs.
 struct fleet_configuration {
   std::map<std::string, client_account> accounts_;
-  std::map<std::string, std::string> account_by_digest_;  ///< Follows accounts_ when parsed; not stored.
+  std::shared_ptr<const account_book> book_;  ///< The accounts as checked when parsed; not stored.
   std::map<std::string, fleet_policy> policies_;
   std::set<std::string> drained_upstreams_;
   std::set<std::string> drained_halls_;
   std::map<std::int32_t, std::string> pinned_shards_;  ///< Shard to the daemon that should own it.
 
-  /// Reads a document. Failures: malformed_json.
+  /// Reads a document. Failures: malformed_json, invalid_account.
   static auto parse(const std::string& text) -> result<fleet_configuration>;
 
   /// The document as stored.
@@ -56,7 +52,4 @@
 /// The stable name of a policy state.
 [[nodiscard]] auto name_of(policy_state state) -> std::string_view;
 
-/// SHA-256 of a text, in hexadecimal.
-[[nodiscard]] auto sha256_of(const std::string& text) -> std::string;
-
 }  // namespace birchlever
--- a/birchlever/coordination/program_store.cpp
+++ b/birchlever/coordination/program_store.cpp
@@ -39,7 +39,7 @@
       settings_{settings},
       random_{static_cast<std::uint32_t>(hash_of(settings_.daemon_))} {}
 
-auto program_store::entry_of(const std::string& program) -> entry_pointer {
+auto program_store::entry_of(const owned_name& program) -> entry_pointer {
   return entry_named(key_name(program));
 }
 
@@ -80,11 +80,11 @@
   auto self = shared_from_this();
   time_left = std::min(time_left, settings_.begin_limit_);
   auto due = clock_.now() + time_left;
-  auto patient_until = clock_.now() + std::min(settings_.begin_patience_, time_left);
+  auto patience = std::max<milliseconds>(settings_.begin_patience_ - order.waited_, 0);
+  auto patient_until = clock_.now() + std::min(patience, time_left);
   auto program = entry_of(order.program_);
   ++program->users_;
-  auto newest = order.previous_.empty() ? std::string{} : key_name(order.previous_);
-  auto past = co_await collect_patiently(program->name_, newest, patient_until, due);
+  auto past = co_await collect_patiently(order.program_, order.previous_, patient_until, due);
   auto reserved = ok(past) ? status{success} : status{failure(past)};
   auto reservation = ok(past) ? take_leased(*program, order) : std::nullopt;
   if (ok(reserved) && !reservation) {
@@ -113,7 +113,7 @@
   co_return grant;
 }
 
-auto program_store::collect_patiently(std::string program, std::string newest, milliseconds patient_until,
+auto program_store::collect_patiently(owned_name program, std::string newest, milliseconds patient_until,
                                       milliseconds due) -> task<result<chain>> {
   while (true) {
     auto reachable = co_await rows_->wait_until_reachable(patient_until - clock_.now());
@@ -152,7 +152,8 @@
   wanted->reservation_ = order.turn_;
   wanted->tokens_ = order.most_tokens_;
   wanted->budget_ = order.budget_;
-  wanted->give_up_at_ = clock_.now() + std::min(time_left, settings_.begin_patience_);
+  auto patience = std::max<milliseconds>(settings_.begin_patience_ - order.waited_, 0);
+  wanted->give_up_at_ = clock_.now() + std::min(time_left, patience);
   if (order.previous_.empty() && program->version_ == version_not_read) {
     program->version_ = version_absent;  // A first turn; a program that exists shows itself as a conflict.
   }
@@ -176,6 +177,7 @@
   auto wanted = std::make_shared<change>(*loop_);
   wanted->kind_ = change::kind::settle;
   wanted->turn_ = ended.turn_;
+  wanted->turn_key_ = key_name(owned_name{ended.program_.account_, ended.turn_});
   wanted->reservation_ = ended.reservation_;
   wanted->tokens_ = ended.tokens_;
   wanted->most_tokens_ = ended.most_tokens_;
@@ -189,7 +191,7 @@
   co_return co_await wait_for(wanted, time_left);
 }
 
-auto program_store::cancel_turn(const std::string& program, const std::string& reservation) -> void {
+auto program_store::cancel_turn(const owned_name& program, const std::string& reservation) -> void {
   auto wanted = std::make_shared<change>(*loop_);
   wanted->kind_ = change::kind::release;
   wanted->turn_ = reservation;
--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -5,8 +5,10 @@
 ///   programs:      PROGRAM!                  budget
 ///                  PROGRAM/TURN/PIECE        a turn's input and answer, in pieces
 ///   turn_programs: TURN                      the program of a turn, for callers that name only the turn
+/// PROGRAM and TURN stand behind their client account's name, so that no account finds another's. Rows that
+/// were written without an account belong to none: callers with an account do not find them.
 /// A turn of unknown program is looked for in every part, which is rare: some programs go on from turns of
-/// others after a stop.
+/// others of their account after a stop.
 #pragma once
 
 #include <deque>
@@ -19,6 +21,7 @@
 #include <vector>
 
 #include "birchlever/coordination/budget_peers.h"
+#include "birchlever/coordination/program_keys.h"
 #include "birchlever/coordination/program_record.h"
 #include "birchlever/core/clock.h"
 #include "birchlever/http/loop_signal.h"
@@ -59,12 +62,13 @@
 
 /// A turn that wants to run.
 struct turn_order {
-  std::string program_;
-  std::string turn_;                    ///< Its request id, unique.
+  owned_name program_;                  ///< Its account also owns the turns.
+  std::string turn_;                    ///< Its request id, unique within the account.
   std::string previous_;                ///< The turn it goes on from; empty at a start.
   std::optional<std::int64_t> budget_;  ///< Tokens that all turns of the program may generate together.
   std::int64_t most_tokens_ = 0;        ///< The most that this turn generates.
   std::string input_;
+  milliseconds waited_ = 0;  ///< ms for which its caller has waited before; less patience is left.
 };
 
 /// A turn that may be sent now: its budget is reserved.
@@ -79,7 +83,7 @@
 
 /// How a turn ended.
 struct turn_end {
-  std::string program_;
+  owned_name program_;
   std::string turn_;
   std::string reservation_;       ///< As granted.
   std::int64_t tokens_ = 0;       ///< Handed to the caller.
@@ -105,7 +109,7 @@
   auto end_turn(turn_end ended, milliseconds time_left) -> task<status>;
 
   /// Gives back the reservation of a turn that surely did not run, in the background.
-  auto cancel_turn(const std::string& program, const std::string& reservation) -> void;
+  auto cancel_turn(const owned_name& program, const std::string& reservation) -> void;
 
   /// Takes the most that a turn can generate out of the program's budget, for a turn of which nothing is
   /// kept: from what was drawn before, from daemons that drew some, or from the store. What is drawn counts
@@ -116,7 +120,7 @@
   auto draw_budget(turn_order order, milliseconds time_left) -> task<result<std::int64_t>>;
 
   /// Gives back what a turn left of its draw, for turns to come. Costs no call of the store.
-  auto give_back(const std::string& program, std::int64_t tokens) -> void;
+  auto give_back(const owned_name& program, std::int64_t tokens) -> void;
 
   /// Hands drawn tokens to another daemon: as many as it asks for, or half of them when that is more, since
   /// its next turns need some too. What is handed over is no more ours, also when the answer is lost.
@@ -148,10 +152,10 @@
   };
 
   // program_store.cpp: what callers ask for.
-  auto entry_of(const std::string& program) -> entry_pointer;
+  auto entry_of(const owned_name& program) -> entry_pointer;
   auto entry_named(const std::string& name) -> entry_pointer;
-  auto collect_patiently(std::string program, std::string newest, milliseconds patient_until,
-                         milliseconds due) -> task<result<chain>>;
+  auto collect_patiently(owned_name program, std::string newest, milliseconds patient_until, milliseconds due)
+      -> task<result<chain>>;
   auto take_leased(entry& program, const turn_order& order) -> std::optional<std::string>;
   auto reserve(entry_pointer program, const turn_order& order, milliseconds time_left) -> task<status>;
   auto queue(const entry_pointer& program, change_pointer wanted) -> void;
@@ -182,7 +186,7 @@
   auto take_rows(entry& program, const std::vector<stored_row>& rows) -> status;
   auto remember(entry& program, const std::string& turn, record_pointer record) -> void;
   [[nodiscard]] auto cached(const std::string& turn) const -> record_pointer;
-  auto collect(std::string program, std::string newest, milliseconds time_left) -> task<result<chain>>;
+  auto collect(owned_name program, std::string newest, milliseconds time_left) -> task<result<chain>>;
   auto fetch(std::string program, std::string turn, milliseconds time_left) -> task<result<record_pointer>>;
   auto find_program(std::string turn, milliseconds time_left) -> task<result<std::optional<std::string>>>;
 
--- a/birchlever/coordination/program_store_read.cpp
+++ b/birchlever/coordination/program_store_read.cpp
@@ -104,12 +104,15 @@
   co_return take_rows(*program, value(page).rows_);
 }
 
-auto program_store::collect(std::string program, std::string newest, milliseconds time_left)
+auto program_store::collect(owned_name program, std::string newest, milliseconds time_left)
     -> task<result<chain>> {
   auto due = clock_.now() + time_left;
   auto found = chain{};
-  auto home = std::move(program);
-  auto next = std::move(newest);
+  auto home = key_name(program);
+  auto key_of = [&](const std::string& turn) {
+    return turn.empty() ? std::string{} : key_name(owned_name{program.account_, turn});
+  };
+  auto next = key_of(newest);
   while (!next.empty()) {
     auto record = cached(next);
     if (!record) {
@@ -124,7 +127,7 @@
     if (found.turns_.empty()) {
       found.first_program_ = home;
     }
-    next = record->previous_.empty() ? std::string{} : key_name(record->previous_);
+    next = key_of(record->previous_);
     found.turns_.push_back(std::move(record));
   }
   co_return found;
--- a/birchlever/coordination/program_store_state.h
+++ b/birchlever/coordination/program_store_state.h
@@ -38,6 +38,7 @@
 
   kind kind_ = kind::reserve;
   std::string turn_;
+  std::string turn_key_;  ///< As it stands in keys; of a settled turn.
   std::string reservation_;
   std::int64_t tokens_ = 0;
   std::int64_t most_tokens_ = 0;
--- a/birchlever/coordination/program_store_write.cpp
+++ b/birchlever/coordination/program_store_write.cpp
@@ -108,7 +108,7 @@
   auto held = reserved != record.reserved_.end();
   if (!held && wanted.sent_) {
     // Made by a transaction without an answer, or its lease was over and the reservation was taken back.
-    if (!wanted.whole_ || program.turns_.count(key_name(wanted.turn_)) != 0) {
+    if (!wanted.whole_ || program.turns_.count(wanted.turn_key_) != 0) {
       return verdict::done_before;
     }
     if (!wanted.looked_up_) {
@@ -160,7 +160,7 @@
 auto program_store::add_turn_rows(const entry& program, const change& wanted,
                                   row_transaction& transaction) const -> void {
   auto bytes = encode(*wanted.whole_);
-  auto turn = key_name(wanted.turn_);
+  const auto& turn = wanted.turn_key_;
   auto piece = 0;
   for (auto at = std::size_t{0}; at < bytes.size(); at += settings_.row_bytes_) {
     auto key = turns_prefix(program.name_) + turn + "/" + piece_name(piece++);
@@ -222,7 +222,7 @@
   program.leased_.insert(program.leased_.end(), planned.leased_.begin(), planned.leased_.end());
   for (const auto& [wanted, what] : planned.changes_) {
     if (wanted->whole_) {
-      remember(program, key_name(wanted->turn_), wanted->whole_);
+      remember(program, wanted->turn_key_, wanted->whole_);
     }
     if (wanted->kind_ == change::kind::draw) {
       conclude_draw(program, *wanted, what, planned.record_);
--- a/birchlever/coordination/serving_configuration.h
+++ b/birchlever/coordination/serving_configuration.h
@@ -3,11 +3,13 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "birchlever/accounts/account_book.h"
 #include "birchlever/core/clock.h"
 #include "birchlever/http/server_connection.h"
 
@@ -39,6 +41,7 @@
   bool keeps_turns_ = false;     ///< A turn brings only its new input; the history is kept here.
   bool resumable_ = false;       ///< A stream that broke may go on at another upstream, behind a given event.
   milliseconds retention_ = 0;   ///< How long a turn's history is kept after its answer.
+  bool public_ = false;          ///< Needs no key of a client account.
 };
 
 /// What one model engine of a service can do.
@@ -62,6 +65,7 @@
   std::vector<route> routes_;
   std::map<std::string, service_description> services_;
   request_limits limits_;
+  std::shared_ptr<const account_book> accounts_;  ///< None where client accounts are not told apart.
 
   /// The route of a host whose prefix begins the path and is longest, or none.
   [[nodiscard]] auto find_route(std::string_view host, std::string_view path) const -> const route*;
--- a/birchlever/core/error.cpp
+++ b/birchlever/core/error.cpp
@@ -54,6 +54,7 @@
     error_row{error_code::syntax_error, "syntax_error", 400},
     error_row{error_code::invalid_setting, "invalid_setting", 400},
     error_row{error_code::invalid_command, "invalid_command", 400},
+    error_row{error_code::invalid_account, "invalid_account", 400},
     error_row{error_code::peer_refused, "peer_refused", 403},
     error_row{error_code::malformed_request, "malformed_request", 400},
     error_row{error_code::header_too_large, "header_too_large", 431},
--- a/birchlever/core/error.h
+++ b/birchlever/core/error.h
@@ -53,6 +53,7 @@
   syntax_error,
   invalid_setting,
   invalid_command,
+  invalid_account,
   peer_refused,
   malformed_request,
   header_too_large,
--- a/birchlever/gateway/gateway_context.cpp
+++ b/birchlever/gateway/gateway_context.cpp
@@ -36,6 +36,7 @@
   log_event(log_level::info, "request_refused",
             {{"request", request.facts_.request_id_},
              {"program", request.facts_.program_},
+             {"account", request.account_name()},
              {"route", request.route_ == nullptr ? std::string{} : request.route_->name_},
              {"status", std::int64_t{status}},
              {"reason", std::string{name_of(reason.code_)}},
--- a/birchlever/gateway/gateway_context.h
+++ b/birchlever/gateway/gateway_context.h
@@ -9,6 +9,8 @@
 
 namespace birchlever {
 
+class allotment_policy;
+class configuration_freshness;
 class connection_pool;
 class metrics;
 class policy_book;
@@ -27,6 +29,15 @@
       3000;  ///< Kept connections older than this carry no request that may run only once.
 };
 
+/// For how long what is known of client accounts may be used, and what happens when it is older. All in ms.
+struct account_trust {
+  milliseconds known_key_ms_ = 0;       ///< Age at most of knowledge that honours a key; 0 means any age.
+  milliseconds unknown_key_ms_ = 0;     ///< Age at most of knowledge that refuses a key; 0 means any age.
+  milliseconds stream_hold_ms_ = 1000;  ///< A stream waits so long for newer knowledge: half of the shortest
+                                        ///< silence after which callers leave one.
+  milliseconds retry_ms_ = 3000;        ///< When a caller that waited in vain is told to come back.
+};
+
 /// Owned by the daemon; outlives every request.
 struct gateway_context {
   event_loop* loop_ = nullptr;
@@ -41,6 +52,9 @@
   std::string service_policy_;  ///< Name of the policy that chooses plain upstreams.
   steady_clock clock_;
   gateway_limits limits_;
+  account_trust trust_;
+  std::shared_ptr<configuration_freshness> freshness_;  ///< Needed where client accounts are told apart.
+  std::shared_ptr<allotment_policy> allotments_;        ///< None: no account is limited.
   std::int64_t daemons_ = 1;    ///< Listed daemons, this one included: they share the upstreams' connections.
   bool home_upstreams_ = true;  ///< Turns of which nothing is kept prefer one upstream a program.
   bool stopping_ = false;
--- a/birchlever/gateway/gateway_request.h
+++ b/birchlever/gateway/gateway_request.h
@@ -28,7 +28,8 @@
   std::shared_ptr<const serving_configuration> configuration_;
   http_request message_;
   request_facts facts_;
-  const route* route_ = nullptr;  ///< Within configuration_.
+  const route* route_ = nullptr;             ///< Within configuration_.
+  const client_account* account_ = nullptr;  ///< Likewise; none on public routes and where there are none.
   std::string service_;
   std::string last_upstream_;                   ///< Where the previous turn ran.
   std::string reservation_;                     ///< What the turn's budget is reserved under.
@@ -37,6 +38,12 @@
   milliseconds received_at_ = 0;
   milliseconds due_ = 0;  ///< When the caller must have its final answer.
   bool keep_alive_ = true;
+
+  /// The name of the caller's account; empty without one.
+  [[nodiscard]] auto account_name() const -> std::string {
+    return account_ == nullptr ? std::string{} : account_->name_;
+  }
+
   bool answered_ = false;  ///< Something of an answer has gone out.
   int final_status_ = 0;   ///< What the caller got; 0 while nothing.
   relayed_stream relayed_;
--- a/birchlever/gateway/gateway_server.h
+++ b/birchlever/gateway/gateway_server.h
@@ -14,7 +14,7 @@
 /// The callers' side of a gateway.
 class gateway_server : public std::enable_shared_from_this<gateway_server> {
  public:
-  /// Serves with the standard chain: route, turn, dispatch. Failures: invalid_setting.
+  /// Serves with the standard chain: route, account, allotment, turn, dispatch. Failures: invalid_setting.
   static auto create(std::shared_ptr<gateway_context> context, const std::string& address)
       -> result<std::shared_ptr<gateway_server>>;
 
--- a/birchlever/gateway/gateway_settings.cpp
+++ b/birchlever/gateway/gateway_settings.cpp
@@ -33,6 +33,12 @@
   }
 }
 
+auto check_allotments(std::vector<setting_fault>& faults, const std::string& text) -> void {
+  if (text != "central" && text != "equal" && text != "off") {
+    faults.push_back({"allotments", text, "is not central, equal or off"});
+  }
+}
+
 template <class Number>
 auto check_range(std::vector<setting_fault>& faults, const char* name, Number given, Number least,
                  Number most, const char* unit) -> void {
@@ -84,6 +90,7 @@
   check_address(faults, "control_address", settings.control_address_, true);
   check_policy_text(faults, "engine_policy", settings.engine_policy_);
   check_policy_text(faults, "service_policy", settings.service_policy_);
+  check_allotments(faults, settings.allotments_);
 #define TEXT_SETTING(name, standard, purpose)
 #define REAL_SETTING(name, standard, least, most, unit, purpose) \
   check_range<double>(faults, #name, settings.name##_, least, most, unit);
--- a/birchlever/gateway/request_dialect.h
+++ b/birchlever/gateway/request_dialect.h
@@ -22,6 +22,7 @@
   std::optional<std::int64_t> budget_;      ///< Tokens of the whole program.
   std::optional<std::int64_t> last_event_;  ///< The caller has a stream up to this event, and wants the rest.
   std::string previous_turn_;               ///< Empty at a start.
+  std::string key_digest_;  ///< SHA-256 of the caller's key, in hexadecimal; empty without one.
   std::string model_;
   std::int64_t prompt_tokens_ = 0;
   std::int64_t most_tokens_ = 0;  ///< The most that is generated.
@@ -34,6 +35,7 @@
   std::string expected_upstream_;           ///< Another server at the same address must refuse.
   std::optional<std::int64_t> last_event_;  ///< The stream is to go on behind this event.
   int urgency_ = 5;                         ///< 0 first, 9 last.
+  std::string account_;                     ///< Name of the caller's account; empty when it has none.
 };
 
 /// What an upstream's answer says beside its status.
--- a/birchlever/gateway/route_filter.cpp
+++ b/birchlever/gateway/route_filter.cpp
@@ -12,32 +12,38 @@
 
 }  // namespace
 
-auto route_filter::apply(gateway_request& request, next_filter next) -> task<> {
-  if (!request.configuration_) {
-    auto reason = error{error_code::not_ready, "no configuration is known here yet", ran_state::not_run,
-                        not_ready_retry_ms};
-    co_await refuse(*context_, request, reason);
-    co_return;
-  }
+auto resolve_route(gateway_request& request) -> status {
   auto host = field_of(request.message_, "Host");
   auto target = request.message_.target();
   request.route_ = request.configuration_->find_route(host, {target.data(), target.size()});
   if (request.route_ == nullptr) {
-    auto reason = error{error_code::unknown_route, "no route of this host begins the path"};
+    return error{error_code::unknown_route, "no route of this host begins the path"};
+  }
+  request.due_ = request.received_at_ + least_limit(request);
+  const auto& subject =
+      request.facts_.program_.empty() ? request.facts_.request_id_ : request.facts_.program_;
+  request.service_ = service_for(*request.route_, subject);
+  return success;
+}
+
+auto route_filter::apply(gateway_request& request, next_filter next) -> task<> {
+  if (!request.configuration_) {
+    auto reason = error{error_code::not_ready, "no configuration is known here yet", ran_state::not_run,
+                        not_ready_retry_ms};
     co_await refuse(*context_, request, reason);
     co_return;
   }
   auto facts = context_->dialect_->read(request.message_);
-  if (!ok(facts)) {
-    auto reason = failure(facts);
+  auto resolved = ok(facts) ? status{success} : status{failure(facts)};
+  if (ok(facts)) {
+    request.facts_ = std::move(value(facts));
+  }
+  auto routed = resolve_route(request);
+  if (!ok(routed) || !ok(resolved)) {
+    auto reason = ok(routed) ? failure(resolved) : failure(routed);
     co_await refuse(*context_, request, reason);
     co_return;
   }
-  request.facts_ = std::move(value(facts));
-  request.due_ = request.received_at_ + least_limit(request);
-  const auto& subject =
-      request.facts_.program_.empty() ? request.facts_.request_id_ : request.facts_.program_;
-  request.service_ = service_for(*request.route_, subject);
   co_await next(request);
 }
 
--- a/birchlever/gateway/route_filter.h
+++ b/birchlever/gateway/route_filter.h
@@ -17,4 +17,8 @@
   std::shared_ptr<gateway_context> context_;
 };
 
+/// Finds a request's route and service in its configuration, and by when it must be answered. Failures:
+/// unknown_route.
+auto resolve_route(gateway_request& request) -> status;
+
 }  // namespace birchlever
--- a/birchlever/gateway/turn_filter.cpp
+++ b/birchlever/gateway/turn_filter.cpp
@@ -16,8 +16,10 @@
 }
 
 /// A turn outside a program stands alone under its own id.
-auto program_of(const request_facts& facts) -> std::string {
-  return facts.program_.empty() ? "single-" + facts.request_id_ : facts.program_;
+auto program_of(const gateway_request& request) -> owned_name {
+  const auto& facts = request.facts_;
+  auto name = facts.program_.empty() ? "single_" + facts.request_id_ : facts.program_;
+  return {request.account_name(), std::move(name)};
 }
 
 /// How long any turn may take; a program may go on through another route.
@@ -30,7 +32,7 @@
   return longest;
 }
 
-auto turn_end_of(const gateway_request& request, const std::string& program) -> turn_end {
+auto turn_end_of(const gateway_request& request, const owned_name& program) -> turn_end {
   auto ended = turn_end{};
   ended.program_ = program;
   ended.turn_ = request.facts_.request_id_;
@@ -49,7 +51,7 @@
     co_await run_unkept(request, std::move(next));
     co_return;
   }
-  auto program = program_of(request.facts_);
+  auto program = program_of(request);
   auto order = turn_order{program,
                           request.facts_.request_id_,
                           request.facts_.previous_turn_,
@@ -58,6 +60,7 @@
                           request.message_.body()};
   auto input = request.message_.body();
   auto began = context_->clock_.now();
+  order.waited_ = began - request.received_at_;
   auto granted = co_await context_->programs_->begin_turn(std::move(order), request.due_ - began);
   context_->metrics_->observe("turn_begin_ms", static_cast<double>(context_->clock_.now() - began));
   if (!ok(granted)) {
@@ -87,7 +90,7 @@
     co_await next(request);
     co_return;
   }
-  auto program = program_of(request.facts_);
+  auto program = program_of(request);
   auto most = request.facts_.most_tokens_;
   auto order = turn_order{program, request.facts_.request_id_, "", request.facts_.budget_, most, ""};
   auto began = context_->clock_.now();
@@ -103,7 +106,7 @@
   context_->programs_->give_back(program, value(drawn) - tokens_of(request));
 }
 
-auto turn_filter::keep_answer(gateway_request& request, const std::string& program, turn_record kept)
+auto turn_filter::keep_answer(gateway_request& request, const owned_name& program, turn_record kept)
     -> task<bool> {
   auto ended = turn_end_of(request, program);
   kept.output_ = request.relayed_.output_;
@@ -113,14 +116,15 @@
   auto stored = co_await context_->programs_->end_turn(std::move(ended), request.due_ - began);
   context_->metrics_->observe("turn_end_ms", static_cast<double>(context_->clock_.now() - began));
   if (!ok(stored)) {
-    log_event(
-        log_level::warning, "answer_not_kept",
-        {{"request", request.facts_.request_id_}, {"program", program}, {"detail", failure(stored).detail_}});
+    log_event(log_level::warning, "answer_not_kept",
+              {{"request", request.facts_.request_id_},
+               {"program", program.name_},
+               {"detail", failure(stored).detail_}});
   }
   co_return ok(stored);
 }
 
-auto turn_filter::settle_broken(gateway_request& request, const std::string& program) -> void {
+auto turn_filter::settle_broken(gateway_request& request, const owned_name& program) -> void {
   auto ended = turn_end_of(request, program);
   auto programs = context_->programs_;
   auto settle = [](std::shared_ptr<program_store> store, turn_end end) -> task<> {
--- a/birchlever/gateway/upstream_offer.cpp
+++ b/birchlever/gateway/upstream_offer.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr auto any_age = milliseconds{3'600'000};  // A request that may run twice takes any kept connection.
+constexpr auto least_urgent = 9;                   // Upstreams know the ranks 0 to 9.
+constexpr auto ranks_within_account = 3;           // Three ranks of accounts with three of routes each.
 constexpr auto most_refusal_bytes = std::size_t{65536};
 
 auto is_success(const http_response& head) -> bool {
@@ -21,6 +23,16 @@
   return status == 429 || status == 503 || status == 408 || status == 421;
 }
 
+/// An account's rank goes before its route's; among requests of one rank the route's decides.
+auto urgency_of(const gateway_request& request) -> int {
+  auto route_rank = std::clamp(request.route_->rank_, 0, least_urgent);
+  if (request.account_ == nullptr || !request.account_->rank_) {
+    return route_rank;
+  }
+  auto within = std::min(route_rank, ranks_within_account - 1);
+  return std::clamp(*request.account_->rank_ * ranks_within_account + within, 0, least_urgent);
+}
+
 auto has_no_body(const http_response& head) -> bool {
   return head.result() == http::status::no_content || head.result() == http::status::not_modified;
 }
@@ -41,7 +53,8 @@
   marks.time_left_ =
       std::max<milliseconds>(request_->due_ - context_->clock_.now() - context_->limits_.safety_ms_, 1);
   marks.expected_upstream_ = target_->entry().id_;
-  marks.urgency_ = std::clamp(request_->route_->rank_, 0, 9);
+  marks.urgency_ = urgency_of(*request_);
+  marks.account_ = request_->account_name();
   marks.last_event_ = request_->relayed_.last_event_;
   context_->dialect_->mark(*copy, marks);
   copy->version(11);
--- a/birchlever/operators/configuration_editor.cpp
+++ b/birchlever/operators/configuration_editor.cpp
@@ -1,5 +1,9 @@
 #include "birchlever/operators/configuration_editor.h"
 
+#include <algorithm>
+
+#include "birchlever/accounts/key_digest.h"
+
 namespace birchlever {
 namespace {
 
@@ -85,6 +89,15 @@
   return success;
 }
 
+/// True when an account of another name holds the key: which of the two a call belongs to could not be told.
+auto held_by_another(const fleet_configuration& edited, const std::string& name, const std::string& digest)
+    -> bool {
+  return std::any_of(edited.accounts_.begin(), edited.accounts_.end(), [&](const auto& entry) {
+    const auto& digests = entry.second.key_digests_;
+    return entry.first != name && std::find(digests.begin(), digests.end(), digest) != digests.end();
+  });
+}
+
 auto set_account(const statement& command, fleet_configuration& edited) -> status {
   auto known = edited.accounts_.count(command.name_) != 0;
   if (!known && command.target_.empty()) {
@@ -96,9 +109,13 @@
   if (command.number_ < 0) {
     return invalid("a limit must be at least 1");
   }
+  if (!command.target_.empty() && held_by_another(edited, command.name_, sha256_of(command.target_))) {
+    return invalid("another account holds this key");
+  }
   auto& account = edited.accounts_[command.name_];
+  account.name_ = command.name_;
   if (!command.target_.empty()) {
-    account.key_digest_ = sha256_of(command.target_);
+    account.key_digests_ = {sha256_of(command.target_)};
   }
   if (command.number_ > 0) {
     account.max_in_flight_ = command.number_;
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -9,6 +9,7 @@
 #include "birchlever/coordination/program_store.h"
 #include "birchlever/coordination/program_sweeper.h"
 #include "birchlever/core/hashing.h"
+#include "birchlever/gateway/configuration_freshness.h"
 #include "birchlever/http/connection_pool.h"
 #include "birchlever/policy/policy_book.h"
 #include "birchlever/telemetry/log.h"
@@ -35,6 +36,9 @@
     milliseconds{2600};                              // It looks every second and takes out after two misses.
 constexpr auto leave_margin_ms = milliseconds{700};  // Kept free of the time until the platform kills.
 constexpr auto finish_check_gap = milliseconds{20};
+constexpr auto trust_margin = 10;  // A tenth less than the bound: timers fire late, and a request that was
+                                   // judged is sent on a moment later.
+constexpr auto renewal_gap = milliseconds{150};  // Between two looks that requests wait for and that failed.
 
 auto read_text(const std::string& file) -> std::string {
   auto stream = std::ifstream{file};
@@ -93,6 +97,7 @@
     return context_->upstream_connections_->has_idle(address, context_->limits_.streaming_most_idle_);
   });
   context_->programs_ = value(programs);
+  watch_freshness();
   context_->policies_ = std::make_shared<policy_book>();
   context_->metrics_ = std::make_shared<metrics>();
   context_->engine_policy_ = engine_policy_name;
@@ -172,12 +177,33 @@
   auto take_scan = [take_all](const std::vector<stored_row>& rows, std::int64_t /*version*/) {
     take_all(rows);
   };
-  configuration_follower_ = table_follower::create(loop_, store_, settings, {take_scan, take_all});
+  auto note_answer = [this](milliseconds began_at) { context_->freshness_->note_look(began_at); };
+  configuration_follower_ =
+      table_follower::create(loop_, store_, settings, {take_scan, take_all, note_answer});
   upstream_follower_ = upstream_follower::create(
       loop_, store_, platform::names::upstream_table, context_->upstreams_, platform::decode_upstream,
       static_cast<milliseconds>(settings_.lapse_return_s_ * ms_per_second), upstream_feed_);
 }
 
+auto gateway_daemon::watch_freshness() -> void {
+  auto& trust = context_->trust_;
+  trust.known_key_ms_ = settings_.revoke_ms_ - settings_.revoke_ms_ / trust_margin;
+  trust.unknown_key_ms_ = settings_.configuration_apply_ms_;
+  trust.stream_hold_ms_ = settings_.store_patience_ms_;
+  trust.retry_ms_ = settings_.store_retry_ms_;
+  context_->freshness_ = std::make_shared<configuration_freshness>(loop_);
+  context_->freshness_->on_wanted([this] { start(loop_, "renew_configuration", renew_configuration()); });
+}
+
+auto gateway_daemon::renew_configuration() -> task<> {
+  while (context_->freshness_->wanted()) {
+    auto answered = co_await configuration_follower_->look_now();
+    if (!answered) {
+      co_await pause_for(loop_, renewal_gap);
+    }
+  }
+}
+
 auto gateway_daemon::take_configuration(const stored_row& row) -> void {
   if (row.key_.key_ != platform::names::configuration_key || row.removed_) {
     return;
@@ -194,7 +220,10 @@
   log_event(log_level::info, "configuration_taken",
             {{"version", value(decoded).version_},
              {"before", known},
-             {"routes", static_cast<std::int64_t>(value(decoded).routes_.size())}});
+             {"routes", static_cast<std::int64_t>(value(decoded).routes_.size())},
+             {"accounts", value(decoded).accounts_
+                              ? static_cast<std::int64_t>(value(decoded).accounts_->accounts().size())
+                              : 0}});
   context_->configuration_ = std::make_shared<const serving_configuration>(std::move(value(decoded)));
 }
 
--- a/birchlever_daemon/gateway_daemon.h
+++ b/birchlever_daemon/gateway_daemon.h
@@ -14,6 +14,7 @@
 namespace birchlever {
 
 class allowance_ranges;
+class central_grants;
 class budget_transfer;
 class peer_feed;
 class program_sweeper;
@@ -43,6 +44,10 @@
   auto load_policies() -> status;
   auto follow_store() -> void;
   auto take_configuration(const stored_row& row) -> void;
+  auto watch_freshness() -> void;
+  auto renew_configuration() -> task<>;
+  auto keep_allotments() -> status;
+  auto allotment_share() const -> double;
   auto join_peers() -> status;
   auto sweep_programs() -> status;
   auto kept_after_change() const -> milliseconds;
@@ -78,6 +83,9 @@
   std::shared_ptr<peer_feed> upstream_feed_;          ///< None without peers.
   std::shared_ptr<allowance_ranges> allowances_;      ///< None when they are switched off.
   std::shared_ptr<budget_transfer> budget_transfer_;  ///< None without peers.
+  std::shared_ptr<central_grants> grants_;            ///< None without peers, or where they are switched off.
+  milliseconds joined_at_ = 0;                        ///< When this daemon began to listen to peers.
+  std::size_t listed_peers_ = 0;
   std::shared_ptr<program_sweeper> sweeper_;
   std::shared_ptr<gateway_server> server_;
   std::shared_ptr<http_listener> readiness_listener_;
--- a/birchlever_daemon/gateway_daemon_peers.cpp
+++ b/birchlever_daemon/gateway_daemon_peers.cpp
@@ -1,6 +1,9 @@
 /// The part of gateway_daemon that works with other daemons: what they tell each other, budgets handed over,
 /// allowances, calls of the store made for each other.
+#include "birchlever/accounts/equal_shares.h"
+#include "birchlever/accounts/reached_share.h"
 #include "birchlever/controllers/budget_transfer.h"
+#include "birchlever/controllers/central_grants.h"
 #include "birchlever/controllers/peer_feed.h"
 #include "birchlever/coordination/allowance_ranges.h"
 #include "birchlever/coordination/program_store.h"
@@ -11,8 +14,11 @@
 namespace birchlever {
 namespace {
 
-constexpr auto peer_look_gap = milliseconds{100};      // Half of the gap between two messages of a peer.
-constexpr auto peer_clock_margin = milliseconds{150};  // Calls that were under way when the store went away.
+constexpr auto peer_look_gap = milliseconds{100};       // Half of the gap between two messages of a peer.
+constexpr auto grants_port_offset = 1;                  // The first port is the peers' own messages'.
+constexpr auto allotment_hearing = milliseconds{1200};  // Six messages of each peer. A cut shows after so
+                                                        // long; until then both sides grant the whole.
+constexpr auto peer_clock_margin = milliseconds{150};   // Calls that were under way when the store went away.
 
 }  // namespace
 
@@ -43,11 +49,69 @@
     return held;
   }
   share_upstream_feed();
+  auto kept = keep_allotments();
+  if (!ok(kept)) {
+    return kept;
+  }
   store_->set_relay([this] { return relay_through(); });
   start(loop_, "follow_peers", follow_peers());
   return success;
 }
 
+auto gateway_daemon::keep_allotments() -> status {
+  joined_at_ = context_->clock_.now();
+  if (settings_.allotments_ == "off") {
+    return success;
+  }
+  if (settings_.allotments_ == "equal") {
+    auto count = [this] { return context_->daemons_; };
+    context_->allotments_ =
+        std::make_shared<equal_shares>(equal_shares_settings{}, count, std::make_shared<steady_clock>());
+    return success;
+  }
+  auto first_port = parse_address(peers_->settings().address_);
+  if (!ok(first_port)) {
+    return failure(first_port);
+  }
+  auto settings = central_grants_settings{};
+  settings.vm_ = settings_.vm_id_;
+  settings.address_ = value(first_port).address().to_string() + ":" +
+                      std::to_string(value(first_port).port() + grants_port_offset);
+  auto limit_of = [this](const std::string& name) -> std::optional<account_allotment> {
+    auto book = context_->configuration_ ? context_->configuration_->accounts_ : nullptr;
+    const auto* account = book ? book->find(name) : nullptr;
+    return account == nullptr ? std::nullopt : std::optional{account->allotment_};
+  };
+  auto made = central_grants::create(loop_, settings, limit_of, [this] { return allotment_share(); });
+  if (!ok(made)) {
+    return failure(made);
+  }
+  grants_ = std::move(value(made));
+  context_->allotments_ = grants_;
+  peers_->on_heard([this](const std::string& vm) { grants_->note_heard(vm); });
+  peers_->on_list([this](const std::map<std::string, asio::ip::udp::endpoint>& listed) {
+    listed_peers_ = listed.size();
+    auto members = central_grants::member_map{};
+    for (const auto& [vm, address] : listed) {
+      auto port = static_cast<unsigned short>(address.port() + grants_port_offset);
+      members.emplace(vm, asio::ip::udp::endpoint{address.address(), port});
+    }
+    grants_->set_members(std::move(members));
+  });
+  return success;
+}
+
+auto gateway_daemon::allotment_share() const -> double {
+  auto heard = heard_peers{};
+  heard.listed_ = listed_peers_;
+  heard.window_ = allotment_hearing;
+  heard.heard_ = peers_->views().heard_within(allotment_hearing);
+  heard.listening_ = context_->clock_.now() - joined_at_;
+  heard.send_gap_ = peers_->settings().send_gap_;
+  heard.receivers_ = static_cast<std::size_t>(peers_->settings().most_receivers_);
+  return reached_share(heard);
+}
+
 auto gateway_daemon::hold_allowances() -> status {
   if (settings_.allowances_ == 0) {
     return success;
--- /dev/null
+++ b/unit_tests/accounts/account_book_test.cpp
@@ -0,0 +1,66 @@
+/// Accounts of a configuration: what is found, what is refused, and that no key shows.
+#include "birchlever/accounts/account_book.h"
+
+#include <catch2/catch.hpp>
+
+#include "birchlever/accounts/key_digest.h"
+
+namespace birchlever {
+namespace {
+
+auto account(const std::string& name, const std::vector<std::string>& keys) -> client_account {
+  auto made = client_account{};
+  made.name_ = name;
+  for (const auto& key : keys) {
+    made.key_digests_.push_back(sha256_of(key));
+  }
+  return made;
+}
+
+auto refusal_of(std::vector<client_account> accounts) -> error {
+  auto made = account_book::create(std::move(accounts));
+  REQUIRE(!ok(made));
+  return failure(made);
+}
+
+}  // namespace
+
+TEST_CASE("an account is found by each of its keys, and by nothing else") {
+  auto made = account_book::create({account("notary", {"key-1", "key-2"}), account("survey", {"key-3"})});
+  REQUIRE(ok(made));
+  const auto& book = *value(made);
+  CHECK(book.holder_of(sha256_of("key-2"))->name_ == "notary");
+  CHECK(book.holder_of(sha256_of("key-3"))->name_ == "survey");
+  CHECK(book.holder_of(sha256_of("key-4")) == nullptr);
+  CHECK(book.holder_of("key-1") == nullptr);
+  CHECK(book.holder_of("") == nullptr);
+  CHECK(book.find("survey") != nullptr);
+  CHECK(book.find("nobody") == nullptr);
+}
+
+TEST_CASE("accounts without a name, twice, with a negative rate or sharing a key are refused by type") {
+  CHECK(refusal_of({account("", {"key-1"})}).code_ == error_code::invalid_account);
+  CHECK(refusal_of({account("a", {}), account("a", {})}).code_ == error_code::invalid_account);
+  auto negative = account("a", {"key-1"});
+  negative.allotment_.rate_per_s_ = -1;
+  CHECK(refusal_of({negative}).code_ == error_code::invalid_account);
+  negative.allotment_ = {1, -1};
+  CHECK(refusal_of({negative}).code_ == error_code::invalid_account);
+  auto shared = refusal_of({account("a", {"secret-key"}), account("b", {"secret-key"})});
+  CHECK(shared.code_ == error_code::invalid_account);
+  CHECK(shared.detail_.find("secret-key") == std::string::npos);
+  CHECK(shared.detail_.find(sha256_of("secret-key")) == std::string::npos);
+  CHECK(shared.detail_.find(shown_digest(sha256_of("secret-key"))) != std::string::npos);
+}
+
+TEST_CASE("one account may list a key twice") {
+  CHECK(ok(account_book::create({account("a", {"key-1", "key-1"})})));
+}
+
+TEST_CASE("an allotment holds its rate over a span and its burst once; no rate means no limit") {
+  CHECK(account_allotment{10, 5}.most_in(5) == Approx(55));
+  CHECK(account_allotment{10, 0}.limited());
+  CHECK(!account_allotment{0, 50}.limited());
+}
+
+}  // namespace birchlever
--- a/unit_tests/coordination/configuration_test.cpp
+++ b/unit_tests/coordination/configuration_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "birchlever/accounts/key_digest.h"
 #include "birchlever/coordination/fleet_configuration.h"
 #include "birchlever/coordination/versioned_configuration.h"
 #include "birchlever/storage/memory_table_store.h"
@@ -92,7 +93,7 @@
 
 TEST_CASE("a configuration survives being written and read, and others are refused") {
   auto configuration = fleet_configuration{};
-  configuration.accounts_["notary"] = {sha256_of("key"), 7};
+  configuration.accounts_["notary"] = {"notary", {sha256_of("key")}, std::nullopt, {}, 7};
   configuration.drained_halls_ = {"canelones"};
   configuration.pinned_shards_[4] = "daemon-2";
   auto parsed = fleet_configuration::parse(configuration.to_text());
--- a/unit_tests/coordination/program_sweeper_test.cpp
+++ b/unit_tests/coordination/program_sweeper_test.cpp
@@ -87,4 +87,31 @@
   CHECK(store.rows_->size() > 0);
 }
 
+TEST_CASE("a removed program leaves those alone whose names begin like its own") {
+  auto store = swept_store{};
+  // Some pairs fall into one part: only then does the removal's range of keys meet the other's rows.
+  for (auto number = 0; number < 200; ++number) {
+    auto candidate = "a" + std::to_string(number);
+    store.turn(candidate, "t" + candidate, "");
+    store.turn(candidate + "-b", "s" + candidate, "");
+  }
+  store.sweep();
+  auto last = std::string{"t"};
+  auto give_up = steady_clock{}.now() + 4000;
+  while (store.sweeper_->removed() < 200 && steady_clock{}.now() < give_up) {
+    for (auto number = 0; number < 200; ++number) {
+      auto name = "a" + std::to_string(number) + "-b";
+      store.turn(name, "u" + std::to_string(number) + last, "sa" + std::to_string(number));
+    }
+    last += "t";
+    run_loop_for(store.loop_, kept / 4);
+  }
+  auto fresh = value(program_store::create(store.loop_, store.rows_, {}));
+  for (auto number = 0; number < 200; ++number) {
+    auto name = "a" + std::to_string(number) + "-b";
+    auto goes_on = turn_order{name, "next", "sa" + std::to_string(number), 1000000, 10, "in"};
+    CHECK(ok(run_to_end(store.loop_, fresh->begin_turn(std::move(goes_on), 1000))));
+  }
+}
+
 }  // namespace birchlever
--- a/unit_tests/gateway/gateway_fixture.cpp
+++ b/unit_tests/gateway/gateway_fixture.cpp
@@ -56,6 +56,7 @@
   context_->loop_ = &loop_;
   context_->dialect_ = std::make_shared<platform::header_dialect>();
   context_->upstream_connections_ = connection_pool::create(loop_, {});
+  context_->freshness_ = std::make_shared<configuration_freshness>(loop_);
   context_->upstreams_ = std::make_shared<upstream_directory>(upstream_directory_settings{"hall-a"});
   auto programs = program_store::create(loop_, rows_, {});
   REQUIRE(ok(programs));
@@ -103,6 +104,14 @@
   context_->upstreams_->put(std::move(entry));
 }
 
+auto gateway_fixture::take_accounts(std::vector<client_account> accounts) -> void {
+  auto book = account_book::create(std::move(accounts));
+  REQUIRE(ok(book));
+  configuration_.accounts_ = value(book);
+  ++configuration_.version_;
+  context_->configuration_ = std::make_shared<const serving_configuration>(configuration_);
+}
+
 auto gateway_fixture::run_for(milliseconds duration) -> void {
   loop_.restart();
   loop_.run_for(std::chrono::milliseconds{duration});
--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "birchlever/coordination/program_store.h"
+#include "birchlever/gateway/configuration_freshness.h"
 #include "birchlever/gateway/gateway_server.h"
 #include "birchlever/http/connection_pool.h"
 #include "birchlever/http/http_listener.h"
@@ -81,6 +82,9 @@
   auto brief_turn(const std::string& id, std::int64_t budget = 1000,
                   const std::map<std::string, std::string>& more_headers = {}) -> seen_answer;
 
+  /// A newer configuration with these client accounts comes into force.
+  auto take_accounts(std::vector<client_account> accounts) -> void;
+
   /// Runs the loop for a while.
   auto run_for(milliseconds duration) -> void;
 
--- a/unit_tests/operators/statement_test.cpp
+++ b/unit_tests/operators/statement_test.cpp
@@ -80,6 +80,12 @@
   CHECK(refused("undrain upstream engine-1"));
   CHECK(refused("set account notary key 'short'"));
   CHECK(refused("remove account nobody"));
+  auto one_account = edit_configuration(value(parse_statement("set account notary key 'long-enough'")), {});
+  REQUIRE(ok(one_account));
+  CHECK(ok(edit_configuration(value(parse_statement("set account notary key 'long-enough'")),
+                              value(one_account))));
+  CHECK(!ok(edit_configuration(value(parse_statement("set account survey key 'long-enough'")),
+                               value(one_account))));
 }
 
 TEST_CASE("rows are filtered and ordered by value") {
--- a/unit_tests/platform/decode_test.cpp
+++ b/unit_tests/platform/decode_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "birchlever/accounts/key_digest.h"
 #include "platform/header_dialect.h"
 
 namespace birchlever::platform {
@@ -51,6 +52,32 @@
   REQUIRE(first < 1900);
 }
 
+TEST_CASE("client accounts are read with digests of their keys, and bad ones are typed errors") {
+  auto with = [](const std::string& accounts) {
+    return decode_configuration(R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/a/",
+      "type":"safe","service":"s","public":true}],"services":[{"name":"s"}],"tenants":)" +
+                                accounts + "}");
+  };
+  auto decoded = with(R"([{"name":"n","api_keys":["k1","k2"],"priority":1,"rate_per_s":304,"burst":30.5},
+                          {"name":"free","api_keys":[]}])");
+  REQUIRE(ok(decoded));
+  REQUIRE(value(decoded).routes_[0].public_);
+  const auto* account = value(decoded).accounts_->holder_of(sha256_of("k2"));
+  REQUIRE(account != nullptr);
+  CHECK(account->name_ == "n");
+  CHECK(account->rank_ == 1);
+  CHECK(account->allotment_.rate_per_s_ == 304);
+  CHECK(account->allotment_.burst_ == 30.5);
+  CHECK(!value(decoded).accounts_->find("free")->allotment_.limited());
+  CHECK(value(with("[]")).accounts_ != nullptr);  // Accounts are told apart, and there is none.
+  CHECK(value(decode_configuration(configuration_text)).accounts_ == nullptr);
+  CHECK(failure(with(R"([{"name":"a","api_keys":["k"]},{"name":"b","api_keys":["k"]}])")).code_ ==
+        error_code::invalid_account);
+  CHECK(failure(with(R"([{"api_keys":["k"]}])")).code_ == error_code::invalid_account);
+  CHECK(failure(with(R"([{"name":"a","rate_per_s":-1}])")).code_ == error_code::invalid_account);
+  CHECK(failure(with(R"([{"name":"a","rate_per_s":"x"}])")).code_ == error_code::wrong_type);
+}
+
 TEST_CASE("records that can't be read are typed errors") {
   REQUIRE(failure(decode_configuration("{")).code_ == error_code::malformed_json);
   REQUIRE(failure(decode_configuration("{}")).code_ == error_code::missing_field);
