--- a/birchlever/gateway/gateway_context.h
+++ b/birchlever/gateway/gateway_context.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "birchlever/accounts/account_usage.h"
 #include "birchlever/core/clock.h"
 #include "birchlever/gateway/gateway_request.h"
 
@@ -53,6 +54,7 @@
   steady_clock clock_;
   gateway_limits limits_;
   account_trust trust_;
+  account_usage usage_;
   std::shared_ptr<configuration_freshness> freshness_;  ///< Needed where client accounts are told apart.
   std::shared_ptr<allotment_policy> allotments_;        ///< None: no account is limited.
   std::int64_t daemons_ = 1;    ///< Listed daemons, this one included: they share the upstreams' connections.
--- a/birchlever_daemon/gateway_daemon_pages.cpp
+++ b/birchlever_daemon/gateway_daemon_pages.cpp
@@ -1,9 +1,11 @@
 /// The part of gateway_daemon that tells others about itself: readiness, metrics, relayed calls, usage of the
 /// store.
 #include "birchlever/controllers/budget_transfer.h"
+#include "birchlever/controllers/central_grants.h"
 #include "birchlever/controllers/peer_feed.h"
 #include "birchlever/coordination/program_store.h"
 #include "birchlever/coordination/program_sweeper.h"
+#include "birchlever/gateway/configuration_freshness.h"
 #include "birchlever/http/connection_pool.h"
 #include "birchlever/telemetry/log.h"
 #include "birchlever/telemetry/metrics.h"
@@ -17,6 +19,9 @@
 constexpr auto unready_after_ms =
     milliseconds{1000};  // A store that is away for so long has turned us away or is down.
 
+constexpr auto most_accounts = std::size_t{20};  // Of 1,200, shown by name in the metrics.
+constexpr auto never_known = -1.0;
+
 }  // namespace
 
 auto gateway_daemon::ready() const -> bool {
@@ -71,9 +76,14 @@
                  static_cast<double>(context_->upstream_connections_->opened()));
   counters.gauge("configuration_version",
                  context_->configuration_ ? static_cast<double>(context_->configuration_->version_) : 0);
+  auto sure_at = context_->freshness_->sure_at();
+  counters.gauge("configuration_age_ms",
+                 sure_at ? static_cast<double>(context_->clock_.now() - *sure_at) : never_known);
+  counters.gauge("allotments_without_grantor", grants_ ? static_cast<double>(grants_->unanswered()) : 0);
   auto answer = http_response{http::status::ok, 11};
   answer.set(http::field::content_type, "text/plain; version=0.0.4");
-  answer.body() = counters.to_prometheus();
+  const auto* book = context_->configuration_ ? context_->configuration_->accounts_.get() : nullptr;
+  answer.body() = counters.to_prometheus() + context_->usage_.to_prometheus(book, most_accounts);
   return answer;
 }
 
