Soak with client accounts: keys, revocations, a hot account, callers that name another account's turn

New checks: no request runs for another account and no key reaches an upstream, no key runs beyond its bound after it was taken away, no window holds more than the hot account's allotment. Each has a test that it finds its fault.

--- a/performance_test/gateway_test.cpp
+++ b/performance_test/gateway_test.cpp
@@ -10,6 +10,7 @@
 #include "birchlever/operators/statistics.h"
 #include "performance_test/performance_tests.h"
 #include "platform/names.h"
+#include "soak/soak_accounts.h"
 #include "soak/soak_fleet.h"
 
 namespace birchlever::performance {
@@ -110,6 +111,7 @@
  private:
   /// Yields nothing when the turn failed.
   auto run_turn(turn_plan plan) -> task<std::optional<turn_answer>> {
+    auto owner = soak::soak_accounts::of_caller(0);
     auto began = std::chrono::steady_clock::now();
     auto opened = co_await outgoing_connection::open(loop_, plan.address_, time_limit);
     auto* made = std::get_if<std::shared_ptr<outgoing_connection>>(&opened);
@@ -129,10 +131,13 @@
     }
     if (!plan.expected_upstream_.empty()) {
       request->set(names::expected_upstream, plan.expected_upstream_);
+      request->set(names::account, owner.account_);  // Straight to an upstream, as the gateway would send it.
+    } else {
+      request->set(names::key_of_account, owner.key_);
     }
     request->body() = "input";
     request->prepare_payload();
-    ledger_.sent(plan.id_, plan.chain_ + request->body(), false);
+    ledger_.sent(plan.id_, plan.chain_ + request->body(), false, owner);
     connection->send(request, time_limit);
     auto head = co_await connection->read_head();
     const auto* answer = std::get_if<http_response>(&head);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include "soak/fault_schedule.h"
+#include "soak/soak_accounts.h"
 
 DEFINE_string(binary, "out/release/birchlever", "the program under test");
 DEFINE_string(folder, "/tmp", "for settings files and logs of the gateways");
@@ -97,6 +98,8 @@
     for (auto number = 0; number < settings_.callers_; ++number) {
       start(loop_, "run_programs", callers_->run_programs(number));
     }
+    start(loop_, "run_spare_keys", callers_->run_spare_keys());
+    start(loop_, "run_hot_account", callers_->run_hot_account());
     for (auto round = 0; round < FLAGS_rounds; ++round) {
       co_await schedule_->harm(settings_.duration_);
       co_await schedule_->plan(*callers_);
@@ -108,6 +111,7 @@
     }
     co_await check_kept_turns();
     ledger_.check_refusals();
+    ledger_.check_allotment(soak_accounts::hot, soak_accounts::hot_window, soak_accounts::most_hot);
     loop_.stop();
   }
 
--- a/soak/soak_caller.cpp
+++ b/soak/soak_caller.cpp
@@ -3,6 +3,7 @@
 #include "birchlever/http/event_stream.h"
 #include "birchlever/http/outgoing_connection.h"
 #include "platform/names.h"
+#include "soak/soak_accounts.h"
 
 namespace birchlever::soak {
 namespace {
@@ -17,10 +18,14 @@
 constexpr auto longest_program = 8;
 constexpr auto most_brief_turns = 24;  // Beyond any budget: programs that are not refused overspend.
 constexpr auto longest_pause_ms = 60;
+constexpr auto strangers = 5;                    // One turn in six is asked for by another account, too.
+constexpr auto spare_gap_ms = milliseconds{60};  // Between two requests with spare keys.
+constexpr auto hot_gap_ms = milliseconds{12};    // Four times what the hot account may send.
 constexpr auto most_body = std::size_t{1U << 20U};
 
 auto promises_not_run(int status) -> bool {
-  return status == 402 || status == 404 || status == 408 || status == 421 || status == 429 || status == 503;
+  return status == 401 || status == 402 || status == 404 || status == 408 || status == 421 || status == 429 ||
+         status == 503;
 }
 
 /// What a stream adds to the chain: the data of each event, each with a line feed.
@@ -91,7 +96,9 @@
   auto id = new_id("plain");
   auto request = http_request{http::verb::get, path, 11};
   request.set(names::request_id, id);
-  ledger_->sent(id, "", true);
+  auto owner = soak_accounts::of_caller(0);
+  request.set(names::key_of_account, owner.key_);
+  ledger_->sent(id, "", true, owner);
   co_return co_await ask(gateway, std::move(request));
 }
 
@@ -143,7 +150,8 @@
       request.set(names::previous_turn, line.turn_);
     }
     request.body() = input;
-    ledger_->sent(id, line.chain_ + input, false);
+    request.set(names::key_of_account, line.owner_.key_);
+    ledger_->sent(id, line.chain_ + input, false, line.owner_);
     auto gateway = fleet_->pick_gateway(random_());
     auto heard = co_await ask(gateway, std::move(request));
     judge_turn(heard, id, line, money);
@@ -161,7 +169,7 @@
   co_return turn_result::failed;
 }
 
-auto soak_callers::run_tool(std::string program) -> task<> {
+auto soak_callers::run_tool(sender owner, std::string program) -> task<> {
   auto repeatable = draw(1) == 0;
   auto give_up_at = clock_.now() + turn_patience_ms;
   while (clock_.now() < give_up_at) {
@@ -171,7 +179,8 @@
     request.set(names::request_id, id);
     request.set(names::program, program);
     request.body() = repeatable ? "" : "do it";
-    ledger_->sent(id, request.body(), repeatable);
+    request.set(names::key_of_account, owner.key_);
+    ledger_->sent(id, request.body(), repeatable, owner);
     auto gateway = fleet_->pick_gateway(random_());
     auto heard = co_await ask(gateway, std::move(request));
     if (heard.status_ == 200) {
@@ -191,8 +200,8 @@
   }
 }
 
-auto soak_callers::run_program(std::string program) -> task<> {
-  auto line = kept_turn{program, "", ""};
+auto soak_callers::run_program(sender owner, std::string program) -> task<> {
+  auto line = kept_turn{owner, program, "", ""};
   auto turns = 1 + draw(longest_program - 1);
   auto money = spending{};
   money.budget_ =
@@ -203,7 +212,10 @@
       break;
     }
     if (draw(1) == 0) {
-      co_await run_tool(program);
+      co_await run_tool(owner, program);
+    }
+    if (draw(strangers) == 0) {
+      co_await ask_as_stranger(line);
     }
     co_await pause_for(*loop_, draw(longest_pause_ms));
   }
@@ -212,7 +224,56 @@
   }
 }
 
-auto soak_callers::run_brief_turn(const std::string& program, spending& money) -> task<turn_result> {
+auto soak_callers::ask_as_stranger(kept_turn line) -> task<> {
+  auto stranger = soak_accounts::stranger_to(line.owner_);
+  auto id = new_id("stranger");
+  auto request = http_request{http::verb::post, "/turn/x", 11};
+  request.set(names::request_id, id);
+  request.set(names::program, line.program_);
+  request.set(names::session, "s");
+  request.set(names::token_usage, "100," + std::to_string(most_tokens));
+  request.set(names::previous_turn, line.turn_);
+  request.set(names::key_of_account, stranger.key_);
+  request.body() = "go on;";
+  ledger_->sent(id, "never", false, stranger);
+  auto gateway = fleet_->pick_gateway(random_());
+  auto heard = co_await ask(gateway, std::move(request));
+  if (heard.status_ == 200) {
+    ledger_->broken(promise::accounts_are_apart, id + " goes on from " + line.turn_ + " of another account");
+  }
+}
+
+auto soak_callers::send_tool(sender owner) -> task<> {
+  auto id = new_id("tool");
+  auto request = http_request{http::verb::post, "/once/x", 11};
+  request.set(names::request_id, id);
+  request.set(names::key_of_account, owner.key_);
+  request.body() = "do it";
+  ledger_->sent(id, request.body(), false, owner);
+  auto gateway = fleet_->pick_gateway(random_());
+  auto heard = co_await ask(gateway, std::move(request));
+  if (promises_not_run(heard.status_)) {
+    ledger_->refused(id);
+  }
+}
+
+auto soak_callers::run_spare_keys() -> task<> {
+  while (!stopped_) {
+    auto version = std::max(1, fleet_->version() - draw(1));
+    start(*loop_, "send_tool", send_tool(soak_accounts::spare_key(version)));
+    co_await pause_for(*loop_, spare_gap_ms);
+  }
+}
+
+auto soak_callers::run_hot_account() -> task<> {
+  while (!stopped_) {
+    start(*loop_, "send_tool", send_tool(soak_accounts::of_hot()));
+    co_await pause_for(*loop_, hot_gap_ms);
+  }
+}
+
+auto soak_callers::run_brief_turn(const sender& owner, const std::string& program, spending& money)
+    -> task<turn_result> {
   auto id = new_id("brief");
   auto request = http_request{http::verb::post, "/brief/x", 11};
   request.set(names::request_id, id);
@@ -221,7 +282,8 @@
   request.set(names::budget, std::to_string(money.budget_));
   request.set(names::token_usage, "100," + std::to_string(most_tokens));
   request.body() = "whole prompt of " + program;
-  ledger_->sent(id, request.body(), false);
+  request.set(names::key_of_account, owner.key_);
+  ledger_->sent(id, request.body(), false, owner);
   auto gateway = fleet_->pick_gateway(random_());
   auto heard = co_await ask(gateway, std::move(request));
   if (heard.status_ == 200) {
@@ -243,11 +305,11 @@
   co_return heard.status_ == 200 && heard.whole_ ? turn_result::whole : turn_result::failed;
 }
 
-auto soak_callers::run_brief_program(std::string program) -> task<> {
+auto soak_callers::run_brief_program(sender owner, std::string program) -> task<> {
   auto money = spending{};
   money.budget_ = (1 + draw(longest_program)) * most_tokens;
   for (auto turn = 0; turn < most_brief_turns && !stopped_; ++turn) {
-    auto result = co_await run_brief_turn(program, money);
+    auto result = co_await run_brief_turn(owner, program, money);
     if (result == turn_result::refused_budget && draw(1) == 0) {
       break;  // The others never stop by themselves.
     }
@@ -258,12 +320,13 @@
 auto soak_callers::run_programs(int number) -> task<> {
   ++running_;
   co_await pause_for(*loop_, number * 7);  // Not all at once.
+  auto owner = soak_accounts::of_caller(number);
   while (!stopped_) {
     auto brief = draw(2) == 0;  // A third of all programs keep nothing of their turns.
     if (brief) {
-      co_await run_brief_program(new_id("program"));
+      co_await run_brief_program(owner, new_id("program"));
     } else {
-      co_await run_program(new_id("program"));
+      co_await run_program(owner, new_id("program"));
     }
   }
   --running_;
--- a/soak/soak_caller.h
+++ b/soak/soak_caller.h
@@ -21,6 +21,7 @@
 
 /// A turn that was answered whole, so that programs may go on from it.
 struct kept_turn {
+  sender owner_;
   std::string program_;
   std::string turn_;
   std::string chain_;  ///< All inputs and outputs up to and with this turn.
@@ -38,6 +39,10 @@
   /// Runs one program after the other until stopped.
   auto run_programs(int number) -> task<>;
 
+  /// Sends with spare keys, also with those that were taken away, and many times what the hot account may.
+  auto run_spare_keys() -> task<>;
+  auto run_hot_account() -> task<>;
+
   /// Programs begin no further turn.
   auto stop() -> void { stopped_ = true; }
 
@@ -66,13 +71,15 @@
   auto new_id(const char* kind) -> std::string;
   auto draw(int most) -> int { return std::uniform_int_distribution<int>{0, most}(random_); }
   auto ask(int gateway, http_request request) -> task<heard_answer>;
-  auto run_brief_turn(const std::string& program, spending& money) -> task<turn_result>;
-  auto run_brief_program(std::string program) -> task<>;
-  auto run_program(std::string program) -> task<>;
+  auto run_brief_turn(const sender& owner, const std::string& program, spending& money) -> task<turn_result>;
+  auto run_brief_program(sender owner, std::string program) -> task<>;
+  auto run_program(sender owner, std::string program) -> task<>;
+  auto ask_as_stranger(kept_turn line) -> task<>;
+  auto send_tool(sender owner) -> task<>;
   auto run_turn(kept_turn& line, spending& money, milliseconds give_up_at) -> task<turn_result>;
   auto judge_turn(const heard_answer& heard, const std::string& id, const kept_turn& line, spending& money)
       -> void;
-  auto run_tool(std::string program) -> task<>;
+  auto run_tool(sender owner, std::string program) -> task<>;
 
   event_loop* loop_;
   soak_settings settings_;
--- a/soak/soak_fleet.cpp
+++ b/soak/soak_fleet.cpp
@@ -12,6 +12,7 @@
 
 #include "birchlever/http/outgoing_connection.h"
 #include "platform/names.h"
+#include "soak/soak_accounts.h"
 
 extern char** environ;
 
@@ -43,6 +44,25 @@
           {"slo_ms", 200},  {"max_attempts", 2},      {"priority", 0}};
 }
 
+/// The accounts in a version of the configuration: each next one takes the spare key of the one before away.
+auto accounts_of(int version) -> json {
+  auto accounts = json::array();
+  for (auto number = 0; number < static_cast<int>(soak_accounts::usual.size()); ++number) {
+    auto owner = soak_accounts::of_caller(number);
+    auto keys = json::array({owner.key_});
+    if (soak_accounts::spare_key(version).account_ == owner.account_) {
+      keys.push_back(soak_accounts::spare_key(version).key_);
+    }
+    accounts.push_back({{"name", owner.account_}, {"api_keys", keys}, {"priority", number % 2}});
+  }
+  auto hot = soak_accounts::of_hot();
+  accounts.push_back({{"name", hot.account_},
+                      {"api_keys", json::array({hot.key_})},
+                      {"rate_per_s", soak_accounts::hot_allotment.rate_per_s_},
+                      {"burst", soak_accounts::hot_allotment.burst_}});
+  return accounts;
+}
+
 }  // namespace
 
 soak_fleet::soak_fleet(event_loop& loop, const soak_settings& settings, soak_ledger& ledger)
@@ -120,6 +140,8 @@
        << "\n--caller_address=" << address(host, caller_port)
        << "\n--readiness_address=" << address(host, ready_port)
        << "\n--control_address=" << address(host, control_port) << "\n--peer_ports=" << peer_port << "\n"
+       << "--revoke_ms=" << settings_.revoke_ << "\n--configuration_apply_ms=" << settings_.configuration_
+       << "\n"
        << "--stop_grace_s=" << stop_grace_s << "\n--log_level=" << (++changes % 2 == 0 ? "debug" : "info")
        << "\n";
 }
@@ -259,8 +281,15 @@
            {"engine",
             {{"slots", 16}, {"kv_capacity", 200000}, {"chunk_tokens", upstream_stand_in::tokens_per_event}}}};
   auto tools = json{{"name", plain_service}, {"health_path", "/healthz"}, {"max_conns", 200}};
-  auto whole = json{{"version", version}, {"routes", routes}, {"services", json::array({engines, tools})}};
+  auto whole = json{{"version", version},
+                    {"routes", routes},
+                    {"services", json::array({engines, tools})},
+                    {"tenants", accounts_of(version)}};
   rows_->put({names::operator_table, "", names::configuration_key}, whole.dump());
+  if (version > 1) {
+    ledger_->revoked(soak_accounts::spare_key(version - 1).key_, settings_.revoke_);
+  }
+  version_ = version;
 }
 
 }  // namespace birchlever::soak
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -68,9 +68,13 @@
   auto list_upstream(const upstream_identity& identity, bool leaving) -> void;
   auto unlist_upstream(const std::string& id) -> void;
 
-  /// Puts a configuration in force; each has one more route, `/extra-VERSION/`, of the plain service.
+  /// Puts a configuration in force; each has one more route, `/extra-VERSION/`, of the plain service, and a
+  /// spare key in place of the one before.
   auto configure(int version) -> void;
 
+  /// The newest configuration's version.
+  [[nodiscard]] auto version() const -> int { return version_; }
+
  private:
   soak_fleet(event_loop& loop, const soak_settings& settings, soak_ledger& ledger);
 
@@ -89,6 +93,7 @@
   std::vector<gateway_process> gateways_;
   std::vector<std::unique_ptr<upstream_stand_in>> upstreams_;
   int made_upstreams_ = 0;
+  int version_ = 0;
 };
 
 }  // namespace birchlever::soak
--- a/soak/soak_ledger.cpp
+++ b/soak/soak_ledger.cpp
@@ -7,9 +7,11 @@
 namespace birchlever::soak {
 
 auto name_of(promise broken) -> const char* {
-  constexpr auto names = std::array<const char*, 9>{
-      "at_most_once", "refusal_is_true",      "answer_is_whole", "chain_is_exact",           "budget_holds",
-      "turn_is_kept", "leaving_gets_nothing", "change_in_force", "planned_stop_cuts_nothing"};
+  constexpr auto names =
+      std::array<const char*, 12>{"at_most_once",         "refusal_is_true",   "answer_is_whole",
+                                  "chain_is_exact",       "budget_holds",      "turn_is_kept",
+                                  "leaving_gets_nothing", "change_in_force",   "planned_stop_cuts_nothing",
+                                  "accounts_are_apart",   "revoked_key_stops", "allotment_holds"};
   return names.at(static_cast<std::size_t>(broken));
 }
 
@@ -18,18 +20,59 @@
   std::cerr << "BROKEN " << faults_.back() << std::endl;
 }
 
-auto soak_ledger::sent(const std::string& request, const std::string& prompt, bool repeatable) -> void {
-  sent_[request] = {prompt, repeatable};
+auto soak_ledger::sent(const std::string& request, const std::string& prompt, bool repeatable,
+                       const sender& from) -> void {
+  sent_[request] = {prompt, repeatable, from, clock_->now(), std::nullopt};
 }
 
-auto soak_ledger::ran(const std::string& request, const std::string& body, const std::string& upstream)
-    -> void {
+auto soak_ledger::revoked(const std::string& key, milliseconds bound) -> void {
+  stops_at_[key] = clock_->now() + bound;
+}
+
+auto soak_ledger::check_sender(const std::string& request, const request_state& state,
+                               const std::string& account) -> void {
+  if (account != state.from_.account_) {
+    broken(promise::accounts_are_apart,
+           request + " of " + state.from_.account_ + " runs for account '" + account + "'");
+  }
+  auto stopped = stops_at_.find(state.from_.key_);
+  if (stopped != stops_at_.end() && state.sent_at_ > stopped->second) {
+    broken(promise::revoked_key_stops, request + " was sent " +
+                                           std::to_string(state.sent_at_ - stopped->second) +
+                                           " ms after the bound of its key, and runs");
+  }
+}
+
+auto soak_ledger::check_allotment(const std::string& account, milliseconds window, int most) -> void {
+  auto spans = std::vector<std::pair<milliseconds, milliseconds>>{};
+  for (const auto& [request, state] : sent_) {
+    if (state.from_.account_ == account && state.ran_at_) {
+      spans.emplace_back(state.sent_at_, *state.ran_at_);
+    }
+  }
+  for (const auto& first : spans) {
+    auto inside = std::count_if(spans.begin(), spans.end(), [&](const auto& one) {
+      return one.first >= first.first && one.second < first.first + window;
+    });
+    if (inside > most) {
+      broken(promise::allotment_holds, account + " ran " + std::to_string(inside) + " requests in " +
+                                           std::to_string(window) + " ms, " + std::to_string(most) +
+                                           " are allowed");
+      return;
+    }
+  }
+}
+
+auto soak_ledger::ran(const std::string& request, const std::string& body, const std::string& upstream,
+                      const std::string& account) -> void {
   auto count = ++runs_[request];
   auto known = sent_.find(request);
   if (known == sent_.end()) {
     broken(promise::chain_is_exact, request + " runs at " + upstream + " and no caller sent it");
     return;
   }
+  known->second.ran_at_ = known->second.ran_at_.value_or(clock_->now());
+  check_sender(request, known->second, account);
   if (count > 1 && !known->second.repeatable_) {
     broken(promise::at_most_once,
            request + " runs for the " + std::to_string(count) + ". time at " + upstream);
--- a/soak/soak_ledger.h
+++ b/soak/soak_ledger.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <map>
+#include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,6 +23,15 @@
   leaving_gets_nothing,
   change_in_force,
   planned_stop_cuts_nothing,
+  accounts_are_apart,
+  revoked_key_stops,
+  allotment_holds,
+};
+
+/// Who sends a request; empty where it does not matter.
+struct sender {
+  std::string account_;
+  std::string key_;
 };
 
 /// The stable name of a promise.
@@ -29,11 +40,22 @@
 /// For the soak's one thread.
 class soak_ledger {
  public:
+  explicit soak_ledger(std::shared_ptr<const clock_interface> clock = std::make_shared<steady_clock>())
+      : clock_{std::move(clock)} {}
+
   /// A caller is about to send a request; `prompt` is the body that the upstream must get.
-  auto sent(const std::string& request, const std::string& prompt, bool repeatable) -> void;
+  auto sent(const std::string& request, const std::string& prompt, bool repeatable, const sender& from = {})
+      -> void;
 
-  /// An upstream begins to run a request with a body.
-  auto ran(const std::string& request, const std::string& body, const std::string& upstream) -> void;
+  /// An upstream begins to run a request with a body, for the account that it was told.
+  auto ran(const std::string& request, const std::string& body, const std::string& upstream,
+           const std::string& account = {}) -> void;
+
+  /// The store acknowledged that a key was taken away; `bound` ms later nothing that is sent with it may run.
+  auto revoked(const std::string& key, milliseconds bound) -> void;
+
+  /// Checks that no span of `window` ms holds more requests of an account that were sent and ran in it.
+  auto check_allotment(const std::string& account, milliseconds window, int most) -> void;
 
   /// An upstream made an answer, or the part of one that it sent.
   auto answered(const std::string& request, const std::string& bytes, bool whole) -> void;
@@ -59,14 +81,22 @@
   struct request_state {
     std::string prompt_;
     bool repeatable_ = false;
+    sender from_;
+    milliseconds sent_at_ = 0;
+    std::optional<milliseconds> ran_at_;
   };
 
+  auto check_sender(const std::string& request, const request_state& state, const std::string& account)
+      -> void;
+
   /// What an upstream sent for a request.
   struct made_answer {
     std::string bytes_;
     bool whole_ = false;
   };
 
+  std::shared_ptr<const clock_interface> clock_;
+  std::map<std::string, milliseconds> stops_at_;  ///< By key that was taken away.
   std::map<std::string, request_state> sent_;
   std::map<std::string, int> runs_;
   std::map<std::string, std::vector<made_answer>> answers_;
--- a/soak/soak_settings.h
+++ b/soak/soak_settings.h
@@ -19,7 +19,8 @@
   int callers_ = 12;               ///< Programs under way at once.
   milliseconds duration_ = 12000;  ///< Of faults and load; healing and the last checks come after it.
   milliseconds heal_ = 4000;       ///< From the last fault's end until the last checks begin.
-  milliseconds drain_ = 2000;  ///< After which a leaving upstream must get nothing (the platform's bound).
+  milliseconds drain_ = 2000;   ///< After which a leaving upstream must get nothing (the platform's bound).
+  milliseconds revoke_ = 2500;  ///< After which nothing sent with a key that was taken away may run.
   milliseconds configuration_ = 2000;  ///< After which a change is in force (the platform's bound).
   milliseconds calm_ = 3000;           ///< Without a fault for so long, the bounds in time hold.
 };
--- a/soak/upstream_stand_in.cpp
+++ b/soak/upstream_stand_in.cpp
@@ -90,7 +90,10 @@
     co_return false;
   }
   reached_at_ = clock_.now();
-  ledger_->ran(id, request.body(), identity_.id_);
+  ledger_->ran(id, request.body(), identity_.id_, std::string{field_of(request, names::account)});
+  if (request.count(names::key_of_account) != 0) {
+    ledger_->broken(promise::accounts_are_apart, id + " shows its caller's key to " + identity_.id_);
+  }
   answer.set(names::proof, "proof-" + id);
   if (identity_.engine_) {
     auto events = std::uniform_int_distribution<int>{1, std::max(1, events_of(request))}(random_);
--- a/unit_tests/soak/soak_ledger_test.cpp
+++ b/unit_tests/soak/soak_ledger_test.cpp
@@ -73,4 +73,42 @@
   CHECK(only_fault(unproven) == name_of(promise::answer_is_whole));
 }
 
+TEST_CASE("the soak's ledger sees a request that runs for another account") {
+  auto ledger = soak_ledger{};
+  ledger.sent("r", "", false, {"blue", "blue-key"});
+  ledger.ran("r", "", "tool-1", "green");
+  CHECK(only_fault(ledger) == name_of(promise::accounts_are_apart));
+}
+
+TEST_CASE("the soak's ledger sees a key that is honoured beyond its bound, and only that") {
+  auto clock = std::make_shared<manual_clock>();
+  auto ledger = soak_ledger{clock};
+  ledger.revoked("spare", 1000);
+  clock->advance(1000);
+  ledger.sent("in time", "", false, {"blue", "spare"});
+  clock->advance(500);
+  ledger.ran("in time", "", "tool-1", "blue");
+  ledger.sent("other key", "", false, {"blue", "blue-key"});
+  ledger.ran("other key", "", "tool-1", "blue");
+  CHECK(ledger.faults().empty());
+  ledger.sent("too late", "", false, {"blue", "spare"});
+  ledger.ran("too late", "", "tool-1", "blue");
+  CHECK(only_fault(ledger) == name_of(promise::revoked_key_stops));
+}
+
+TEST_CASE("the soak's ledger counts what an account sent and ran within a window") {
+  auto clock = std::make_shared<manual_clock>();
+  auto ledger = soak_ledger{clock};
+  for (auto number = 0; number < 20; ++number) {
+    auto id = "r" + std::to_string(number);
+    ledger.sent(id, "", false, {"hot", "hot-key"});
+    ledger.ran(id, "", "tool-1", "hot");
+    clock->advance(100);
+  }
+  ledger.check_allotment("hot", 1000, 10);
+  CHECK(ledger.faults().empty());
+  ledger.check_allotment("hot", 1000, 9);
+  CHECK(only_fault(ledger) == name_of(promise::allotment_holds));
+}
+
 }  // namespace birchlever::soak
