--- a/birchlever_daemon/gateway_daemon_peers.cpp
+++ b/birchlever_daemon/gateway_daemon_peers.cpp
@@ -25,7 +25,7 @@
 auto gateway_daemon::join_peers() -> status {
   auto first_port = settings_.peer_ports_.substr(0, settings_.peer_ports_.find(','));
   if (first_port.empty()) {
-    return success;
+    return keep_allotments();
   }
   auto settings = peer_exchange_settings{};
   settings.vm_ = settings_.vm_id_;
@@ -63,7 +63,7 @@
   if (settings_.allotments_ == "off") {
     return success;
   }
-  if (settings_.allotments_ == "equal") {
+  if (settings_.allotments_ == "equal" || !peers_) {  // Without peers this daemon's share is the whole.
     auto count = [this] { return context_->daemons_; };
     context_->allotments_ =
         std::make_shared<equal_shares>(equal_shares_settings{}, count, std::make_shared<steady_clock>());
