Begun programs are carried through where an allotment holds less than one program

Change: a request of a begun program waits up to a second for its place (before 300 ms, and then a refusal that spent one of its caller's tries), and half of what the platform tolerates beyond an allotment lets begun programs end. Only the account's first grantor overdraws.

--- a/birchlever/accounts/allotment_bucket.cpp
+++ b/birchlever/accounts/allotment_bucket.cpp
@@ -49,22 +49,23 @@
   return {true, 0, 0};
 }
 
-auto allotment_bucket::grant_later(double rate_per_ms) -> allotment_verdict {
-  auto after = level_ - 1;
+auto allotment_bucket::grant_later(double rate_per_ms, double overdraft) -> allotment_verdict {
+  auto after = level_ + overdraft - 1;
   auto deepest = -rate_per_ms * static_cast<double>(settings_.longest_wait_);
   if (after < std::min(deepest, 0.0)) {
-    return refused(1 - level_, rate_per_ms);
+    return refused(-after, rate_per_ms);
   }
-  level_ = after;
+  level_ -= 1;
   auto wait = after < 0 ? std::ceil(-after / rate_per_ms) : 0.0;
   return {true, static_cast<milliseconds>(wait), 0};
 }
 
-auto allotment_bucket::claim(const allotment_claim& wanted, double share, milliseconds now)
+auto allotment_bucket::claim(const allotment_claim& wanted, double share, milliseconds now, bool may_overdraw)
     -> allotment_verdict {
   refill(wanted.allotment_, share, now);
+  auto overdraft = may_overdraw ? settings_.overdraft_ * share : 0;
   auto rate_per_ms = wanted.allotment_.rate_per_s_ * share / ms_per_second;
-  return wanted.begins_program_ ? grant_start(wanted, rate_per_ms) : grant_later(rate_per_ms);
+  return wanted.begins_program_ ? grant_start(wanted, rate_per_ms) : grant_later(rate_per_ms, overdraft);
 }
 
 }  // namespace birchlever
--- a/birchlever/accounts/allotment_bucket.h
+++ b/birchlever/accounts/allotment_bucket.h
@@ -15,8 +15,12 @@
 struct allotment_bucket_settings {
   double first_share_ = 0.25;  ///< Of the burst that a new bucket holds: what was granted before by another
                                ///< daemon is not known. A rule's usual slack is a tenth of five seconds.
-  milliseconds longest_wait_ = 300;  ///< A request of a begun program waits at most so long for its place: as
-                                     ///< long as a tool takes, far less than a refusal and a return.
+  double overdraft_ = 0;  ///< Requests beyond the allotment that begun programs may send at once; they are
+                          ///< taken off what comes. Programs of an account whose whole allotment holds less
+                          ///< than one program would else all be spoiled.
+  milliseconds longest_wait_ =
+      1000;  ///< A request of a begun program waits at most so long for its place: less
+             ///< than a refusal and a return, and no try of its caller is spent.
   milliseconds least_retry_ = 250;
   milliseconds longest_retry_ = 5000;
   double programs_fill_ = 0.5;  ///< Share of a program's duration over which its later requests are spread at
@@ -30,7 +34,9 @@
   explicit allotment_bucket(const allotment_bucket_settings& settings = {}) : settings_{settings} {}
 
   /// Grants or refuses a claim. `share` is the part of the allotment that may be granted here, 0 to 1.
-  auto claim(const allotment_claim& wanted, double share, milliseconds now) -> allotment_verdict;
+  /// Without `may_overdraw` begun programs get no more than the allotment.
+  auto claim(const allotment_claim& wanted, double share, milliseconds now, bool may_overdraw = true)
+      -> allotment_verdict;
 
   /// Begins anew with this part of the burst at most: others may have granted meanwhile.
   auto reopen(const account_allotment& allotment, double part, milliseconds now) -> void;
@@ -47,7 +53,7 @@
  private:
   auto refill(const account_allotment& allotment, double share, milliseconds now) -> void;
   auto grant_start(const allotment_claim& wanted, double rate_per_ms) -> allotment_verdict;
-  auto grant_later(double rate_per_ms) -> allotment_verdict;
+  auto grant_later(double rate_per_ms, double overdraft) -> allotment_verdict;
   [[nodiscard]] auto refused(double missing, double rate_per_ms) const -> allotment_verdict;
 
   allotment_bucket_settings settings_;
--- a/birchlever/accounts/grantor_desk.cpp
+++ b/birchlever/accounts/grantor_desk.cpp
@@ -16,7 +16,7 @@
   known.bucket_.debit(granted_alone);
   auto unsure = !first && now - known.since_ < settings_.unsure_;
   auto part = unsure ? std::min(share, settings_.first_stand_in_share_) : share;
-  return known.bucket_.claim(wanted, part, now);
+  return known.bucket_.claim(wanted, part, now, first);
 }
 
 auto grantor_desk::debit(const std::string& account, double tokens) -> void {
--- a/birchlever/controllers/central_grants.cpp
+++ b/birchlever/controllers/central_grants.cpp
@@ -41,6 +41,7 @@
       socket_{loop},
       clock_{std::make_shared<steady_clock>()},
       order_{grantor_order_settings{settings_.vm_}},
+      desk_{settings_.desk_},
       fallback_{settings_.fallback_,
                 [this] {
                   return members_known_ ? static_cast<std::int64_t>(order_.size()) : settings_.unknown_fleet_;
--- a/birchlever/controllers/central_grants.h
+++ b/birchlever/controllers/central_grants.h
@@ -25,6 +25,7 @@
 struct central_grants_settings {
   std::string vm_;
   std::string address_;  ///< "ip:port" of the datagrams; the port is the same on all daemons.
+  grantor_desk_settings desk_;
   milliseconds answer_limit_ =
       60;                         ///< For one ask. A way there and back takes 2 ms; small VMs pause for tens.
   int tries_ = 2;                 ///< Asks of one grantor: a datagram is lost now and then.
@@ -92,10 +93,10 @@
   asio::ip::udp::socket socket_;
   std::shared_ptr<steady_clock> clock_;
   grantor_order order_;
+  grantor_desk desk_;
   equal_shares fallback_;
   member_map members_;
   bool members_known_ = false;
-  grantor_desk desk_;
   std::unordered_map<std::string, double> granted_alone_;  ///< While nobody answered, and told to nobody yet.
   std::map<std::string, double> debits_;  ///< Granted as a stand-in and not told yet, by account.
   std::unordered_map<std::uint64_t, std::shared_ptr<pending_ask>> pending_;
--- a/birchlever_daemon/gateway_daemon_peers.cpp
+++ b/birchlever_daemon/gateway_daemon_peers.cpp
@@ -77,6 +77,7 @@
   settings.vm_ = settings_.vm_id_;
   settings.address_ = value(first_port).address().to_string() + ":" +
                       std::to_string(value(first_port).port() + grants_port_offset);
+  settings.desk_.buckets_.overdraft_ = settings_.allotment_tolerance_ / 2;
   auto limit_of = [this](const std::string& name) -> std::optional<account_allotment> {
     auto book = context_->configuration_ ? context_->configuration_->accounts_ : nullptr;
     const auto* account = book ? book->find(name) : nullptr;
--- a/fleet_model/allotment_model.h
+++ b/fleet_model/allotment_model.h
@@ -39,6 +39,7 @@
   double kill_pause_ms_ = 1000;
   double lower_at_ms_ = 0;  ///< Then the limit falls to a share of itself.
   double lower_to_ = 1;
+  double overdraft_ = 10;      ///< Half of what the shifted deployment tolerates.
   double way_ms_ = 1.5;        ///< One way between daemons.
   double lost_share_ = 0.005;  ///< Of datagrams.
 };
@@ -49,6 +50,7 @@
       0;              ///< The fullest window's requests over what the rule allows there; above 1 breaks it.
   int programs_ = 0;  ///< That wanted to begin.
   int completed_ = 0;
+  int in_time_ = 0;  ///< Of these, within 2.2 times the duration of one that never waits.
   int spoiled_ = 0;  ///< Begun and then refused for good.
   double owed_ = 0;  ///< Programs that the limit had room for.
   int requests_ = 0;
