--- a/birchlever/gateway/account_filter.cpp
+++ b/birchlever/gateway/account_filter.cpp
@@ -46,8 +46,9 @@
   context_->metrics_->observe("account_hold_ms", static_cast<double>(context_->clock_.now() - began));
   if (!renewed) {
     co_return error{error_code::configuration_stale,
-                    "what is known here of client accounts is too old to honour a key", ran_state::not_run,
-                    context_->trust_.retry_ms_};
+                    "what is known here of client accounts is too old to judge key " +
+                        shown_digest(request.facts_.key_digest_),
+                    ran_state::not_run, context_->trust_.retry_ms_};
   }
   request.configuration_ = context_->configuration_;
   co_return resolve_route(request);
