Allotments: daemons silent for half a minute count as removed, not as behind a cut; names and comments of the account filters

A listed daemon that is gone for good stayed in the sum of daemons for ten minutes, so after a scale-in by a third every allotment would have been a third smaller until then. Found by reading.

--- a/birchlever/accounts/equal_shares.h
+++ b/birchlever/accounts/equal_shares.h
@@ -14,8 +14,9 @@
 
 /// How shares are kept.
 struct equal_shares_settings {
-  milliseconds window_ = 5000;  ///< ms of the sliding window in which an allotment is counted.
-  double part_ = 1;             ///< Of every share that is granted.
+  milliseconds window_ =
+      5000;          ///< ms of the sliding window in which an allotment is counted: the platform's.
+  double part_ = 1;  ///< Of every share that is granted.
   double begun_reserve_ = 0.5;  ///< Share of what may be granted that is kept for programs that have begun.
 };
 
--- a/birchlever/accounts/reached_share.cpp
+++ b/birchlever/accounts/reached_share.cpp
@@ -11,19 +11,19 @@
 }  // namespace
 
 auto reached_share(const heard_peers& peers) -> double {
-  if (peers.listed_ == 0 || peers.listening_ < peers.window_) {
+  if (peers.living_ == 0 || peers.listening_ < peers.window_) {
     return 1;
   }
-  auto listed = static_cast<double>(peers.listed_);
-  auto told = std::min(1.0, static_cast<double>(peers.receivers_) / listed);
+  auto living = static_cast<double>(peers.living_);
+  auto told = std::min(1.0, static_cast<double>(peers.receivers_) / living);
   auto messages =
       static_cast<double>(peers.window_) / static_cast<double>(std::max<milliseconds>(peers.send_gap_, 1));
-  auto expected = listed * (1 - std::pow(1 - told, messages));
+  auto expected = living * (1 - std::pow(1 - told, messages));
   auto heard = static_cast<double>(peers.heard_) / std::max(expected, 1.0);
   if (heard >= good_share) {
     return 1;
   }
-  return (1 + heard * listed) / (1 + listed);
+  return (1 + heard * living) / (1 + living);
 }
 
 }  // namespace birchlever
--- a/birchlever/accounts/reached_share.h
+++ b/birchlever/accounts/reached_share.h
@@ -13,7 +13,7 @@
 
 /// What a daemon hears of the others.
 struct heard_peers {
-  std::size_t listed_ = 0;  ///< Other daemons that the store lists.
+  std::size_t living_ = 0;  ///< Other daemons heard within the time after which a silent one was removed.
   std::size_t heard_ = 0;   ///< Of these, heard within `window_`.
   milliseconds window_ = 0;
   milliseconds listening_ = 0;   ///< ms since this daemon began to listen.
--- a/birchlever/gateway/account_filter.cpp
+++ b/birchlever/gateway/account_filter.cpp
@@ -12,10 +12,10 @@
 namespace birchlever {
 namespace {
 
-constexpr auto any_knowledge = std::numeric_limits<milliseconds>::min();
+constexpr auto any_knowledge = std::numeric_limits<milliseconds>::min();  // Where the age does not matter.
 
-constexpr auto held_share = 2;  // A request that is no stream is held for a half of its time at most: the
-                                // other half is for its caller's next try.
+constexpr auto holds_in_its_time = 2;  // A request that is no stream is held for a half of its time at most:
+                                       // the other half is for its caller's next try.
 
 auto holder_of(const gateway_request& request) -> const client_account* {
   const auto& digest = request.facts_.key_digest_;
@@ -35,7 +35,7 @@
   if (request.route_->kind_ == route_kind::streaming) {
     return stream_patience(request, context_->trust_.stream_hold_ms_);
   }
-  return (request.due_ - request.received_at_) / held_share;
+  return (request.due_ - request.received_at_) / holds_in_its_time;
 }
 
 auto account_filter::hold(gateway_request& request) -> task<status> {
--- a/birchlever/gateway/account_filter.h
+++ b/birchlever/gateway/account_filter.h
@@ -17,11 +17,13 @@
   auto apply(gateway_request& request, next_filter next) -> task<> override;
 
  private:
-  /// The moment from which on the configuration must be known to judge a request, and whether it is.
+  /// The moment of our clock at which the configuration must have been known to judge a request by it.
   [[nodiscard]] auto needed_knowledge(const gateway_request& request) const -> milliseconds;
+
+  /// ms from its arrival for which a request may wait for newer knowledge.
   [[nodiscard]] auto longest_hold(const gateway_request& request) const -> milliseconds;
   auto hold(gateway_request& request) -> task<status>;
-  auto judge(gateway_request& request) -> status;
+  static auto judge(gateway_request& request) -> status;
 
   std::shared_ptr<gateway_context> context_;
 };
--- a/birchlever/gateway/gateway_request.h
+++ b/birchlever/gateway/gateway_request.h
@@ -38,18 +38,17 @@
   milliseconds received_at_ = 0;
   milliseconds due_ = 0;  ///< When the caller must have its final answer.
   bool keep_alive_ = true;
-
-  /// The name of the caller's account; empty without one.
-  [[nodiscard]] auto account_name() const -> std::string {
-    return account_ == nullptr ? std::string{} : account_->name_;
-  }
-
   bool answered_ = false;  ///< Something of an answer has gone out.
   int final_status_ = 0;   ///< What the caller got; 0 while nothing.
   relayed_stream relayed_;
 
   /// Called with a whole stream before its end goes out. False: the end must not go out.
   std::function<task<bool>(gateway_request&)> before_end_;
+
+  /// The name of the caller's account; empty without one.
+  [[nodiscard]] auto account_name() const -> std::string {
+    return account_ == nullptr ? std::string{} : account_->name_;
+  }
 };
 
 }  // namespace birchlever
--- a/birchlever/gateway/route_filter.cpp
+++ b/birchlever/gateway/route_filter.cpp
@@ -34,13 +34,15 @@
     co_return;
   }
   auto facts = context_->dialect_->read(request.message_);
-  auto resolved = ok(facts) ? status{success} : status{failure(facts)};
   if (ok(facts)) {
     request.facts_ = std::move(value(facts));
   }
   auto routed = resolve_route(request);
-  if (!ok(routed) || !ok(resolved)) {
-    auto reason = ok(routed) ? failure(resolved) : failure(routed);
+  if (ok(routed) && !ok(facts)) {  // An unknown route is told before a header that can't be read.
+    routed = failure(facts);
+  }
+  if (!ok(routed)) {
+    auto reason = failure(routed);
     co_await refuse(*context_, request, reason);
     co_return;
   }
--- a/birchlever_daemon/gateway_daemon.h
+++ b/birchlever_daemon/gateway_daemon.h
@@ -85,7 +85,6 @@
   std::shared_ptr<budget_transfer> budget_transfer_;  ///< None without peers.
   std::shared_ptr<central_grants> grants_;            ///< None without peers, or where they are switched off.
   milliseconds joined_at_ = 0;                        ///< When this daemon began to listen to peers.
-  std::size_t listed_peers_ = 0;
   std::shared_ptr<program_sweeper> sweeper_;
   std::shared_ptr<gateway_server> server_;
   std::shared_ptr<http_listener> readiness_listener_;
--- a/birchlever_daemon/gateway_daemon_peers.cpp
+++ b/birchlever_daemon/gateway_daemon_peers.cpp
@@ -18,7 +18,10 @@
 constexpr auto grants_port_offset = 1;                  // The first port is the peers' own messages'.
 constexpr auto allotment_hearing = milliseconds{1200};  // Six messages of each peer. A cut shows after so
                                                         // long; until then both sides grant the whole.
-constexpr auto peer_clock_margin = milliseconds{150};   // Calls that were under way when the store went away.
+constexpr auto peer_gone_after =
+    milliseconds{30000};  // A daemon that is silent for so long was removed: cuts last
+                          // some ten seconds. At 350 daemons each is heard by then.
+constexpr auto peer_clock_margin = milliseconds{150};  // Calls that were under way when the store went away.
 
 }  // namespace
 
@@ -91,7 +94,6 @@
   context_->allotments_ = grants_;
   peers_->on_heard([this](const std::string& vm) { grants_->note_heard(vm); });
   peers_->on_list([this](const std::map<std::string, asio::ip::udp::endpoint>& listed) {
-    listed_peers_ = listed.size();
     auto members = central_grants::member_map{};
     for (const auto& [vm, address] : listed) {
       auto port = static_cast<unsigned short>(address.port() + grants_port_offset);
@@ -104,7 +106,7 @@
 
 auto gateway_daemon::allotment_share() const -> double {
   auto heard = heard_peers{};
-  heard.listed_ = listed_peers_;
+  heard.living_ = peers_->views().heard_within(peer_gone_after);
   heard.window_ = allotment_hearing;
   heard.heard_ = peers_->views().heard_within(allotment_hearing);
   heard.listening_ = context_->clock_.now() - joined_at_;
--- a/fleet_model/allotment_model.cpp
+++ b/fleet_model/allotment_model.cpp
@@ -195,7 +195,7 @@
 
   auto share_of(std::size_t index) const -> double {
     auto heard = heard_peers{};
-    heard.listed_ = daemons_.size() - 1;
+    heard.living_ = daemons_.size() - 1;
     heard.window_ = static_cast<milliseconds>(hearing_ms);
     auto listening = events_.now_ms() - load_.kill_at_ms_ - load_.kill_pause_ms_;
     heard.listening_ =
