--- a/birchlever/controllers/change_log.cpp
+++ b/birchlever/controllers/change_log.cpp
@@ -7,20 +7,36 @@
 
 }  // namespace
 
-auto change_log::reset(const std::vector<stored_row>& rows, std::int64_t version) -> void {
+auto change_log::begin() -> void {
   told_.clear();
   changes_.clear();
+  known_from_ = 0;
+  version_ = 0;
+}
+
+auto change_log::add(const std::vector<stored_row>& rows) -> void {
   for (const auto& row : rows) {
     told_[row.key_.key_] = meaning_(row);
   }
+}
+
+auto change_log::end(std::int64_t version) -> void {
   known_from_ = version;
   version_ = version;
 }
 
-auto change_log::take(const std::vector<stored_row>& changed, std::int64_t version) -> void {
+auto change_log::reset(const std::vector<stored_row>& rows, std::int64_t version) -> void {
+  begin();
+  add(rows);
+  end(version);
+}
+
+auto change_log::take(const std::vector<stored_row>& changed, std::int64_t version)
+    -> std::vector<stored_row> {
+  auto taken = std::vector<stored_row>{};
   for (const auto& row : changed) {
     auto told = told_.find(row.key_.key_);
-    auto meaning = row.removed_ ? std::string{} : meaning_(row);
+    auto meaning = row.removed_ ? 0 : meaning_(row);
     auto same = row.removed_ ? told == told_.end() : told != told_.end() && told->second == meaning;
     if (same) {
       continue;
@@ -28,18 +44,20 @@
     if (row.removed_) {
       told_.erase(told);
     } else {
-      told_[row.key_.key_] = std::move(meaning);
+      told_[row.key_.key_] = meaning;
     }
     changes_.push_back(row);
     if (row.version_ == 0) {
       changes_.back().version_ = version;  // A removed row need not say when.
     }
+    taken.push_back(changes_.back());
   }
   while (changes_.size() > most_changes) {
     known_from_ = changes_.front().version_;
     changes_.pop_front();
   }
   version_ = version;
+  return taken;
 }
 
 auto change_log::since(std::int64_t version) const -> std::optional<std::vector<stored_row>> {
--- a/birchlever/controllers/change_log.h
+++ b/birchlever/controllers/change_log.h
@@ -6,9 +6,9 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "birchlever/storage/row_store_interface.h"
@@ -18,16 +18,25 @@
 /// A function of the rows that it is given; no network.
 class change_log {
  public:
-  /// What of a row's content matters. Rows with the same text are taken for the same.
-  using meaning_function = std::function<std::string(const stored_row&)>;
+  /// A digest of what matters of a row's content. Rows with the same digest are taken for the same.
+  using meaning_function = std::function<std::uint64_t(const stored_row&)>;
 
   explicit change_log(meaning_function meaning) : meaning_{std::move(meaning)} {}
 
-  /// All rows as of a version. Changes before it are not known.
+  /// The table is told anew, page by page: nothing is known until its end.
+  auto begin() -> void;
+
+  /// A page of it.
+  auto add(const std::vector<stored_row>& rows) -> void;
+
+  /// All was told, as of a version. Changes before it are not known.
+  auto end(std::int64_t version) -> void;
+
+  /// All three at once.
   auto reset(const std::vector<stored_row>& rows, std::int64_t version) -> void;
 
-  /// Rows that changed, in order, and the version up to which all are named.
-  auto take(const std::vector<stored_row>& changed, std::int64_t version) -> void;
+  /// Rows that changed, in order, and the version up to which all are named. Yields those that mean something.
+  auto take(const std::vector<stored_row>& changed, std::int64_t version) -> std::vector<stored_row>;
 
   /// The changes after a version; none when that lies before what is known.
   [[nodiscard]] auto since(std::int64_t version) const -> std::optional<std::vector<stored_row>>;
@@ -42,7 +51,7 @@
 
  private:
   meaning_function meaning_;
-  std::map<std::string, std::string> told_;  ///< What each row means, by key.
+  std::unordered_map<std::string, std::uint64_t> told_;  ///< What each row means, by key.
   std::deque<stored_row> changes_;
   std::int64_t known_from_ = 0;
   std::int64_t version_ = 0;
--- a/birchlever/controllers/peer_exchange.cpp
+++ b/birchlever/controllers/peer_exchange.cpp
@@ -166,6 +166,7 @@
   }
   receivers_.clear();
   known_.clear();
+  list_known_ = true;
   auto listed_here = false;
   auto listed = std::map<std::string, asio::ip::udp::endpoint>{};
   for (const auto& row : value(page).rows_) {
--- a/birchlever/controllers/peer_exchange.h
+++ b/birchlever/controllers/peer_exchange.h
@@ -72,6 +72,9 @@
   /// Peers that the store lists.
   [[nodiscard]] auto listed_peers() const -> std::size_t { return receivers_.size(); }
 
+  /// True once the list was read.
+  [[nodiscard]] auto list_known() const -> bool { return list_known_; }
+
  private:
   peer_exchange(event_loop& loop, std::shared_ptr<row_store_interface> rows, peer_exchange_settings settings,
                 describe_function describe);
@@ -98,6 +101,7 @@
   std::set<asio::ip::udp::endpoint> known_;  ///< The same, to be looked up.
   std::vector<upstream_news> untold_;
   milliseconds told_at_ = 0;
+  bool list_known_ = false;
   news_function on_news_;
   list_function on_list_;
   heard_function on_heard_;
--- a/birchlever/controllers/peer_feed.cpp
+++ b/birchlever/controllers/peer_feed.cpp
@@ -82,26 +82,35 @@
   return may_answer() && must_follow();
 }
 
+auto peer_feed::rank_of(const std::string& vm, double cores) const -> std::pair<double, std::uint64_t> {
+  return {cores, rendezvous_weight(vm, subject)};
+}
+
 auto peer_feed::must_follow() const -> bool {
-  auto own = rendezvous_weight(settings_.vm_, subject);
+  auto own = rank_of(settings_.vm_, settings_.cores_);
   auto before = 0;
-  for (const auto& [vm, address] : views_->fresh_followers()) {
-    before += rendezvous_weight(vm, subject) > own ? 1 : 0;
+  for (const auto& other : views_->followers_within(settings_.remembered_)) {
+    before += rank_of(other.vm_, other.cores_) > own ? 1 : 0;
   }
   return before < settings_.followers_;
 }
 
-auto peer_feed::choose_peer() const -> std::optional<std::pair<std::string, std::string>> {
+auto peer_feed::choose_peer() -> std::optional<std::pair<std::string, std::string>> {
   auto now = clock_.now();
+  auto usable = [&](const std::string& vm) {
+    auto failed = avoided_.find(vm);
+    return failed == avoided_.end() || failed->second <= now;
+  };
+  if (!source_.empty() && usable(source_)) {
+    return std::pair{source_, source_address_};
+  }
   auto best = std::optional<std::pair<std::string, std::string>>{};
   auto highest = std::uint64_t{0};
-  for (auto& [vm, address] : views_->fresh_followers()) {
-    auto failed = avoided_.find(vm);
-    auto usable = failed == avoided_.end() || failed->second <= now;
-    auto weight = rendezvous_weight(vm, settings_.vm_);  // Spreads daemons evenly over the followers.
-    if (usable && weight >= highest) {
+  for (auto& other : views_->followers_within(settings_.remembered_)) {
+    auto weight = rendezvous_weight(other.vm_, settings_.vm_);  // Spreads daemons evenly over the followers.
+    if (usable(other.vm_) && weight >= highest) {
       highest = weight;
-      best = {vm, address};
+      best = {other.vm_, other.control_address_};
     }
   }
   return best;
@@ -111,6 +120,7 @@
   auto self = shared_from_this();
   auto peer = must_follow() ? std::nullopt : choose_peer();
   note_source(peer ? peer->first : std::string{});
+  source_address_ = peer ? peer->second : std::string{};
   if (!peer) {
     co_return co_await look_at_store(std::move(table), after);
   }
@@ -131,20 +141,24 @@
   }
 }
 
-auto peer_feed::take_scan(const std::vector<stored_row>& rows, std::int64_t version) -> void {
-  log_.reset(rows, version);
+auto peer_feed::end_scan(std::int64_t version) -> void {
+  log_.end(version);
   store_answered_at_ = clock_.now();
 }
 
 auto peer_feed::look_at_store(std::string table, std::int64_t after) -> task<result<row_page>> {
+  if (busy_) {
+    co_await pause_for(*loop_, settings_.busy_gap_);
+  }
   auto page = co_await rows_->changes(std::move(table), after, settings_.store_wait_);
   if (!ok(page)) {
     co_return page;
   }
+  busy_ = value(page).rows_.size() >= settings_.busy_rows_;
   store_answered_at_ = clock_.now();
   if (after <= log_.version()) {
     auto before = log_.last_change();
-    log_.take(value(page).rows_, std::max(log_.version(), value(page).version_));
+    value(page).rows_ = log_.take(value(page).rows_, std::max(log_.version(), value(page).version_));
     if (log_.last_change() != before) {
       changed_.notify();
     }
--- a/birchlever/controllers/peer_feed.h
+++ b/birchlever/controllers/peer_feed.h
@@ -25,14 +25,18 @@
 /// How a table is followed through peers. Times in ms.
 struct peer_feed_settings {
   std::string vm_;
-  int followers_ = 3;  ///< Daemons that look at the store themselves, as each daemon sees it; of a large
-                       ///< fleet it hears a third at a time, so there are about nine.
+  double cores_ = 0;   ///< This daemon's share of a core: those with more follow first.
+  int followers_ = 3;  ///< Daemons that look at the store themselves, as each daemon sees it.
+  milliseconds remembered_ = 10000;  ///< A follower counts for so long after it was heard: of the largest
+                                     ///< fleet most daemons are heard once within it.
   milliseconds wait_ = 600;    ///< A look is held by a peer so long.
   milliseconds grace_ = 250;   ///< Beyond that, until the peer is taken for silent. With wait_ less than half
                                ///< of the shortest time after which a leaving upstream must get no work.
   milliseconds oldest_ = 800;  ///< A follower that the store answered longer ago tells nobody.
   milliseconds avoid_ = 3000;  ///< A peer that failed is not asked for so long.
   milliseconds store_wait_ = 500;  ///< A follower's own look is held by the store so long.
+  std::size_t busy_rows_ = 16;     ///< Where a look brings so many rows, heartbeats of hundreds,
+  milliseconds busy_gap_ = 150;    ///< the next one comes so much later: each look has its price.
 };
 
 /// For coroutines of one loop.
@@ -46,8 +50,10 @@
   /// Waits for changes of a table after a version, as the store's own feed does, and with its failures.
   auto changes(std::string table, std::int64_t after) -> task<result<row_page>>;
 
-  /// A scan of the table brought these rows.
-  auto take_scan(const std::vector<stored_row>& rows, std::int64_t version) -> void;
+  /// A scan of the table begins, brings a page of rows, and ends with the version that all of it reflects.
+  auto begin_scan() -> void { log_.begin(); }
+  auto take_page(const std::vector<stored_row>& rows) -> void { log_.add(rows); }
+  auto end_scan(std::int64_t version) -> void;
 
   /// True when this daemon looks at the store itself, goes on doing so, and may be asked by others.
   [[nodiscard]] auto follows() const -> bool;
@@ -65,7 +71,9 @@
 
   [[nodiscard]] auto must_follow() const -> bool;
   [[nodiscard]] auto may_answer() const -> bool;
-  [[nodiscard]] auto choose_peer() const -> std::optional<std::pair<std::string, std::string>>;
+  [[nodiscard]] auto rank_of(const std::string& vm, double cores) const -> std::pair<double, std::uint64_t>;
+  /// The peer followed so far while it answers, else one by this daemon's own order.
+  auto choose_peer() -> std::optional<std::pair<std::string, std::string>>;
   [[nodiscard]] auto current() const -> bool;
   auto note_source(const std::string& peer) -> void;
   auto look_at_store(std::string table, std::int64_t after) -> task<result<row_page>>;
@@ -80,7 +88,9 @@
   std::shared_ptr<connection_pool> connections_;
   steady_clock clock_;
   std::string source_;                           ///< The peer looked at last; empty for the store.
+  std::string source_address_;
   milliseconds store_answered_at_ = 0;           ///< 0 when never.
+  bool busy_ = false;                            ///< The last look brought many rows.
   std::map<std::string, milliseconds> avoided_;  ///< Peers that failed, until when.
 };
 
--- a/birchlever/controllers/peer_state.h
+++ b/birchlever/controllers/peer_state.h
@@ -25,6 +25,8 @@
   std::vector<upstream_news> news_;  ///< What it just learned of upstreams: then nothing else is told. Empty
                                      ///< in regular messages.
   bool follows_ = false;  ///< Looks at the table of upstreams itself, and tells others what changes there.
+  double cores_ = 0;      ///< Its share of a processor core; 0: not told.
+  std::string region_;    ///< Where it stands; empty where regions are not told apart.
 };
 
 /// The bytes of a message.
--- a/birchlever/controllers/peer_views.cpp
+++ b/birchlever/controllers/peer_views.cpp
@@ -25,12 +25,13 @@
   });
 }
 
-auto peer_views::answered_since(milliseconds moment) const -> const peer_state* {
+auto peer_views::answered_since(milliseconds moment, const std::string& region) const -> const peer_state* {
   auto now = clock_->now();
   auto latest = moment;
   const auto* best = static_cast<const peer_state*>(nullptr);
   for (const auto& [vm, heard] : heard_) {
-    if (now - heard.at_ >= fresh_ || !heard.state_.store_silence_) {
+    auto elsewhere = !region.empty() && heard.state_.region_ != region;
+    if (now - heard.at_ >= fresh_ || !heard.state_.store_silence_ || elsewhere) {
       continue;
     }
     auto answered_at = heard.at_ - *heard.state_.store_silence_;
@@ -67,18 +68,28 @@
   return newest == nullptr ? std::nullopt : std::optional{newest->state_.control_address_};
 }
 
-auto peer_views::addresses_of(bool followers_only) const -> std::map<std::string, std::string> {
+auto peer_views::fresh_addresses() const -> std::map<std::string, std::string> {
   auto addresses = std::map<std::string, std::string>{};
   auto now = clock_->now();
   for (const auto& [vm, heard] : heard_) {
-    auto wanted = heard.state_.follows_ || !followers_only;
-    if (wanted && now - heard.at_ <= fresh_) {
+    if (now - heard.at_ <= fresh_) {
       addresses[vm] = heard.state_.control_address_;
     }
   }
   return addresses;
 }
 
+auto peer_views::followers_within(milliseconds span) const -> std::vector<follower> {
+  auto followers = std::vector<follower>{};
+  auto now = clock_->now();
+  for (const auto& [vm, heard] : heard_) {
+    if (heard.state_.follows_ && now - heard.at_ <= span) {
+      followers.push_back({vm, heard.state_.control_address_, heard.state_.cores_});
+    }
+  }
+  return followers;
+}
+
 auto peer_views::heard_within(milliseconds span) const -> std::size_t {
   auto now = clock_->now();
   return static_cast<std::size_t>(std::count_if(
--- a/birchlever/controllers/peer_views.h
+++ b/birchlever/controllers/peer_views.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "birchlever/controllers/peer_state.h"
 
@@ -27,8 +28,10 @@
   /// The peer is gone for good.
   auto forget(const std::string& vm) -> void { heard_.erase(vm); }
 
-  /// The peer that the store answered last, if that was after the given moment of our clock; else none.
-  [[nodiscard]] auto answered_since(milliseconds moment) const -> const peer_state*;
+  /// The peer that the store answered last, if that was after the given moment of our clock; else none. Of
+  /// one region only, when that is not empty: what is relayed may have to stay there.
+  [[nodiscard]] auto answered_since(milliseconds moment, const std::string& region = {}) const
+      -> const peer_state*;
 
   /// Requests that peers have running at each upstream, by their latest words.
   [[nodiscard]] auto running_elsewhere() const -> std::unordered_map<std::string, double>;
@@ -38,14 +41,17 @@
   [[nodiscard]] auto preferred_for(std::string_view subject) const -> bool;
 
   /// Control addresses of the peers heard of lately, by VM.
-  [[nodiscard]] auto fresh_addresses() const -> std::map<std::string, std::string> {
-    return addresses_of(false);
-  }
+  [[nodiscard]] auto fresh_addresses() const -> std::map<std::string, std::string>;
 
-  /// Likewise of those that follow the table of upstreams themselves.
-  [[nodiscard]] auto fresh_followers() const -> std::map<std::string, std::string> {
-    return addresses_of(true);
-  }
+  /// A peer that follows the table of upstreams itself.
+  struct follower {
+    std::string vm_;
+    std::string control_address_;
+    double cores_ = 0;
+  };
+
+  /// Those heard of within so many ms, as they last said.
+  [[nodiscard]] auto followers_within(milliseconds span) const -> std::vector<follower>;
 
   /// The control address of the peer that last said it holds a range of allowances; it may hold it no more.
   [[nodiscard]] auto holder_of_allowance(int range) const -> std::optional<std::string>;
@@ -62,8 +68,6 @@
     milliseconds at_ = 0;
   };
 
-  [[nodiscard]] auto addresses_of(bool followers_only) const -> std::map<std::string, std::string>;
-
   std::string vm_;
   milliseconds fresh_;
   std::shared_ptr<const clock_interface> clock_;
--- a/birchlever/controllers/table_follower.cpp
+++ b/birchlever/controllers/table_follower.cpp
@@ -1,11 +1,13 @@
 #include "birchlever/controllers/table_follower.h"
 
+#include <algorithm>
+
 #include "birchlever/telemetry/log.h"
 
 namespace birchlever {
 namespace {
 
-constexpr auto no_limit = milliseconds{3'600'000};  // A scan ends by its pages' own limits.
+constexpr auto behind_key = '\x01';  // Makes the next key after a given one.
 
 }  // namespace
 
@@ -70,26 +72,47 @@
   }
 }
 
-auto table_follower::scan() -> task<bool> {
-  auto range = row_range{settings_.table_, "", "", ""};
-  auto began_at = clock_.now();
-  auto page = co_await read_all(*rows_, range, settings_.scan_limit_, no_limit);
+auto table_follower::read_page(const row_range& range) -> task<std::optional<row_page>> {
+  auto page = co_await rows_->read(range, settings_.scan_limit_);
   if (!ok(page)) {
     unanswered(failure(page));
-    co_return false;
+    co_return std::nullopt;
   }
-  auto version = value(page).version_;
   answered();
-  if (version < version_) {
+  if (value(page).version_ < version_) {
     log_event(log_level::warning, "scan_behind",
-              {{"table", settings_.table_}, {"version", version}, {"known", version_}});
+              {{"table", settings_.table_}, {"version", value(page).version_}, {"known", version_}});
     co_await pause_for(*loop_, settings_.stale_gap_);
-    co_return false;
+    co_return std::nullopt;
+  }
+  co_return std::move(value(page));
+}
+
+auto table_follower::scan() -> task<bool> {
+  auto range = row_range{settings_.table_, "", "", ""};
+  auto began_at = clock_.now();
+  auto version = std::optional<std::int64_t>{};
+  auto more = true;
+  while (more) {
+    auto page = co_await read_page(range);
+    if (!page) {
+      co_return false;
+    }
+    if (!version) {
+      events_.scan_began_();
+    }
+    version = std::min(version.value_or(page->version_), page->version_);
+    events_.scanned_(page->rows_);
+    begun_ = true;
+    more = page->more_ && !page->rows_.empty();
+    if (more) {
+      range.from_ = page->rows_.back().key_.key_ + behind_key;
+    }
   }
-  version_ = version;
+  version_ = *version;
   scan_needed_ = false;
   primed_ = true;
-  events_.snapshot_(value(page).rows_, version_);
+  events_.scan_ended_(version_);
   tell_answered(began_at);
   co_return true;
 }
--- a/birchlever/controllers/table_follower.h
+++ b/birchlever/controllers/table_follower.h
@@ -1,8 +1,10 @@
 /// Follows a table of the store: a scan first, then its feed, and a scan again when history was lost.
+/// The pages of a scan are told as they come, so that what has come can be used before the last one has.
 #pragma once
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,8 +29,12 @@
 
 /// What a follower tells.
 struct table_follower_events {
-  /// All rows as of one moment, and the version of that moment. Rows missing here are gone.
-  std::function<void(const std::vector<stored_row>&, std::int64_t)> snapshot_;
+  /// A scan begins: what it does not tell until its end is gone.
+  std::function<void()> scan_began_;
+  /// Rows of one page of a scan.
+  std::function<void(const std::vector<stored_row>&)> scanned_;
+  /// All pages of a scan were told; the version is the oldest that one of them reflects.
+  std::function<void(std::int64_t)> scan_ended_;
   /// Rows that changed since, in order.
   std::function<void(const std::vector<stored_row>&)> changes_;
   /// A scan or a look that began at this moment of our clock was answered and told: what is known here was
@@ -51,6 +57,9 @@
   /// True once a first scan was told.
   [[nodiscard]] auto primed() const -> bool { return primed_; }
 
+  /// True once a page of a first scan was told.
+  [[nodiscard]] auto begun() const -> bool { return begun_; }
+
   /// When the store answered again after it had not, on our clock; 0 when it never failed.
   [[nodiscard]] auto regained_at() const -> milliseconds { return regained_at_; }
 
@@ -63,6 +72,7 @@
 
   auto follow() -> task<>;
   auto scan() -> task<bool>;
+  auto read_page(const row_range& range) -> task<std::optional<row_page>>;
   auto look(milliseconds wait) -> task<bool>;
   auto answered() -> void;
   auto tell_answered(milliseconds began_at) -> void;
@@ -77,6 +87,7 @@
   milliseconds regained_at_ = 0;
   bool scan_needed_ = true;
   bool primed_ = false;
+  bool begun_ = false;
   bool lost_ = false;
 };
 
--- a/birchlever/controllers/upstream_follower.cpp
+++ b/birchlever/controllers/upstream_follower.cpp
@@ -1,13 +1,12 @@
 #include "birchlever/controllers/upstream_follower.h"
 
-#include <set>
-
 #include "birchlever/controllers/peer_feed.h"
 #include "birchlever/telemetry/log.h"
 
 namespace birchlever {
 namespace {
 
+constexpr auto most_told_unreadable = std::size_t{32};  // Entries named in the log, once each.
 constexpr auto lapse_check_gap = milliseconds{100};
 
 }  // namespace
@@ -29,10 +28,22 @@
   settings.table_ = table;
   auto* raw = made.get();  // The follower is made's own and ends with it.
   auto events = table_follower_events{};
-  events.snapshot_ = [raw, feed](const auto& listed, std::int64_t version) {
-    raw->take_snapshot(listed);
+  events.scan_began_ = [raw, feed] {
+    raw->scanned_.clear();
+    if (feed) {
+      feed->begin_scan();
+    }
+  };
+  events.scanned_ = [raw, feed](const auto& listed) {
+    raw->take_page(listed);
+    if (feed) {
+      feed->take_page(listed);
+    }
+  };
+  events.scan_ended_ = [raw, feed](std::int64_t version) {
+    raw->end_scan(version);
     if (feed) {
-      feed->take_scan(listed, version);
+      feed->end_scan(version);
     }
   };
   if (feed) {
@@ -45,15 +56,24 @@
   return made;
 }
 
-auto upstream_follower::put(const stored_row& row) -> void {
+auto upstream_follower::put(const stored_row& row, bool announced) -> void {
   auto decoded = decode_(row.key_.key_, row.value_);
   if (!ok(decoded)) {
-    log_event(log_level::error, "upstream_unreadable",
-              {{"upstream", row.key_.key_}, {"version", row.version_}, {"detail", failure(decoded).detail_}});
+    note_unreadable(row, failure(decoded));
     return;
   }
   lapsed_.erase(row.key_.key_);
-  directory_->put(std::move(value(decoded)));
+  directory_->put(std::move(value(decoded)), announced);
+}
+
+auto upstream_follower::note_unreadable(const stored_row& row, const error& reason) -> void {
+  ++unreadable_;
+  auto told = told_unreadable_.size() < most_told_unreadable && told_unreadable_.insert(row.key_.key_).second;
+  if (told) {
+    log_event(log_level::warning, "upstream_unreadable",
+              {{"upstream", row.key_.key_}, {"version", row.version_}, {"detail", reason.detail_}});
+  }
+  directory_->remove(row.key_.key_);  // What it was, nobody says any more.
 }
 
 auto upstream_follower::remove(const std::string& id) -> void {
@@ -73,17 +93,25 @@
   }
 }
 
-auto upstream_follower::take_snapshot(const std::vector<stored_row>& rows) -> void {
-  auto listed = std::set<std::string>{};
+auto upstream_follower::take_page(const std::vector<stored_row>& rows) -> void {
   for (const auto& row : rows) {
-    listed.insert(row.key_.key_);
-    put(row);
+    scanned_.insert(row.key_.key_);
+    put(row, false);
   }
+}
+
+auto upstream_follower::end_scan(std::int64_t version) -> void {
   for (const auto& id : directory_->ids()) {
-    if (listed.count(id) == 0) {
+    if (scanned_.count(id) == 0) {
       remove(id);
     }
   }
+  log_event(log_level::info, "upstreams_scanned",
+            {{"entries", static_cast<std::int64_t>(scanned_.size())},
+             {"upstreams", static_cast<std::int64_t>(directory_->ids().size())},
+             {"unreadable", unreadable_},
+             {"version", version}});
+  scanned_ = {};
 }
 
 auto upstream_follower::take_changes(const std::vector<stored_row>& rows) -> void {
@@ -91,7 +119,7 @@
     if (row.removed_) {
       remove(row.key_.key_);
     } else {
-      put(row);
+      put(row, true);
     }
   }
 }
--- a/birchlever/controllers/upstream_follower.h
+++ b/birchlever/controllers/upstream_follower.h
@@ -4,7 +4,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "birchlever/controllers/table_follower.h"
@@ -28,19 +30,24 @@
                      milliseconds lapse_return, std::shared_ptr<peer_feed> feed = nullptr)
       -> std::shared_ptr<upstream_follower>;
 
-  /// True once a whole list was read.
-  [[nodiscard]] auto primed() const -> bool { return follower_->primed(); }
+  /// True once enough of the list was read to serve with: its first page, which holds hundreds.
+  [[nodiscard]] auto primed() const -> bool { return follower_->begun(); }
 
   /// True while the store does not answer.
   [[nodiscard]] auto lost() const -> bool { return follower_->lost(); }
 
+  /// Entries so far that named no upstream to use.
+  [[nodiscard]] auto unreadable() const -> std::int64_t { return unreadable_; }
+
  private:
   upstream_follower(event_loop& loop, std::shared_ptr<upstream_directory> directory, decode_function decode,
                     milliseconds lapse_return);
 
-  auto take_snapshot(const std::vector<stored_row>& rows) -> void;
+  auto take_page(const std::vector<stored_row>& rows) -> void;
+  auto end_scan(std::int64_t version) -> void;
   auto take_changes(const std::vector<stored_row>& rows) -> void;
-  auto put(const stored_row& row) -> void;
+  auto put(const stored_row& row, bool announced) -> void;
+  auto note_unreadable(const stored_row& row, const error& reason) -> void;
   auto remove(const std::string& id) -> void;
   auto remove_lapsed() -> task<>;
 
@@ -49,7 +56,10 @@
   decode_function decode_;
   milliseconds lapse_return_;
   steady_clock clock_;
+  std::int64_t unreadable_ = 0;
+  std::set<std::string> told_unreadable_;
   std::shared_ptr<table_follower> follower_;
+  std::unordered_set<std::string> scanned_;     ///< Ids that the scan under way has told.
   std::map<std::string, milliseconds> lapsed_;  ///< By id: when it is taken for gone.
 };
 
--- a/birchlever/coordination/serving_configuration.h
+++ b/birchlever/coordination/serving_configuration.h
@@ -44,6 +44,7 @@
   bool resumable_ = false;      ///< A stream that broke may go on at another upstream, behind a given event.
   milliseconds retention_ = 0;  ///< How long a turn's history is kept after its answer.
   bool public_ = false;         ///< Needs no key of a client account.
+  std::vector<std::string> allowed_regions_;  ///< It is served there only; empty: anywhere.
 };
 
 /// What one model engine of a service can do.
@@ -59,6 +60,8 @@
   std::string health_path_;
   std::int64_t max_connections_ = 0;  ///< An upstream takes from all callers together; 0 means not known.
   std::optional<engine_capacity> engine_;
+  double cold_per_s_ = 0;        ///< Requests a second that an upstream bears after its start; 0: no bound.
+  milliseconds cold_start_ = 0;  ///< For so long.
 };
 
 /// A whole configuration. Versions rise, not always by one.
--- a/birchlever/gateway/gateway_settings.cpp
+++ b/birchlever/gateway/gateway_settings.cpp
@@ -4,6 +4,7 @@
 #include <sstream>
 
 #include "birchlever/http/http_listener.h"
+#include "birchlever/upstream/hall_regions.h"
 
 namespace birchlever {
 namespace {
@@ -39,6 +40,13 @@
   }
 }
 
+auto check_hall_regions(std::vector<setting_fault>& faults, const std::string& text) -> void {
+  auto parsed = hall_regions::parse(text);
+  if (!ok(parsed)) {
+    faults.push_back({"hall_regions", text, failure(parsed).detail_});
+  }
+}
+
 template <class Number>
 auto check_range(std::vector<setting_fault>& faults, const char* name, Number given, Number least,
                  Number most, const char* unit) -> void {
@@ -91,6 +99,7 @@
   check_policy_text(faults, "engine_policy", settings.engine_policy_);
   check_policy_text(faults, "service_policy", settings.service_policy_);
   check_allotments(faults, settings.allotments_);
+  check_hall_regions(faults, settings.hall_regions_);
 #define TEXT_SETTING(name, standard, purpose)
 #define REAL_SETTING(name, standard, least, most, unit, purpose) \
   check_range<double>(faults, #name, settings.name##_, least, most, unit);
--- a/birchlever/gateway/upstream_dispatch.cpp
+++ b/birchlever/gateway/upstream_dispatch.cpp
@@ -65,6 +65,13 @@
     auto share = service->max_connections_ / std::max<std::int64_t>(context_->daemons_, 1);
     wish.most_here_ = static_cast<int>(std::max<std::int64_t>(share, least_share));
   }
+  if (service != nullptr) {
+    wish.cold_start_ = {service->cold_per_s_, context_->daemons_, service->cold_start_};
+  }
+  wish.regions_.add(request.route_->allowed_regions_);
+  if (request.account_ != nullptr) {
+    wish.regions_.add(request.account_->allowed_regions_);
+  }
   if (service != nullptr && service->engine_) {
     wish.cache_room_ = service->engine_->cache_tokens_;
   }
--- a/birchlever/gateway/upstream_offer.cpp
+++ b/birchlever/gateway/upstream_offer.cpp
@@ -73,8 +73,8 @@
       return offer_outcome::not_reached;
     case exchange_fault::timed_out:
       return offer_outcome::out_of_time;
-    case exchange_fault::aborted:
-      return offer_outcome::caller_gone;
+    case exchange_fault::aborted:  // By a caller that left, or since the upstream has started again.
+      return request_->connection_->gone() ? offer_outcome::caller_gone : offer_outcome::unknown;
     case exchange_fault::closed_unasked:
     case exchange_fault::broken:
     case exchange_fault::malformed:
@@ -84,6 +84,17 @@
 }
 
 auto upstream_offer::run() -> task<offer_outcome> {
+  auto refused = co_await send();
+  if (refused) {
+    co_return *refused;
+  }
+  auto watch = target_->on_replaced([connection = connection_] { connection->abort(); });
+  auto outcome = co_await relay();
+  target_->forget_callback(watch);
+  co_return outcome;
+}
+
+auto upstream_offer::send() -> task<std::optional<offer_outcome>> {
   auto may_repeat = request_->route_->kind_ == route_kind::safe || request_->route_->resumable_;
   auto most_idle = may_repeat ? any_age : context_->limits_.streaming_most_idle_;
   auto left = request_->due_ - context_->clock_.now();
@@ -100,6 +111,11 @@
   request_->connection_->on_gone([connection = connection_] { connection->abort(); });
   connection_->send(message(), request_->due_ - context_->clock_.now());
   request_->relayed_.reached_upstream_ = true;
+  co_return std::nullopt;
+}
+
+auto upstream_offer::relay() -> task<offer_outcome> {
+  auto address = target_->entry().address_;
   auto read = co_await connection_->read_head();
   if (auto* fault = std::get_if<exchange_fault>(&read)) {
     connection_->abort();
@@ -227,7 +243,7 @@
 }
 
 auto upstream_offer::relay_stream(http_response head) -> task<offer_outcome> {
-  request_->relayed_.upstream_ = target_->entry().id_;
+  request_->relayed_.upstream_ = incarnation_of(target_->entry());
   auto head_written = co_await write_stream_head(std::move(head));
   if (!head_written) {
     co_return break_off("caller_gone", false);
@@ -236,7 +252,8 @@
   while (!last) {
     auto read = co_await connection_->read_piece();
     if (auto* fault = std::get_if<exchange_fault>(&read)) {
-      auto broken = *fault == exchange_fault::broken || *fault == exchange_fault::malformed;
+      auto broken = *fault == exchange_fault::broken || *fault == exchange_fault::malformed ||
+                    *fault == exchange_fault::aborted;
       co_return break_off(name_of(*fault), broken);
     }
     auto& piece = std::get<body_piece>(read);
--- a/birchlever/gateway/upstream_offer.h
+++ b/birchlever/gateway/upstream_offer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 
 #include "birchlever/gateway/gateway_context.h"
 #include "birchlever/http/event_stream.h"
@@ -32,10 +33,14 @@
   upstream_offer(gateway_context& context, gateway_request& request, upstream& target, milliseconds sent_at)
       : context_{&context}, request_{&request}, target_{&target}, sent_at_{sent_at} {}
 
-  /// Sends the request and relays its answer.
+  /// Sends the request and relays its answer. When another start takes the upstream's place, what runs there
+  /// is lost, and this ends at once.
   auto run() -> task<offer_outcome>;
 
  private:
+  /// Connects and sends. Yields an outcome when that was not possible.
+  auto send() -> task<std::optional<offer_outcome>>;
+  auto relay() -> task<offer_outcome>;
   auto message() const -> std::shared_ptr<const http_request>;
   auto judge(exchange_fault fault) const -> offer_outcome;
   auto relay_whole(http_response head) -> task<offer_outcome>;
--- /dev/null
+++ b/birchlever/upstream/cold_start_pace.cpp
@@ -0,0 +1,27 @@
+#include "birchlever/upstream/cold_start_pace.h"
+
+#include <algorithm>
+
+namespace birchlever {
+namespace {
+
+constexpr auto ms_per_second = 1000.0;
+// Two neighbouring periods may both be used within one second, so that half of the rate makes the whole.
+constexpr auto used_share = 0.5;
+constexpr auto open_ms = 1000.0;
+
+}  // namespace
+
+auto cold_start_turn_at(const cold_start_limit& limit, double phase, milliseconds now) -> cold_start_turn {
+  if (limit.per_s_ <= 0) {
+    return {true, now};
+  }
+  auto daemons = static_cast<double>(std::max<std::int64_t>(limit.daemons_, 1));
+  auto period = daemons * ms_per_second / (used_share * limit.per_s_);
+  auto periods = static_cast<double>(now) / period + phase;
+  auto number = static_cast<std::int64_t>(periods);
+  auto into = (periods - static_cast<double>(number)) * period;
+  return {into < open_ms, number};
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/upstream/hall_regions.cpp
@@ -0,0 +1,44 @@
+#include "birchlever/upstream/hall_regions.h"
+
+#include <sstream>
+
+namespace birchlever {
+
+auto hall_regions::parse(const std::string& text) -> result<hall_regions> {
+  auto parsed = hall_regions{};
+  auto items = std::istringstream{text};
+  auto item = std::string{};
+  while (std::getline(items, item, ',')) {
+    auto sign = item.find('=');
+    auto named = sign != std::string::npos && sign > 0 && sign + 1 < item.size();
+    if (!named || !parsed.regions_.emplace(item.substr(0, sign), item.substr(sign + 1)).second) {
+      return error{error_code::invalid_setting, "no hall with its region, or the hall twice: '" + item + "'"};
+    }
+  }
+  return parsed;
+}
+
+auto hall_regions::region_of(const std::string& hall) const -> std::string {
+  auto found = regions_.find(hall);
+  return found == regions_.end() ? std::string{} : found->second;
+}
+
+auto region_bounds::add(const std::vector<std::string>& allowed) -> void {
+  if (allowed.empty()) {
+    return;
+  }
+  auto added = std::set<std::string>{};
+  for (const auto& region : allowed) {
+    if (!bound_ || allowed_.count(region) != 0) {
+      added.insert(region);
+    }
+  }
+  bound_ = true;
+  allowed_ = std::move(added);
+}
+
+auto region_bounds::allow(const std::string& region) const -> bool {
+  return !bound_ || allowed_.count(region) != 0;
+}
+
+}  // namespace birchlever
--- a/birchlever/upstream/upstream_directory.h
+++ b/birchlever/upstream/upstream_directory.h
@@ -1,7 +1,6 @@
 /// The upstreams as the platform's list and this daemon's own traffic show them, and the choice among them.
 #pragma once
 
-#include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -13,56 +12,15 @@
 #include "birchlever/core/clock.h"
 #include "birchlever/policy/policy_interface.h"
 #include "birchlever/upstream/common_parts.h"
+#include "birchlever/upstream/hall_regions.h"
 #include "birchlever/upstream/own_link.h"
-#include "birchlever/upstream/prompt_cache.h"
-#include "birchlever/upstream/upstream_health.h"
+#include "birchlever/upstream/upstream_pool.h"
 
 namespace birchlever {
 
-/// One upstream as listed. Every start of a server is a new upstream with a new id.
-struct upstream_entry {
-  std::string id_;
-  std::string service_;
-  boost::asio::ip::tcp::endpoint address_;
-  std::string data_hall_;
-  std::int64_t slots_ = 1;  ///< Requests that run at once.
-  bool leaving_ = false;    ///< Takes no new request.
-  std::vector<std::string> models_;
-};
-
-/// All of an entry that decisions rest on, as a text: entries with the same text are alike.
-[[nodiscard]] auto meaning_of(const upstream_entry& entry) -> std::string;
-
 /// What one request tells of an upstream.
 enum class upstream_evidence { served, full, failed, none };
 
-/// An upstream and what this daemon knows of it.
-class upstream {
- public:
-  explicit upstream(upstream_entry entry, upstream_health health = upstream_health{})
-      : entry_{std::move(entry)}, health_{std::move(health)} {}
-
-  [[nodiscard]] auto entry() const -> const upstream_entry& { return entry_; }
-  [[nodiscard]] auto running() const -> int { return running_; }
-  [[nodiscard]] auto health() const -> const upstream_health& { return health_; }
-
-  /// False from the moment it was told to leave or its entry is gone.
-  [[nodiscard]] auto takes_requests() const -> bool { return listed_ && !entry_.leaving_; }
-
- private:
-  friend class upstream_directory;
-
-  upstream_entry entry_;
-  bool listed_ = true;
-  int running_ = 0;               ///< Requests of this daemon there now.
-  double running_elsewhere_ = 0;  ///< Requests of other daemons, as they last said.
-  upstream_health health_;
-  milliseconds full_until_ = 0;
-  prompt_cache cache_;
-};
-
-using upstream_pointer = std::shared_ptr<upstream>;
-
 /// What a request wants of an upstream.
 struct upstream_wish {
   std::string service_;
@@ -71,12 +29,14 @@
   std::int64_t most_tokens_ = 0;
   std::vector<prompt_part> parts_;
   std::string program_;        ///< Whose prompt it is; empty outside programs.
-  std::string last_upstream_;  ///< Where the previous turn ran; empty when there was none.
+  std::string last_upstream_;  ///< The incarnation that ran the previous turn; empty when there was none.
   std::string home_subject_;  ///< Requests of one subject prefer the same upstream, through any daemon; empty
                               ///< when it is known where the previous turn ran.
   int most_here_ = 0;  ///< Requests of this daemon after which an upstream counts as full; 0: no bound.
   std::int64_t cache_room_ = 0;     ///< Tokens an engine of the service holds; 0 for plain services.
   std::set<std::string> excluded_;  ///< Upstreams that refused or failed this request.
+  region_bounds regions_;           ///< Where it may be served.
+  cold_start_limit cold_start_;     ///< What an upstream of the service bears after its start.
   std::uint64_t seed_ = 0;
 };
 
@@ -91,7 +51,9 @@
 struct upstream_directory_settings {
   std::string data_hall_;          ///< Where this daemon stands.
   std::uint64_t jitter_seed_ = 0;  ///< Differs between daemons.
+  hall_regions regions_;
   upstream_health_settings health_;
+  upstream_pool_settings pools_;
   double least_kept_share_ = 0.25;  ///< With fewer left than this share of a service, those avoided are used
                                     ///< too: the load of all must not fall on a few.
   milliseconds full_memory_ = 60;   ///< ms for which an upstream that refused as full counts as full.
@@ -101,7 +63,8 @@
 /// What this daemon learned of an upstream, for its peers.
 struct upstream_news {
   std::string id_;
-  bool failed_ = false;  ///< Else it serves again.
+  bool failed_ = false;    ///< Else it serves again.
+  std::int64_t born_ = 0;  ///< Which start of it.
 };
 
 /// For coroutines of one loop.
@@ -109,12 +72,17 @@
  public:
   explicit upstream_directory(upstream_directory_settings settings);
 
-  /// Adds or changes an upstream.
-  auto put(upstream_entry entry) -> void;
+  /// Adds or changes an upstream. An entry of an earlier start than is known changes nothing; one of a later
+  /// start is another upstream, and nothing that is known of the former holds for it.
+  /// `announced`: a new one gets a line in the log; not so while a whole list of thousands is read.
+  auto put(upstream_entry entry, bool announced = true) -> void;
 
   /// The upstream has left the list.
   auto remove(const std::string& id) -> void;
 
+  /// Upstreams of these data halls get no request from now on, those of all others do.
+  auto close_halls(std::set<std::string> halls) -> void;
+
   /// All listed ids.
   [[nodiscard]] auto ids() const -> std::vector<std::string>;
 
@@ -156,15 +124,33 @@
   /// Calls back for each listed upstream.
   auto each(const std::function<void(const upstream&)>& visit) const -> void;
 
+  /// Calls back for each upstream at which requests of this daemon run, listed or not.
+  auto each_busy(const std::function<void(const upstream&)>& visit) const -> void;
+
  private:
-  auto candidates(const upstream_wish& wish, bool also_avoided) const -> std::vector<upstream_pointer>;
+  /// Upstreams to choose among, and how many of them are not avoided now: those come first.
+  struct candidate_list {
+    std::vector<upstream_pointer> usable_;
+    std::size_t sound_ = 0;
+  };
+
+  auto insert(upstream_entry entry, bool announced) -> void;
+  auto change(const upstream_pointer& known, upstream_entry entry) -> void;
+  auto drop(const upstream_pointer& one) -> void;
+  auto note_cold(upstream& one) const -> void;
+  auto candidates(const upstream_wish& wish) -> candidate_list;
+  auto usable(const upstream& one, const upstream_wish& wish, milliseconds now) const -> bool;
+  auto held_tokens(const upstream_pointer& one, const upstream_wish& wish, std::int64_t common,
+                   const upstream_pointer& home, const upstream_pointer& last) const -> std::int64_t;
   /// Prompt tokens that any engine of the service probably holds.
   [[nodiscard]] auto common_tokens(const upstream_wish& wish) const -> std::int64_t;
-  /// The upstream with the highest rendezvous weight for the wish's subject, or none.
-  static auto home_of(const upstream_wish& wish, const std::vector<upstream_pointer>& fitting)
-      -> upstream_pointer;
+  /// The upstream with the highest rendezvous weight for the wish's subject among its neighbours, or none.
+  auto home_of(const upstream_wish& wish, const upstream_pool& pool) const -> upstream_pointer;
+  /// The upstream that ran the previous turn, if that start of it still takes requests; else none.
+  auto last_of(const upstream_wish& wish) const -> upstream_pointer;
   auto view_of(const upstream& one, const upstream_wish& wish) const -> engine_view;
   auto tell(const upstream& one, bool failed) -> void;
+  auto note_idle(const upstream& one) -> void;
   auto take_success(upstream& one, milliseconds now) -> void;
   auto take_failure(upstream& one, milliseconds began, milliseconds now) -> void;
   auto forgive_unanswered() -> void;
@@ -174,7 +160,11 @@
   own_link link_;
   bool link_blamed_ = false;  ///< Failures are put down to the link, until an upstream answers.
   std::map<std::string, common_parts> common_;  ///< By service.
-  std::map<std::string, upstream_pointer> upstreams_;
+  std::unordered_map<std::string, upstream_pointer> upstreams_;  ///< By id.
+  std::map<std::string, upstream_pool> pools_;                   ///< By service.
+  std::vector<upstream_pointer> busy_;                           ///< Where requests of this daemon run.
+  std::vector<upstream_pointer> busy_elsewhere_;                 ///< Where requests of others run.
+  std::set<std::string> closed_halls_;
   news_function on_news_;
   connected_function connected_;
 };
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -86,8 +86,14 @@
   if (!ok(programs)) {
     return failure(programs);
   }
+  auto regions = hall_regions::parse(settings_.hall_regions_);
+  if (!ok(regions)) {
+    return failure(regions);
+  }
+  regions_ = std::move(value(regions));
   auto directory_settings = upstream_directory_settings{};
   directory_settings.data_hall_ = settings_.data_hall_;
+  directory_settings.regions_ = regions_;
   directory_settings.jitter_seed_ = hash_of(settings_.vm_id_);
   context_->loop_ = &loop_;
   context_->dialect_ = std::make_shared<platform::header_dialect>();
@@ -169,17 +175,22 @@
 auto gateway_daemon::follow_store() -> void {
   auto settings = table_follower_settings{};
   settings.table_ = platform::names::operator_table;
-  auto take_all = [this](const std::vector<stored_row>& rows) {
+  auto take_all = [this](const std::vector<stored_row>& rows, bool whole_table) {
+    take_closures(rows, whole_table);
     for (const auto& row : rows) {
       take_configuration(row);
     }
   };
-  auto take_scan = [take_all](const std::vector<stored_row>& rows, std::int64_t /*version*/) {
-    take_all(rows);
+  auto scanned = std::make_shared<std::vector<stored_row>>();
+  auto events = table_follower_events{};
+  events.scan_began_ = [scanned] { scanned->clear(); };
+  events.scanned_ = [scanned](const auto& rows) {
+    scanned->insert(scanned->end(), rows.begin(), rows.end());
   };
-  auto note_answer = [this](milliseconds began_at) { context_->freshness_->note_look(began_at); };
-  configuration_follower_ =
-      table_follower::create(loop_, store_, settings, {take_scan, take_all, note_answer});
+  events.scan_ended_ = [take_all, scanned](std::int64_t /*version*/) { take_all(*scanned, true); };
+  events.changes_ = [take_all](const auto& rows) { take_all(rows, false); };
+  events.answered_ = [this](milliseconds began_at) { context_->freshness_->note_look(began_at); };
+  configuration_follower_ = table_follower::create(loop_, store_, settings, std::move(events));
   upstream_follower_ = upstream_follower::create(
       loop_, store_, platform::names::upstream_table, context_->upstreams_, platform::decode_upstream,
       static_cast<milliseconds>(settings_.lapse_return_s_ * ms_per_second), upstream_feed_);
@@ -227,6 +238,28 @@
   context_->configuration_ = std::make_shared<const serving_configuration>(std::move(value(decoded)));
 }
 
+auto gateway_daemon::take_closures(const std::vector<stored_row>& rows, bool whole_table) -> void {
+  auto closed = whole_table ? std::set<std::string>{} : closed_halls_;
+  for (const auto& row : rows) {
+    auto hall = platform::evacuated_hall(row.key_.key_);
+    if (hall && row.removed_) {
+      closed.erase(*hall);
+    } else if (hall) {
+      closed.insert(*hall);
+    }
+  }
+  if (closed == closed_halls_) {
+    return;
+  }
+  auto names = std::string{};
+  for (const auto& hall : closed) {
+    names += (names.empty() ? "" : ",") + hall;
+  }
+  log_event(log_level::info, "halls_closed", {{"halls", names}});
+  closed_halls_ = closed;
+  context_->upstreams_->close_halls(std::move(closed));
+}
+
 auto gateway_daemon::sweep_programs() -> status {
   auto owns = [this](const std::string& part) { return !peers_ || peers_->views().preferred_for(part); };
   auto sweeper = program_sweeper::create(loop_, store_, {}, owns, [this] { return kept_after_change(); });
--- a/birchlever_daemon/gateway_daemon.h
+++ b/birchlever_daemon/gateway_daemon.h
@@ -44,6 +44,7 @@
   auto load_policies() -> status;
   auto follow_store() -> void;
   auto take_configuration(const stored_row& row) -> void;
+  auto take_closures(const std::vector<stored_row>& rows, bool whole_table) -> void;
   auto watch_freshness() -> void;
   auto renew_configuration() -> task<>;
   auto keep_allotments() -> status;
@@ -89,6 +90,8 @@
   std::shared_ptr<gateway_server> server_;
   std::shared_ptr<http_listener> readiness_listener_;
   std::shared_ptr<http_listener> control_listener_;
+  hall_regions regions_;
+  std::set<std::string> closed_halls_;  ///< Operators want no request there.
   std::int64_t logged_calls_ = 0;
   bool announced_ready_ = false;
   bool finished_all_ = true;
--- a/birchlever_daemon/gateway_daemon_peers.cpp
+++ b/birchlever_daemon/gateway_daemon_peers.cpp
@@ -21,6 +21,8 @@
 constexpr auto peer_gone_after =
     milliseconds{30000};  // A daemon that is silent for so long was removed: cuts last
                           // some ten seconds. At 350 daemons each is heard by then.
+constexpr auto unknown_fleet = std::int64_t{1000};  // Daemons that are assumed until the list of them is known,
+                                                    // so that nobody takes too large a share.
 constexpr auto peer_clock_margin = milliseconds{150};  // Calls that were under way when the store went away.
 
 }  // namespace
@@ -57,6 +59,7 @@
     return kept;
   }
   store_->set_relay([this] { return relay_through(); });
+  context_->daemons_ = unknown_fleet;
   start(loop_, "follow_peers", follow_peers());
   return success;
 }
@@ -139,10 +142,8 @@
   }
   auto settings = peer_feed_settings{};
   settings.vm_ = settings_.vm_id_;
-  auto meaning = [](const stored_row& row) {
-    auto decoded = platform::decode_upstream(row.key_.key_, row.value_);
-    return ok(decoded) ? meaning_of(value(decoded)) : row.value_;
-  };
+  settings.cores_ = settings_.cores_;
+  auto meaning = [](const stored_row& row) { return platform::upstream_digest(row.value_); };
   upstream_feed_ = peer_feed::create(loop_, store_, peers_->views(), settings, meaning);
 }
 
@@ -158,11 +159,10 @@
   state.control_address_ = settings_.control_address_;
   state.allowance_ranges_ = allowances_ ? allowances_->held() : 0;
   state.follows_ = upstream_feed_ && upstream_feed_->follows();
-  context_->upstreams_->each([&](const upstream& one) {
-    if (one.running() > 0) {
-      state.running_[one.entry().id_] = one.running();
-    }
-  });
+  state.cores_ = settings_.cores_;
+  state.region_ = regions_.region_of(settings_.data_hall_);
+  context_->upstreams_->each_busy(
+      [&](const upstream& one) { state.running_[one.entry().id_] = one.running(); });
   return state;
 }
 
@@ -170,7 +170,8 @@
   while (true) {
     co_await pause_for(loop_, peer_look_gap);
     context_->upstreams_->find_stalled();
-    context_->daemons_ = static_cast<std::int64_t>(peers_->listed_peers()) + 1;
+    context_->daemons_ =
+        peers_->list_known() ? static_cast<std::int64_t>(peers_->listed_peers()) + 1 : unknown_fleet;
     context_->upstreams_->set_running_elsewhere(peers_->views().running_elsewhere());
   }
 }
@@ -178,7 +179,11 @@
 auto gateway_daemon::relay_through() const -> std::optional<asio::ip::tcp::endpoint> {
   // An answer that a peer got after we got none any more: the store is up, and only this daemon is turned
   // away.
-  const auto* peer = peers_ ? peers_->views().answered_since(store_->lost_at() + peer_clock_margin) : nullptr;
+  if (!peers_) {
+    return std::nullopt;
+  }
+  auto region = regions_.region_of(settings_.data_hall_);
+  const auto* peer = peers_->views().answered_since(store_->lost_at() + peer_clock_margin, region);
   if (peer == nullptr) {
     return std::nullopt;
   }
--- a/unit_tests/controllers/follower_test.cpp
+++ b/unit_tests/controllers/follower_test.cpp
@@ -56,9 +56,17 @@
   REQUIRE_FALSE(kept->takes_requests());
 }
 
-TEST_CASE("an entry that can't be read changes nothing") {
+TEST_CASE("an entry that can't be read names no upstream to use, others hold, and it may be read again") {
   auto fixture = follower_fixture{};
+  fixture.rows_->put({"servers", "", "u2"}, "ready");
   fixture.rows_->put({"servers", "", "u1"}, "broken");
+  fixture.rows_->put({"servers", "", "u3"}, "broken");
+  fixture.run_for(100);
+  REQUIRE(fixture.directory_->find("u1") == nullptr);
+  REQUIRE(fixture.directory_->find("u3") == nullptr);
+  REQUIRE(fixture.directory_->find("u2")->takes_requests());
+  REQUIRE(fixture.follower_->unreadable() == 2);
+  fixture.rows_->put({"servers", "", "u1"}, "ready");
   fixture.run_for(100);
   REQUIRE(fixture.directory_->find("u1")->takes_requests());
 }
--- a/unit_tests/controllers/freshness_test.cpp
+++ b/unit_tests/controllers/freshness_test.cpp
@@ -21,13 +21,13 @@
         told_ = row.value_;
       }
     };
-    auto take_scan = [take](const std::vector<stored_row>& rows, std::int64_t /*version*/) { take(rows); };
     auto note = [this](milliseconds began_at) {
       sure_at_ = began_at;
       ++answers_;
       told_when_sure_ = told_;
     };
-    follower_ = table_follower::create(loop_, rows_, settings, {take_scan, take, note});
+    auto events = table_follower_events{[] {}, take, [](std::int64_t /*version*/) {}, take, note};
+    follower_ = table_follower::create(loop_, rows_, settings, std::move(events));
     REQUIRE(run_loop_until(loop_, [this] { return answers_ > 0; }));
   }
 
--- a/unit_tests/controllers/peer_feed_test.cpp
+++ b/unit_tests/controllers/peer_feed_test.cpp
@@ -1,6 +1,7 @@
 /// A table that is followed through peers: only changes that mean something are told, and whoever is not told
 /// in time looks itself.
 #include "birchlever/controllers/peer_feed.h"
+#include "birchlever/core/hashing.h"
 
 #include <catch2/catch.hpp>
 
@@ -19,8 +20,8 @@
 }
 
 /// The text before a sign is what matters; the rest is a heartbeat.
-auto meaning(const stored_row& row) -> std::string {
-  return row.value_.substr(0, row.value_.find('#'));
+auto meaning(const stored_row& row) -> std::uint64_t {
+  return hash_of(row.value_.substr(0, row.value_.find('#')));
 }
 
 /// A store that counts the looks at its feed, and may answer none of them.
@@ -221,7 +222,10 @@
   CHECK(status_of("/changes/-7/100") == 400);
   CHECK(status_of("/changes/7/100000000") == 400);
   CHECK(status_of("/changes/7/100") == 503);
-  feed->take_scan({row_of("u1", "ready", 3)}, 9);
+  feed->begin_scan();
+  feed->take_page({row_of("u1", "ready", 3)});
+  CHECK(status_of("/changes/7/100") == 503);  // Half of a table is none.
+  feed->end_scan(9);
   CHECK(status_of("/changes/7/100") == 410);
   CHECK(status_of("/changes/9/50") == 200);
 }
--- a/unit_tests/platform/decode_test.cpp
+++ b/unit_tests/platform/decode_test.cpp
@@ -1,7 +1,10 @@
 /// The platform's records become the product's types, or typed errors.
 #include "platform/decode.h"
 
+#include <rapidcheck.h>
+
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "birchlever/accounts/key_digest.h"
 #include "platform/header_dialect.h"
@@ -85,17 +88,96 @@
           error_code::wrong_type);
   REQUIRE(failure(decode_upstream("i1", R"({"service":"s"})")).code_ == error_code::missing_field);
   REQUIRE(failure(decode_upstream("i1", R"({"service":"s","address":"nowhere"})")).code_ ==
-          error_code::invalid_setting);
+          error_code::missing_field);
+  REQUIRE(failure(decode_upstream("i1", R"({"service":"s","address":"nowhere","zone":"a","slots":6,
+      "version":"v1","cold_left_ms":0,"sequence":4,"state":"ready"})")).code_ == error_code::invalid_setting);
 }
 
 TEST_CASE("an upstream's entry says whether it leaves") {
-  auto text = std::string{R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":6,"state":")"};
-  auto ready = decode_upstream("i1", text + R"(ready","models":[{"name":"m"}]})");
+  auto text = std::string{R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":6,"version":"v1",
+    "cold_left_ms":250,"sequence":4,"state":")"};
+  auto ready = decode_upstream("i1", text + R"(ready","born":1796300000123,"models":[{"name":"m"}]})");
   auto leaving = decode_upstream("i1", text + R"(draining"})");
   REQUIRE(ok(ready));
   REQUIRE_FALSE(value(ready).leaving_);
   REQUIRE(value(ready).models_ == std::vector<std::string>{"m"});
+  REQUIRE(value(ready).cold_left_ == 250);
+  REQUIRE(value(ready).born_ == 1796300000123);
   REQUIRE(value(leaving).leaving_);
+  REQUIRE(value(leaving).born_ == 0);
+}
+
+TEST_CASE("a foreign entry names no upstream: a field missing, of another type, or a state unknown") {
+  const auto good = nlohmann::json::parse(
+      R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":6,"version":"v1","cold_left_ms":0,
+          "sequence":4,"state":"ready","born":1796300000123,"models":[{"name":"m"}]})");
+  REQUIRE(ok(decode_upstream("i1", good.dump())));
+  for (const auto* field :
+       {"service", "address", "zone", "slots", "version", "cold_left_ms", "sequence", "state"}) {
+    auto without = good;
+    without.erase(field);
+    CHECK(failure(decode_upstream("i1", without.dump())).code_ == error_code::missing_field);
+  }
+  const auto others = std::vector<nlohmann::json>{nullptr, true, -1, 1.5, "", "x", nlohmann::json::array(),
+                                                  nlohmann::json::object()};
+  for (const auto& field : good.items()) {
+    for (const auto& other : others) {
+      auto same_kind = other.type() == field.value().type() || (other.is_number() && field.key() == "sequence");
+      if (same_kind) {
+        continue;
+      }
+      auto changed = good;
+      changed[field.key()] = other;
+      INFO(changed.dump());
+      auto tolerable = field.key() == "cold_left_ms" && other == 1.5;
+      CHECK(ok(decode_upstream("i1", changed.dump())) == tolerable);
+    }
+  }
+  CHECK_FALSE(ok(decode_upstream("i1", R"("text")")));
+  CHECK_FALSE(ok(decode_upstream("i1", "\xff\xfe{")));
+  auto strange = good;
+  strange["state"] = "resting";
+  CHECK(failure(decode_upstream("i1", strange.dump())).code_ == error_code::wrong_type);
+}
+
+TEST_CASE("any change of a good entry's bytes is read as it stands or is a typed error") {
+  const auto good = std::string{
+      R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":6,"version":"v1","cold_left_ms":0,)"
+      R"("sequence":4,"state":"ready","born":1796300000123,"models":[{"name":"m"}]})"};
+  auto held = rc::check("mutated entries", [&good] {
+    auto text = good;
+    auto changes = *rc::gen::inRange(1, 6);
+    for (auto change = 0; change < changes; ++change) {
+      auto place = static_cast<std::size_t>(*rc::gen::inRange(0, static_cast<int>(text.size())));
+      text[place] = *rc::gen::arbitrary<char>();
+    }
+    auto decoded = decode_upstream("i1", text);
+    if (ok(decoded)) {
+      RC_ASSERT(value(decoded).slots_ > 0);
+      RC_ASSERT(!value(decoded).service_.empty());
+    } else {
+      RC_ASSERT(!failure(decoded).detail_.empty());
+    }
+  });
+  CHECK(held);
+}
+
+TEST_CASE("a row of the operators' table that closes a data hall is told from others") {
+  CHECK(evacuated_hall("evacuate/hall-a") == "hall-a");
+  CHECK_FALSE(evacuated_hall("evacuate/"));
+  CHECK_FALSE(evacuated_hall("config"));
+}
+
+TEST_CASE("regions and what cold upstreams bear are read from the configuration") {
+  auto decoded = decode_configuration(R"({"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/a/",
+      "type":"safe","service":"s","allowed_regions":["north"]}],
+      "services":[{"name":"s","cold_start_s":3.0,"cold_per_s":32.0}],
+      "tenants":[{"name":"n","api_keys":["k"],"allowed_regions":["south","north"]}]})");
+  REQUIRE(ok(decoded));
+  CHECK(value(decoded).routes_[0].allowed_regions_ == std::vector<std::string>{"north"});
+  CHECK(value(decoded).accounts_->find("n")->allowed_regions_.size() == 2);
+  CHECK(value(decoded).find_service("s")->cold_per_s_ == 32);
+  CHECK(value(decoded).find_service("s")->cold_start_ == 3000);
 }
 
 TEST_CASE("a route says whether its streams may be resumed") {
