Writes of the store keep to a pace that refusals set, and what ends a turn goes first

Cause: each daemon sent a throttled call again by itself, with no notion of what all may send, and without an order.

--- a/birchlever/coordination/program_store.cpp
+++ b/birchlever/coordination/program_store.cpp
@@ -15,6 +15,13 @@
 constexpr auto read_again_gap =
     milliseconds{50};  // Between two readings of a history that the store refused.
 
+constexpr auto least_backlog_retry = milliseconds{500};  // A writer that was too late once would be so again.
+
+/// What a program has begun is carried to its end before others begin.
+auto rank_of(const turn_order& order) -> write_rank {
+  return order.previous_.empty() ? write_rank::begins_program : write_rank::continues_program;
+}
+
 auto part_of(const std::string& program, int parts) -> std::string {
   return part_name(static_cast<int>(hash_of(program) % static_cast<std::uint64_t>(parts)));
 }
@@ -85,6 +92,12 @@
   auto due = clock_.now() + time_left;
   auto patient_until = clock_.now() + std::min(patience, time_left);
   auto program = entry_of(order.program_);
+  auto backlog = rows_->expected_write_wait(rank_of(order));
+  auto hopeless = backlog > std::min(patience, time_left) && program->leased_.empty();
+  if (hopeless) {  // Known before its history is read.
+    co_return error{error_code::store_unavailable, "the store has too many writes to make",
+                    ran_state::not_run, std::max(backlog, least_backlog_retry)};
+  }
   ++program->users_;
   auto past = co_await collect_patiently(order.program_, order.previous_, patient_until, due);
   auto reserved = ok(past) ? status{success} : status{failure(past)};
@@ -154,6 +167,7 @@
   wanted->reservation_ = order.turn_;
   wanted->tokens_ = order.most_tokens_;
   wanted->budget_ = order.budget_;
+  wanted->begins_program_ = rank_of(order) == write_rank::begins_program;
   auto patience = order.patience_.value_or(settings_.begin_patience_);
   wanted->give_up_at_ = clock_.now() + std::min(time_left, patience);
   if (order.previous_.empty() && program->version_ == version_not_read) {
--- a/birchlever/coordination/program_store_state.h
+++ b/birchlever/coordination/program_store_state.h
@@ -36,7 +36,19 @@
   /// True when it lets a turn begin: then nobody wants it any more once its caller has left.
   [[nodiscard]] auto begins_turn() const -> bool { return kind_ == kind::reserve || kind_ == kind::draw; }
 
+  /// How urgent its write is.
+  [[nodiscard]] auto rank() const -> write_rank {
+    if (kind_ == kind::settle && whole_) {
+      return write_rank::ends_turn;
+    }
+    if (begins_turn()) {
+      return begins_program_ ? write_rank::begins_program : write_rank::continues_program;
+    }
+    return write_rank::cleans_up;
+  }
+
   kind kind_ = kind::reserve;
+  bool begins_program_ = false;  ///< A first turn.
   std::string turn_;
   std::string turn_key_;  ///< As it stands in keys; of a settled turn.
   std::string reservation_;
--- a/birchlever/storage/row_store_interface.h
+++ b/birchlever/storage/row_store_interface.h
@@ -33,11 +33,18 @@
   std::int64_t version_ = 0;
 };
 
+/// What a write is for, the most urgent first.
+enum class write_rank { ends_turn, continues_program, begins_program, cleans_up };
+
+/// How many ranks there are.
+inline constexpr auto write_ranks = std::size_t{4};
+
 /// All conditions hold and all changes are made, or nothing is. All keys share one part.
 struct row_transaction {
   std::vector<version_condition> conditions_;
   std::vector<stored_row> puts_;  ///< Versions are ignored.
   std::vector<row_key> removals_;
+  write_rank rank_ = write_rank::cleans_up;
 };
 
 /// What a transaction that was answered did.
@@ -78,6 +85,9 @@
   /// Waits until the store answers again, at most so long. True when it does.
   virtual auto wait_until_reachable(milliseconds limit) -> task<bool> = 0;
 
+  /// How long a write of this rank would wait, in ms, before it could be sent: the store's rate is shared.
+  [[nodiscard]] virtual auto expected_write_wait(write_rank /*rank*/) const -> milliseconds { return 0; }
+
   /// Applies a transaction within the time given.
   virtual auto commit(row_transaction transaction, milliseconds time_left)
       -> task<result<commit_outcome>> = 0;
--- /dev/null
+++ b/birchlever/storage/write_gate.cpp
@@ -0,0 +1,82 @@
+#include "birchlever/storage/write_gate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace birchlever {
+namespace {
+
+constexpr auto ms_per_second = 1000.0;
+
+}  // namespace
+
+/// A write that waits for its place.
+struct write_gate::waiter {
+  explicit waiter(event_loop& loop) : changed_{loop} {}
+
+  bool let_in_ = false;
+  loop_signal changed_;
+};
+
+auto write_gate::waiting() const -> std::size_t {
+  return ahead_of(write_rank::cleans_up);
+}
+
+auto write_gate::ahead_of(write_rank rank) const -> std::size_t {
+  auto ahead = std::size_t{0};
+  for (auto one = std::size_t{0}; one <= static_cast<std::size_t>(rank); ++one) {
+    ahead += queues_.at(one).size();
+  }
+  return ahead;
+}
+
+auto write_gate::expected_wait(write_rank rank) const -> milliseconds {
+  auto now = clock_.now();
+  auto allowed = pace_.rate(now);
+  if (!allowed) {
+    return 0;
+  }
+  auto queued = static_cast<double>(ahead_of(rank)) / *allowed * ms_per_second;
+  return pace_.wait(now) + static_cast<milliseconds>(queued);
+}
+
+auto write_gate::enter(write_rank rank, milliseconds limit) -> task<bool> {
+  auto now = clock_.now();
+  if (ahead_of(rank) == 0 && pace_.wait(now) == 0) {
+    pace_.note_sent(now);
+    co_return true;
+  }
+  if (expected_wait(rank) > limit) {
+    co_return false;
+  }
+  auto own = std::make_shared<waiter>(*loop_);
+  auto& queue = queues_.at(static_cast<std::size_t>(rank));
+  auto place = queue.insert(queue.end(), own);
+  if (!std::exchange(letting_in_, true)) {
+    start(*loop_, "let_in", let_in());
+  }
+  co_await own->changed_.wait_for(limit);
+  if (!own->let_in_) {
+    queue.erase(place);
+  }
+  co_return own->let_in_;
+}
+
+auto write_gate::let_in() -> task<> {
+  while (waiting() > 0) {
+    auto wait = pace_.wait(clock_.now());
+    if (wait > 0) {
+      co_await pause_for(*loop_, wait);
+      continue;
+    }
+    auto first = std::find_if(queues_.begin(), queues_.end(), [](const auto& one) { return !one.empty(); });
+    auto next = first->front();
+    first->pop_front();
+    pace_.note_sent(clock_.now());
+    next->let_in_ = true;
+    next->changed_.notify();
+  }
+  letting_in_ = false;
+}
+
+}  // namespace birchlever
