--- a/birchlever/controllers/peer_feed.cpp
+++ b/birchlever/controllers/peer_feed.cpp
@@ -154,7 +154,8 @@
   if (!ok(page)) {
     co_return page;
   }
-  busy_ = value(page).rows_.size() >= settings_.busy_rows_;
+  auto brought = value(page).rows_.size();
+  busy_ = brought >= settings_.busy_rows_ && brought < settings_.full_rows_;
   store_answered_at_ = clock_.now();
   if (after <= log_.version()) {
     auto before = log_.last_change();
--- a/birchlever/controllers/peer_feed.h
+++ b/birchlever/controllers/peer_feed.h
@@ -37,6 +37,8 @@
   milliseconds store_wait_ = 500;  ///< A follower's own look is held by the store so long.
   std::size_t busy_rows_ = 16;     ///< Where a look brings so many rows, heartbeats of hundreds,
   milliseconds busy_gap_ = 150;    ///< the next one comes so much later: each look has its price.
+  std::size_t full_rows_ = 250;    ///< But not where it brings so many: a look brings 500 at most, and whoever
+                                   ///< falls behind the heartbeats of thousands never catches up.
 };
 
 /// For coroutines of one loop.
--- a/birchlever/controllers/upstream_follower.cpp
+++ b/birchlever/controllers/upstream_follower.cpp
@@ -6,6 +6,8 @@
 namespace birchlever {
 namespace {
 
+constexpr auto most_announced = std::size_t{16};  // New entries named one by one; hundreds at once are counted:
+                                                  // a line each would take a small VM seconds.
 constexpr auto most_told_unreadable = std::size_t{32};  // Entries named in the log, once each.
 constexpr auto lapse_check_gap = milliseconds{100};
 
@@ -108,20 +110,26 @@
   }
   log_event(log_level::info, "upstreams_scanned",
             {{"entries", static_cast<std::int64_t>(scanned_.size())},
-             {"upstreams", static_cast<std::int64_t>(directory_->ids().size())},
+             {"upstreams", static_cast<std::int64_t>(directory_->size())},
              {"unreadable", unreadable_},
              {"version", version}});
   scanned_ = {};
 }
 
 auto upstream_follower::take_changes(const std::vector<stored_row>& rows) -> void {
+  auto announced = rows.size() <= most_announced;
   for (const auto& row : rows) {
     if (row.removed_) {
       remove(row.key_.key_);
     } else {
-      put(row, true);
+      put(row, announced);
     }
   }
+  if (!announced) {
+    log_event(log_level::info, "upstreams_changed",
+              {{"entries", static_cast<std::int64_t>(rows.size())},
+               {"upstreams", static_cast<std::int64_t>(directory_->size())}});
+  }
 }
 
 auto upstream_follower::remove_lapsed() -> task<> {
--- a/birchlever/upstream/upstream_directory.h
+++ b/birchlever/upstream/upstream_directory.h
@@ -83,6 +83,9 @@
   /// Upstreams of these data halls get no request from now on, those of all others do.
   auto close_halls(std::set<std::string> halls) -> void;
 
+  /// Upstreams that are listed.
+  [[nodiscard]] auto size() const -> std::size_t { return upstreams_.size(); }
+
   /// All listed ids.
   [[nodiscard]] auto ids() const -> std::vector<std::string>;
 
