A follower that is behind whoever asks it holds the look until it has caught up

Change: the answer waits until the follower's own look has caught up; two peers are asked before the store. Test fails first: 503 at once.

--- a/birchlever/controllers/peer_feed.cpp
+++ b/birchlever/controllers/peer_feed.cpp
@@ -118,23 +118,26 @@
 
 auto peer_feed::changes(std::string table, std::int64_t after) -> task<result<row_page>> {
   auto self = shared_from_this();
-  auto peer = must_follow() ? std::nullopt : choose_peer();
-  note_source(peer ? peer->first : std::string{});
-  source_address_ = peer ? peer->second : std::string{};
-  if (!peer) {
-    co_return co_await look_at_store(std::move(table), after);
-  }
-  auto told = co_await look_at_peer(peer->second, after);
-  if (ok(told)) {
-    co_return told;
-  }
-  log_event(log_level::info, "follower_left",
-            {{"peer", peer->first}, {"version", after}, {"reason", failure(told).detail_}});
-  avoided_[peer->first] = clock_.now() + settings_.avoid_;
+  for (auto tries = 0; tries < settings_.peer_tries_ && !must_follow(); ++tries) {
+    auto peer = choose_peer();
+    if (!peer) {
+      break;
+    }
+    note_source(peer->first, peer->second);
+    auto told = co_await look_at_peer(peer->second, after);
+    if (ok(told)) {
+      co_return told;
+    }
+    log_event(log_level::info, "follower_left",
+              {{"peer", peer->first}, {"version", after}, {"reason", failure(told).detail_}});
+    avoided_[peer->first] = clock_.now() + settings_.avoid_;
+  }
+  note_source({}, {});
   co_return co_await look_at_store(std::move(table), after);
 }
 
-auto peer_feed::note_source(const std::string& peer) -> void {
+auto peer_feed::note_source(const std::string& peer, const std::string& address) -> void {
+  source_address_ = address;
   if (peer != source_) {
     log_event(log_level::info, "upstreams_followed_through", {{"peer", peer.empty() ? "the store" : peer}});
     source_ = peer;
@@ -206,7 +209,9 @@
     co_return http_response{http::status::bad_request, 11};
   }
   auto due = clock_.now() + wait;
-  while (may_answer() && log_.last_change() <= after && clock_.now() < due) {
+  // Who asks may know more: it looked at the store itself, and this daemon's next look is under way.
+  auto nothing_new = [&] { return log_.version() < after || log_.last_change() <= after; };
+  while (may_answer() && nothing_new() && clock_.now() < due) {
     co_await changed_.wait_for(due - clock_.now());
   }
   if (!may_answer() || log_.version() < after) {
--- a/birchlever/controllers/peer_feed.h
+++ b/birchlever/controllers/peer_feed.h
@@ -34,6 +34,7 @@
                                ///< of the shortest time after which a leaving upstream must get no work.
   milliseconds oldest_ = 800;  ///< A follower that the store answered longer ago tells nobody.
   milliseconds avoid_ = 3000;  ///< A peer that failed is not asked for so long.
+  int peer_tries_ = 2;         ///< Peers that are asked before the store is.
   milliseconds store_wait_ = 500;  ///< A follower's own look is held by the store so long.
   std::size_t busy_rows_ = 16;     ///< Where a look brings so many rows, heartbeats of hundreds,
   milliseconds busy_gap_ = 150;    ///< the next one comes so much later: each look has its price.
@@ -77,7 +78,7 @@
   /// The peer followed so far while it answers, else one by this daemon's own order.
   auto choose_peer() -> std::optional<std::pair<std::string, std::string>>;
   [[nodiscard]] auto current() const -> bool;
-  auto note_source(const std::string& peer) -> void;
+  auto note_source(const std::string& peer, const std::string& address) -> void;
   auto look_at_store(std::string table, std::int64_t after) -> task<result<row_page>>;
   auto look_at_peer(std::string address, std::int64_t after) -> task<result<row_page>>;
 
--- a/unit_tests/controllers/peer_feed_test.cpp
+++ b/unit_tests/controllers/peer_feed_test.cpp
@@ -208,6 +208,33 @@
   CHECK(run_loop_until(fixture.loop_, gone, 3000));
 }
 
+TEST_CASE("a daemon that knows more than its follower is told when that one has caught up") {
+  auto loop = event_loop{1};
+  auto rows = std::make_shared<memory_row_store>(loop);
+  rows->put({"servers", "", "u1"}, "ready#1");
+  auto views = peer_views{"vm-1", 1500, std::make_shared<steady_clock>()};
+  auto feed = peer_feed::create(loop, rows, views, {"vm-1"}, meaning);
+  feed->begin_scan();
+  feed->end_scan(0);
+  feed->begin_scan();
+  feed->end_scan(1);
+  auto status = 0U;
+  auto ask = [&]() -> task<> {
+    auto request = http_request{http::verb::get, "/changes/2/600", 11};
+    auto answer = co_await feed->answer(request);
+    status = answer.result_int();
+  };
+  start(loop, "ask", ask());
+  run_loop_for(loop, 50);
+  CHECK(status == 0);
+  rows->put({"servers", "", "u1"}, "ready#2");
+  rows->put({"servers", "", "u1"}, "leaving#3");
+  run_to_end(loop, feed->changes("servers", 1));  // Without peers it looks itself.
+  REQUIRE(run_loop_until(
+      loop, [&] { return status != 0; }, 600));
+  CHECK(status == 200);
+}
+
 TEST_CASE("a look that can't be read is refused, and a daemon without a view tells nobody") {
   auto loop = event_loop{1};
   auto rows = std::make_shared<memory_row_store>(loop);
