--- a/birchlever/controllers/change_log.cpp
+++ b/birchlever/controllers/change_log.cpp
@@ -3,7 +3,7 @@
 namespace birchlever {
 namespace {
 
-constexpr auto most_changes = std::size_t{1024};  // All upstreams of the largest fleet change state at once.
+constexpr auto most_changes = std::size_t{4096};  // Of thousands of upstreams a third may change state at once.
 
 }  // namespace
 
@@ -47,6 +47,7 @@
       told_[row.key_.key_] = meaning;
     }
     changes_.push_back(row);
+    changes_.back().value_ = packed(row);
     if (row.version_ == 0) {
       changes_.back().version_ = version;  // A removed row need not say when.
     }
@@ -60,6 +61,10 @@
   return taken;
 }
 
+auto change_log::packed(const stored_row& row) const -> std::string {
+  return pack_ && !row.removed_ ? pack_(row) : row.value_;
+}
+
 auto change_log::since(std::int64_t version) const -> std::optional<std::vector<stored_row>> {
   if (version < known_from_) {
     return std::nullopt;
--- a/birchlever/controllers/change_log.h
+++ b/birchlever/controllers/change_log.h
@@ -21,7 +21,11 @@
   /// A digest of what matters of a row's content. Rows with the same digest are taken for the same.
   using meaning_function = std::function<std::uint64_t(const stored_row&)>;
 
-  explicit change_log(meaning_function meaning) : meaning_{std::move(meaning)} {}
+  /// Makes a row's content shorter without changing how it is read; what is short already stays.
+  using pack_function = std::function<std::string(const stored_row&)>;
+
+  explicit change_log(meaning_function meaning, pack_function pack = nullptr)
+      : meaning_{std::move(meaning)}, pack_{std::move(pack)} {}
 
   /// The table is told anew, page by page: nothing is known until its end.
   auto begin() -> void;
@@ -50,7 +54,10 @@
   }
 
  private:
+  [[nodiscard]] auto packed(const stored_row& row) const -> std::string;
+
   meaning_function meaning_;
+  pack_function pack_;
   std::unordered_map<std::string, std::uint64_t> told_;  ///< What each row means, by key.
   std::deque<stored_row> changes_;
   std::int64_t known_from_ = 0;
--- a/birchlever/controllers/peer_feed.cpp
+++ b/birchlever/controllers/peer_feed.cpp
@@ -54,20 +54,22 @@
 }  // namespace
 
 peer_feed::peer_feed(event_loop& loop, std::shared_ptr<row_store_interface> rows, const peer_views& views,
-                     const peer_feed_settings& settings, change_log::meaning_function meaning)
+                     const peer_feed_settings& settings, change_log::meaning_function meaning,
+                     change_log::pack_function pack)
     : loop_{&loop},
       rows_{std::move(rows)},
       views_{&views},
       settings_{settings},
-      log_{std::move(meaning)},
+      log_{std::move(meaning), std::move(pack)},
       changed_{loop},
+      random_{static_cast<std::uint32_t>(hash_of(settings_.vm_))},
       connections_{connection_pool::create(loop, {})} {}
 
 auto peer_feed::create(event_loop& loop, std::shared_ptr<row_store_interface> rows, const peer_views& views,
-                       const peer_feed_settings& settings, change_log::meaning_function meaning)
-    -> std::shared_ptr<peer_feed> {
+                       const peer_feed_settings& settings, change_log::meaning_function meaning,
+                       change_log::pack_function pack) -> std::shared_ptr<peer_feed> {
   return std::shared_ptr<peer_feed>{
-      new peer_feed{loop, std::move(rows), views, settings, std::move(meaning)}};
+      new peer_feed{loop, std::move(rows), views, settings, std::move(meaning), std::move(pack)}};
 }
 
 auto peer_feed::current() const -> bool {
@@ -118,7 +120,24 @@
 
 auto peer_feed::changes(std::string table, std::int64_t after) -> task<result<row_page>> {
   auto self = shared_from_this();
-  for (auto tries = 0; tries < settings_.peer_tries_ && !must_follow(); ++tries) {
+  while (!must_follow()) {
+    auto told = co_await look_at_peers(after);
+    if (told) {
+      co_return std::move(*told);
+    }
+    if (clock_.now() >= store_due_) {
+      break;
+    }
+    co_await pause_for(*loop_, settings_.peers_gap_);
+  }
+  note_source({}, {});
+  std::uniform_int_distribution<milliseconds> gaps{settings_.store_gap_ / 2, settings_.store_gap_};
+  store_due_ = clock_.now() + gaps(random_);
+  co_return co_await look_at_store(std::move(table), after);
+}
+
+auto peer_feed::look_at_peers(std::int64_t after) -> task<std::optional<row_page>> {
+  for (auto tries = 0; tries < settings_.peer_tries_; ++tries) {
     auto peer = choose_peer();
     if (!peer) {
       break;
@@ -126,14 +145,13 @@
     note_source(peer->first, peer->second);
     auto told = co_await look_at_peer(peer->second, after);
     if (ok(told)) {
-      co_return told;
+      co_return std::move(value(told));
     }
     log_event(log_level::info, "follower_left",
               {{"peer", peer->first}, {"version", after}, {"reason", failure(told).detail_}});
     avoided_[peer->first] = clock_.now() + settings_.avoid_;
   }
-  note_source({}, {});
-  co_return co_await look_at_store(std::move(table), after);
+  co_return std::nullopt;
 }
 
 auto peer_feed::note_source(const std::string& peer, const std::string& address) -> void {
--- a/birchlever/controllers/peer_feed.h
+++ b/birchlever/controllers/peer_feed.h
@@ -8,6 +8,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -35,6 +37,10 @@
   milliseconds oldest_ = 800;  ///< A follower that the store answered longer ago tells nobody.
   milliseconds avoid_ = 3000;  ///< A peer that failed is not asked for so long.
   int peer_tries_ = 2;         ///< Peers that are asked before the store is.
+  milliseconds peers_gap_ = 100;  ///< Until peers are asked again that all failed.
+  milliseconds store_gap_ = 1000;  ///< A daemon that does not follow looks at the store at most so often, half
+                                   ///< of it at least: when followers are held up since the store is, the
+                                   ///< looks of all others must not hold it up for good.
   milliseconds store_wait_ = 500;  ///< A follower's own look is held by the store so long.
   std::size_t busy_rows_ = 16;     ///< Where a look brings so many rows, heartbeats of hundreds,
   milliseconds busy_gap_ = 150;    ///< the next one comes so much later: each look has its price.
@@ -47,8 +53,8 @@
  public:
   /// `views` outlive it and tell which peers follow.
   static auto create(event_loop& loop, std::shared_ptr<row_store_interface> rows, const peer_views& views,
-                     const peer_feed_settings& settings, change_log::meaning_function meaning)
-      -> std::shared_ptr<peer_feed>;
+                     const peer_feed_settings& settings, change_log::meaning_function meaning,
+                     change_log::pack_function pack = nullptr) -> std::shared_ptr<peer_feed>;
 
   /// Waits for changes of a table after a version, as the store's own feed does, and with its failures.
   auto changes(std::string table, std::int64_t after) -> task<result<row_page>>;
@@ -70,7 +76,8 @@
 
  private:
   peer_feed(event_loop& loop, std::shared_ptr<row_store_interface> rows, const peer_views& views,
-            const peer_feed_settings& settings, change_log::meaning_function meaning);
+            const peer_feed_settings& settings, change_log::meaning_function meaning,
+            change_log::pack_function pack);
 
   [[nodiscard]] auto must_follow() const -> bool;
   [[nodiscard]] auto may_answer() const -> bool;
@@ -79,6 +86,8 @@
   auto choose_peer() -> std::optional<std::pair<std::string, std::string>>;
   [[nodiscard]] auto current() const -> bool;
   auto note_source(const std::string& peer, const std::string& address) -> void;
+  /// Asks peers. Yields nothing when none answered.
+  auto look_at_peers(std::int64_t after) -> task<std::optional<row_page>>;
   auto look_at_store(std::string table, std::int64_t after) -> task<result<row_page>>;
   auto look_at_peer(std::string address, std::int64_t after) -> task<result<row_page>>;
 
@@ -88,6 +97,8 @@
   peer_feed_settings settings_;
   change_log log_;
   loop_signal changed_;
+  std::minstd_rand random_;     ///< For jitter.
+  milliseconds store_due_ = 0;  ///< When the store may be looked at without following it.
   std::shared_ptr<connection_pool> connections_;
   steady_clock clock_;
   std::string source_;                           ///< The peer looked at last; empty for the store.
--- a/birchlever_daemon/gateway_daemon_peers.cpp
+++ b/birchlever_daemon/gateway_daemon_peers.cpp
@@ -144,7 +144,8 @@
   settings.vm_ = settings_.vm_id_;
   settings.cores_ = settings_.cores_;
   auto meaning = [](const stored_row& row) { return platform::upstream_digest(row.value_); };
-  upstream_feed_ = peer_feed::create(loop_, store_, peers_->views(), settings, meaning);
+  auto pack = [](const stored_row& row) { return platform::pack_upstream(row.value_); };
+  upstream_feed_ = peer_feed::create(loop_, store_, peers_->views(), settings, meaning, pack);
 }
 
 auto gateway_daemon::incarnation_name() const -> std::string {
--- a/unit_tests/platform/decode_test.cpp
+++ b/unit_tests/platform/decode_test.cpp
@@ -140,6 +140,20 @@
   CHECK(failure(decode_upstream("i1", strange.dump())).code_ == error_code::wrong_type);
 }
 
+TEST_CASE("a packed entry is read like the whole one, in less than half of the bytes") {
+  const auto good = std::string{
+      R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"hall-a","version":"v1","slots":6,"state":"ready",)"
+      R"("cold_left_ms":70,"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"sequence":4,"born":5})"};
+  auto packed = pack_upstream(good);
+  CHECK(packed.size() < good.size() / 2);
+  REQUIRE(ok(decode_upstream("i1", packed)));
+  CHECK(meaning_of(value(decode_upstream("i1", packed))) == meaning_of(value(decode_upstream("i1", good))));
+  CHECK(pack_upstream(packed) == packed);
+  CHECK(pack_upstream("nonsense") == "nonsense");
+  CHECK(failure(decode_upstream("i1", pack_upstream("{}"))).code_ == error_code::missing_field);
+  CHECK_FALSE(ok(decode_upstream("i1", packed.substr(0, packed.size() / 2))));
+}
+
 TEST_CASE("any change of a good entry's bytes is read as it stands or is a typed error") {
   const auto good = std::string{
       R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":6,"version":"v1","cold_left_ms":0,)"
