Daemons tell each other which few follow the list; a scan of a long list ends early; who starts waits a moment before it looks itself

Change: messages name the three best followers with the age of that news, so that all know the same three within a second (3 s remembered); daemons draw a delay of up to a second before their first look; a scan ends at 2,000 rows, the rest comes by heartbeats through the followers; a page that many ask for is encoded once.

--- a/birchlever/controllers/peer_feed.cpp
+++ b/birchlever/controllers/peer_feed.cpp
@@ -1,5 +1,6 @@
 #include "birchlever/controllers/peer_feed.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -63,7 +64,10 @@
       log_{std::move(meaning), std::move(pack)},
       changed_{loop},
       random_{static_cast<std::uint32_t>(hash_of(settings_.vm_))},
-      connections_{connection_pool::create(loop, {})} {}
+      connections_{connection_pool::create(loop, {})} {
+  auto delays = std::uniform_int_distribution<milliseconds>{0, settings_.start_delay_};
+  first_look_at_ = clock_.now() + delays(random_);
+}
 
 auto peer_feed::create(event_loop& loop, std::shared_ptr<row_store_interface> rows, const peer_views& views,
                        const peer_feed_settings& settings, change_log::meaning_function meaning,
@@ -88,6 +92,16 @@
   return {cores, rendezvous_weight(vm, subject)};
 }
 
+auto peer_feed::told_followers() const -> std::vector<told_follower> {
+  auto known = views_->followers_within(settings_.remembered_);
+  auto first = [this](const told_follower& left, const told_follower& right) {
+    return rank_of(left.vm_, left.cores_) > rank_of(right.vm_, right.cores_);
+  };
+  std::sort(known.begin(), known.end(), first);
+  known.resize(std::min(known.size(), static_cast<std::size_t>(settings_.followers_)));
+  return known;
+}
+
 auto peer_feed::must_follow() const -> bool {
   auto own = rank_of(settings_.vm_, settings_.cores_);
   auto before = 0;
@@ -120,6 +134,9 @@
 
 auto peer_feed::changes(std::string table, std::int64_t after) -> task<result<row_page>> {
   auto self = shared_from_this();
+  while (clock_.now() < first_look_at_ && views_->followers_within(settings_.remembered_).empty()) {
+    co_await pause_for(*loop_, settings_.peers_gap_);
+  }
   while (!must_follow()) {
     auto told = co_await look_at_peers(after);
     if (told) {
@@ -235,14 +252,26 @@
   if (!may_answer() || log_.version() < after) {
     co_return http_response{http::status::service_unavailable, 11};
   }
-  auto rows = log_.since(after);
-  if (!rows) {
+  auto page = page_after(after);
+  if (!page) {
     co_return http_response{http::status::gone, 11};
   }
   auto answer = http_response{http::status::ok, 11};
   answer.set(http::field::content_type, "application/cbor");
-  answer.body() = encode_page(log_.version(), *rows);
+  answer.body() = std::move(*page);
   co_return answer;
 }
 
+auto peer_feed::page_after(std::int64_t after) -> std::optional<std::string> {
+  if (last_page_.after_ == after && last_page_.version_ == log_.version()) {
+    return last_page_.bytes_;
+  }
+  auto rows = log_.since(after);
+  if (!rows) {
+    return std::nullopt;
+  }
+  last_page_ = {after, log_.version(), encode_page(log_.version(), *rows)};
+  return last_page_.bytes_;
+}
+
 }  // namespace birchlever
--- a/birchlever/controllers/peer_feed.h
+++ b/birchlever/controllers/peer_feed.h
@@ -23,14 +23,17 @@
 
 class connection_pool;
 class peer_views;
+struct told_follower;
 
 /// How a table is followed through peers. Times in ms.
 struct peer_feed_settings {
   std::string vm_;
   double cores_ = 0;   ///< This daemon's share of a core: those with more follow first.
-  int followers_ = 3;  ///< Daemons that look at the store themselves, as each daemon sees it.
-  milliseconds remembered_ = 10000;  ///< A follower counts for so long after it was heard: of the largest
-                                     ///< fleet most daemons are heard once within it.
+  int followers_ = 3;  ///< Daemons that look at the store themselves.
+  milliseconds remembered_ = 3000;  ///< A follower counts for so long after it said that it is one; daemons
+                                    ///< tell each other, so that all hear of it within a second.
+  milliseconds start_delay_ = 1000;  ///< At most, before the first look at the store: of hundreds that start at
+                                     ///< once those that draw the shortest become followers.
   milliseconds wait_ = 600;    ///< A look is held by a peer so long.
   milliseconds grace_ = 250;   ///< Beyond that, until the peer is taken for silent. With wait_ less than half
                                ///< of the shortest time after which a leaving upstream must get no work.
@@ -64,6 +67,9 @@
   auto take_page(const std::vector<stored_row>& rows) -> void { log_.add(rows); }
   auto end_scan(std::int64_t version) -> void;
 
+  /// The followers that a message of this daemon names.
+  [[nodiscard]] auto told_followers() const -> std::vector<told_follower>;
+
   /// True when this daemon looks at the store itself, goes on doing so, and may be asked by others.
   [[nodiscard]] auto follows() const -> bool;
 
@@ -81,6 +87,7 @@
 
   [[nodiscard]] auto must_follow() const -> bool;
   [[nodiscard]] auto may_answer() const -> bool;
+  auto page_after(std::int64_t after) -> std::optional<std::string>;
   [[nodiscard]] auto rank_of(const std::string& vm, double cores) const -> std::pair<double, std::uint64_t>;
   /// The peer followed so far while it answers, else one by this daemon's own order.
   auto choose_peer() -> std::optional<std::pair<std::string, std::string>>;
@@ -103,6 +110,13 @@
   steady_clock clock_;
   std::string source_;                           ///< The peer looked at last; empty for the store.
   std::string source_address_;
+  milliseconds first_look_at_ = 0;  ///< When the store may be looked at first.
+  struct encoded_page {
+    std::int64_t after_ = -1;
+    std::int64_t version_ = -1;
+    std::string bytes_;
+  };
+  encoded_page last_page_;  ///< Most who ask ask for the same.
   milliseconds store_answered_at_ = 0;           ///< 0 when never.
   bool busy_ = false;                            ///< The last look brought many rows.
   std::map<std::string, milliseconds> avoided_;  ///< Peers that failed, until when.
--- a/birchlever/controllers/peer_state.cpp
+++ b/birchlever/controllers/peer_state.cpp
@@ -16,9 +16,13 @@
   for (const auto& one : state.news_) {
     news.push_back(json::array({one.id_, one.failed_, one.born_}));
   }
+  auto followers = json::array();
+  for (const auto& one : state.followers_) {
+    followers.push_back(json::array({one.vm_, one.control_address_, one.cores_, one.age_}));
+  }
   auto message = json{state.vm_,      silence, state.configuration_,    state.control_address_,
                       state.running_, news,    state.allowance_ranges_, state.follows_,
-                      state.region_, state.cores_};
+                      state.region_, state.cores_, followers};
   json::to_cbor(message, bytes);
   return bytes;
 }
@@ -55,6 +59,12 @@
     if (message.size() > cores_field) {
       message.at(cores_field).get_to(state.cores_);
     }
+    constexpr auto followers_field = std::size_t{10};
+    if (message.size() > followers_field) {
+      for (const auto& one : message.at(followers_field)) {
+        state.followers_.push_back({one.at(0), one.at(1), one.at(2), one.at(3)});
+      }
+    }
     return state;
   } catch (const json::exception& fault) {
     return error{error_code::malformed_json, std::string{"a peer's message can't be read: "} + fault.what()};
--- a/birchlever/controllers/peer_state.h
+++ b/birchlever/controllers/peer_state.h
@@ -13,6 +13,14 @@
 
 namespace birchlever {
 
+/// A daemon that follows the table of upstreams itself, as others tell of it.
+struct told_follower {
+  std::string vm_;
+  std::string control_address_;
+  double cores_ = 0;      ///< Its share of a processor core; 0: not known.
+  milliseconds age_ = 0;  ///< ms since it said so.
+};
+
 /// What one daemon says of itself.
 struct peer_state {
   std::string vm_;
@@ -25,8 +33,9 @@
   std::vector<upstream_news> news_;  ///< What it just learned of upstreams: then nothing else is told. Empty
                                      ///< in regular messages.
   bool follows_ = false;  ///< Looks at the table of upstreams itself, and tells others what changes there.
-  double cores_ = 0;      ///< Its share of a processor core; 0: not told.
   std::string region_;    ///< Where it stands; empty where regions are not told apart.
+  double cores_ = 0;      ///< Its share of a processor core; 0: not told.
+  std::vector<told_follower> followers_;  ///< Others that follow, told on so that all know the same few.
 };
 
 /// The bytes of a message.
--- a/birchlever/controllers/peer_views.cpp
+++ b/birchlever/controllers/peer_views.cpp
@@ -8,9 +8,25 @@
 
 auto peer_views::hear(peer_state said) -> void {
   auto vm = said.vm_;
+  for (const auto& one : said.followers_) {
+    note_follower(one);
+  }
+  if (said.follows_) {
+    note_follower({vm, said.control_address_, said.cores_, 0});
+  } else {
+    followers_.erase(vm);
+  }
   heard_[vm] = {std::move(said), clock_->now()};
 }
 
+auto peer_views::note_follower(const told_follower& told) -> void {
+  auto at = clock_->now() - told.age_;
+  auto known = followers_.find(told.vm_);
+  if (told.vm_ != vm_ && (known == followers_.end() || known->second.at_ < at)) {
+    followers_[told.vm_] = {told, at};
+  }
+}
+
 auto peer_views::heard_at(const std::string& vm) const -> std::optional<milliseconds> {
   auto found = heard_.find(vm);
   return found == heard_.end() ? std::nullopt : std::optional{found->second.at_};
@@ -79,15 +95,16 @@
   return addresses;
 }
 
-auto peer_views::followers_within(milliseconds span) const -> std::vector<follower> {
-  auto followers = std::vector<follower>{};
+auto peer_views::followers_within(milliseconds span) const -> std::vector<told_follower> {
+  auto lately = std::vector<told_follower>{};
   auto now = clock_->now();
-  for (const auto& [vm, heard] : heard_) {
-    if (heard.state_.follows_ && now - heard.at_ <= span) {
-      followers.push_back({vm, heard.state_.control_address_, heard.state_.cores_});
+  for (const auto& [vm, known] : followers_) {
+    if (now - known.at_ <= span) {
+      lately.push_back(known.told_);
+      lately.back().age_ = now - known.at_;
     }
   }
-  return followers;
+  return lately;
 }
 
 auto peer_views::heard_within(milliseconds span) const -> std::size_t {
--- a/birchlever/controllers/peer_views.h
+++ b/birchlever/controllers/peer_views.h
@@ -43,15 +43,9 @@
   /// Control addresses of the peers heard of within so many ms, by VM.
   [[nodiscard]] auto addresses_within(milliseconds span) const -> std::map<std::string, std::string>;
 
-  /// A peer that follows the table of upstreams itself.
-  struct follower {
-    std::string vm_;
-    std::string control_address_;
-    double cores_ = 0;
-  };
-
-  /// Those heard of within so many ms, as they last said.
-  [[nodiscard]] auto followers_within(milliseconds span) const -> std::vector<follower>;
+  /// Peers that follow the table of upstreams themselves and said so within so many ms, to this daemon or to one
+  /// that told of it.
+  [[nodiscard]] auto followers_within(milliseconds span) const -> std::vector<told_follower>;
 
   /// The control address of the peer that last said it holds a range of allowances; it may hold it no more.
   [[nodiscard]] auto holder_of_allowance(int range) const -> std::optional<std::string>;
@@ -71,7 +65,15 @@
   std::string vm_;
   milliseconds fresh_;
   std::shared_ptr<const clock_interface> clock_;
+  struct known_follower {
+    told_follower told_;
+    milliseconds at_ = 0;  ///< When it said so.
+  };
+
+  auto note_follower(const told_follower& told) -> void;
+
   std::map<std::string, heard_state> heard_;
+  std::map<std::string, known_follower> followers_;  ///< By VM.
 };
 
 }  // namespace birchlever
--- a/birchlever/controllers/table_follower.cpp
+++ b/birchlever/controllers/table_follower.cpp
@@ -92,6 +92,7 @@
   auto range = row_range{settings_.table_, "", "", ""};
   auto began_at = clock_.now();
   auto version = std::optional<std::int64_t>{};
+  auto scanned = std::size_t{0};
   auto more = true;
   while (more) {
     auto page = co_await read_page(range);
@@ -104,7 +105,9 @@
     version = std::min(version.value_or(page->version_), page->version_);
     events_.scanned_(page->rows_);
     begun_ = true;
-    more = page->more_ && !page->rows_.empty();
+    scanned += page->rows_.size();
+    auto enough = settings_.most_scanned_ > 0 && scanned >= settings_.most_scanned_;
+    more = page->more_ && !page->rows_.empty() && !enough;
     if (more) {
       range.from_ = page->rows_.back().key_.key_ + behind_key;
     }
--- a/birchlever/controllers/upstream_follower.cpp
+++ b/birchlever/controllers/upstream_follower.cpp
@@ -6,6 +6,9 @@
 namespace birchlever {
 namespace {
 
+constexpr auto most_scanned = std::size_t{2000};  // Enough to serve with. Of thousands the others come by their
+                                                  // heartbeats, read by a few followers: hundreds of daemons that
+                                                  // start at once must not read the whole list each.
 constexpr auto most_announced = std::size_t{16};  // New entries named one by one; hundreds at once are counted:
                                                   // a line each would take a small VM seconds.
 constexpr auto most_told_unreadable = std::size_t{32};  // Entries named in the log, once each.
@@ -28,6 +31,7 @@
       new upstream_follower{loop, std::move(directory), std::move(decode), lapse_return}};
   auto settings = table_follower_settings{};
   settings.table_ = table;
+  settings.most_scanned_ = feed ? most_scanned : 0;
   auto* raw = made.get();  // The follower is made's own and ends with it.
   auto events = table_follower_events{};
   events.scan_began_ = [raw, feed] {
--- a/birchlever_daemon/gateway_daemon_peers.cpp
+++ b/birchlever_daemon/gateway_daemon_peers.cpp
@@ -162,6 +162,9 @@
   state.control_address_ = settings_.control_address_;
   state.allowance_ranges_ = allowances_ ? allowances_->held() : 0;
   state.follows_ = upstream_feed_ && upstream_feed_->follows();
+  if (upstream_feed_) {
+    state.followers_ = upstream_feed_->told_followers();
+  }
   state.cores_ = settings_.cores_;
   state.region_ = regions_.region_of(settings_.data_hall_);
   context_->upstreams_->each_busy(
--- a/unit_tests/controllers/follower_test.cpp
+++ b/unit_tests/controllers/follower_test.cpp
@@ -3,6 +3,7 @@
 
 #include "birchlever/controllers/upstream_follower.h"
 #include "birchlever/storage/memory_row_store.h"
+#include "unit_tests/http/loop_runner.h"
 
 namespace birchlever {
 namespace {
@@ -71,6 +72,34 @@
   REQUIRE(fixture.directory_->find("u1")->takes_requests());
 }
 
+/// Load pattern: hundreds of daemons start at once before thousands of upstreams.
+TEST_CASE("a scan of a long table ends early, and the rest becomes known by its changes") {
+  auto loop = event_loop{1};
+  auto rows = std::make_shared<memory_row_store>(loop);
+  for (auto number = 1000; number < 4000; ++number) {
+    rows->put({"servers", "", "u" + std::to_string(number)}, "ready");
+  }
+  auto known = std::set<std::string>{};
+  auto ended = 0;
+  auto take = [&known](const std::vector<stored_row>& told) {
+    for (const auto& row : told) {
+      known.insert(row.key_.key_);
+    }
+  };
+  auto settings = table_follower_settings{};
+  settings.table_ = "servers";
+  settings.most_scanned_ = 1200;
+  auto events = table_follower_events{[] {}, take, [&ended](std::int64_t /*version*/) { ++ended; }, take, nullptr};
+  auto follower = table_follower::create(loop, rows, settings, std::move(events));
+  run_loop_for(loop, 100);
+  CHECK(ended == 1);
+  CHECK(known.size() == 1500);  // Whole pages of 500.
+  CHECK(rows->reads() == 3);
+  rows->put({"servers", "", "u3999"}, "ready");
+  run_loop_for(loop, 100);
+  CHECK(known.count("u3999") == 1);
+}
+
 TEST_CASE("forgotten history leads to a new scan that finds what was missed") {
   auto fixture = follower_fixture{};
   fixture.rows_->faults().history_gone_ = true;
--- a/unit_tests/controllers/peer_feed_test.cpp
+++ b/unit_tests/controllers/peer_feed_test.cpp
@@ -72,6 +72,7 @@
     settings.wait_ = 150;
     settings.grace_ = 100;
     settings.store_wait_ = 100;
+    settings.start_delay_ = 0;
     feed_ = peer_feed::create(loop, store_, views_, settings, meaning);
     auto page = [feed = feed_](const http_request& request) { return feed->answer(request); };
     auto listening = http_listener::create(loop, address_, serve_pages(page));
@@ -213,7 +214,10 @@
   auto rows = std::make_shared<memory_row_store>(loop);
   rows->put({"servers", "", "u1"}, "ready#1");
   auto views = peer_views{"vm-1", 1500, std::make_shared<steady_clock>()};
-  auto feed = peer_feed::create(loop, rows, views, {"vm-1"}, meaning);
+  auto settings = peer_feed_settings{};
+  settings.vm_ = "vm-1";
+  settings.start_delay_ = 0;
+  auto feed = peer_feed::create(loop, rows, views, settings, meaning);
   feed->begin_scan();
   feed->end_scan(0);
   feed->begin_scan();
@@ -235,6 +239,32 @@
   CHECK(status == 200);
 }
 
+TEST_CASE("followers are told on with their age, fade, and are forgotten when they say that they follow no more") {
+  auto clock = std::make_shared<manual_clock>();
+  clock->advance(10'000);
+  auto views = peer_views{"vm-1", 1500, clock};
+  auto teller = peer_state{};
+  teller.vm_ = "vm-2";
+  teller.followers_ = {{"vm-3", "10.0.0.3:80", 0.5, 1000}, {"vm-1", "10.0.0.1:80", 0.5, 0}};
+  views.hear(teller);
+  REQUIRE(views.followers_within(3000).size() == 1);  // Not this daemon itself.
+  CHECK(views.followers_within(3000)[0].vm_ == "vm-3");
+  CHECK(views.followers_within(3000)[0].age_ == 1000);
+  CHECK(views.followers_within(900).empty());
+  clock->advance(1000);
+  views.hear(teller);  // The same again is no newer... but for the time that has passed.
+  CHECK(views.followers_within(3000)[0].age_ == 1000);
+  auto itself = peer_state{};
+  itself.vm_ = "vm-3";
+  views.hear(itself);
+  CHECK(views.followers_within(3000).empty());
+  clock->advance(5000);
+  itself.follows_ = true;
+  views.hear(itself);
+  clock->advance(3001);
+  CHECK(views.followers_within(3000).empty());
+}
+
 TEST_CASE("a look that can't be read is refused, and a daemon without a view tells nobody") {
   auto loop = event_loop{1};
   auto rows = std::make_shared<memory_row_store>(loop);
