--- a/birchlever/accounts/client_account.h
+++ b/birchlever/accounts/client_account.h
@@ -27,7 +27,7 @@
   std::vector<std::string> key_digests_;  ///< SHA-256 of each of its keys, in hexadecimal.
   std::optional<int> rank_;               ///< 0 is the most urgent; goes before the route's rank.
   account_allotment allotment_;
-  std::int64_t max_in_flight_ = 256;  ///< Calls it may have under way on one daemon of `serve`.
+  std::int64_t max_in_flight_ = 256;          ///< Calls it may have under way on one daemon of `serve`.
   std::vector<std::string> allowed_regions_;  ///< It is served there only; empty: anywhere.
 };
 
--- a/birchlever/controllers/budget_transfer.h
+++ b/birchlever/controllers/budget_transfer.h
@@ -23,9 +23,9 @@
 
 /// How peers are asked.
 struct budget_transfer_settings {
-  std::string daemon_;           ///< This incarnation, as its draws name it: "VM@start".
-  milliseconds limit_ = 250;     ///< ms for one answer: peers answer within a few; slow VMs within 100.
-  std::size_t most_asked_ = 16;  ///< Peers asked when the holder is not known: bounds the cost at any size.
+  std::string daemon_;             ///< This incarnation, as its draws name it: "VM@start".
+  milliseconds limit_ = 250;       ///< ms for one answer: peers answer within a few; slow VMs within 100.
+  std::size_t most_asked_ = 16;    ///< Peers asked when the holder is not known: bounds the cost at any size.
   milliseconds lease_limit_ = 40;  ///< For a reservation: a write of the store takes about half of it.
   milliseconds silent_ = 2000;     ///< A peer that did not answer is not asked for one for so long.
 };
--- a/birchlever/controllers/change_log.cpp
+++ b/birchlever/controllers/change_log.cpp
@@ -3,7 +3,8 @@
 namespace birchlever {
 namespace {
 
-constexpr auto most_changes = std::size_t{4096};  // Of thousands of upstreams a third may change state at once.
+constexpr auto most_changes =
+    std::size_t{4096};  // Of thousands of upstreams a third may change state at once.
 
 }  // namespace
 
--- a/birchlever/controllers/change_log.h
+++ b/birchlever/controllers/change_log.h
@@ -39,7 +39,8 @@
   /// All three at once.
   auto reset(const std::vector<stored_row>& rows, std::int64_t version) -> void;
 
-  /// Rows that changed, in order, and the version up to which all are named. Yields those that mean something.
+  /// Rows that changed, in order, and the version up to which all are named. Yields those that mean
+  /// something.
   auto take(const std::vector<stored_row>& changed, std::int64_t version) -> std::vector<stored_row>;
 
   /// The changes after a version; none when that lies before what is known.
--- a/birchlever/controllers/peer_feed.h
+++ b/birchlever/controllers/peer_feed.h
@@ -28,27 +28,27 @@
 /// How a table is followed through peers. Times in ms.
 struct peer_feed_settings {
   std::string vm_;
-  double cores_ = 0;   ///< This daemon's share of a core: those with more follow first.
-  int followers_ = 3;  ///< Daemons that look at the store themselves.
-  milliseconds remembered_ = 3000;  ///< A follower counts for so long after it said that it is one; daemons
-                                    ///< tell each other, so that all hear of it within a second.
-  milliseconds start_delay_ = 1000;  ///< At most, before the first look at the store: of hundreds that start at
-                                     ///< once those that draw the shortest become followers.
+  double cores_ = 0;                 ///< This daemon's share of a core: those with more follow first.
+  int followers_ = 3;                ///< Daemons that look at the store themselves.
+  milliseconds remembered_ = 3000;   ///< A follower counts for so long after it said that it is one; daemons
+                                     ///< tell each other, so that all hear of it within a second.
+  milliseconds start_delay_ = 1000;  ///< At most, before the first look at the store: of hundreds that start
+                                     ///< at once those that draw the shortest become followers.
   milliseconds wait_ = 600;    ///< A look is held by a peer so long.
   milliseconds grace_ = 250;   ///< Beyond that, until the peer is taken for silent. With wait_ less than half
                                ///< of the shortest time after which a leaving upstream must get no work.
   milliseconds oldest_ = 800;  ///< A follower that the store answered longer ago tells nobody.
   milliseconds avoid_ = 3000;  ///< A peer that failed is not asked for so long.
   int peer_tries_ = 2;         ///< Peers that are asked before the store is.
-  milliseconds peers_gap_ = 100;  ///< Until peers are asked again that all failed.
-  milliseconds store_gap_ = 1000;  ///< A daemon that does not follow looks at the store at most so often, half
-                                   ///< of it at least: when followers are held up since the store is, the
-                                   ///< looks of all others must not hold it up for good.
+  milliseconds peers_gap_ = 100;   ///< Until peers are asked again that all failed.
+  milliseconds store_gap_ = 1000;  ///< A daemon that does not follow looks at the store at most so often,
+                                   ///< half of it at least: when followers are held up since the store is,
+                                   ///< the looks of all others must not hold it up for good.
   milliseconds store_wait_ = 500;  ///< A follower's own look is held by the store so long.
   std::size_t busy_rows_ = 16;     ///< Where a look brings so many rows, heartbeats of hundreds,
   milliseconds busy_gap_ = 150;    ///< the next one comes so much later: each look has its price.
-  std::size_t full_rows_ = 250;    ///< But not where it brings so many: a look brings 500 at most, and whoever
-                                   ///< falls behind the heartbeats of thousands never catches up.
+  std::size_t full_rows_ = 250;  ///< But not where it brings so many: a look brings 500 at most, and whoever
+                                 ///< falls behind the heartbeats of thousands never catches up.
 };
 
 /// For coroutines of one loop.
@@ -108,7 +108,7 @@
   milliseconds store_due_ = 0;  ///< When the store may be looked at without following it.
   std::shared_ptr<connection_pool> connections_;
   steady_clock clock_;
-  std::string source_;                           ///< The peer looked at last; empty for the store.
+  std::string source_;  ///< The peer looked at last; empty for the store.
   std::string source_address_;
   milliseconds first_look_at_ = 0;  ///< When the store may be looked at first.
   struct encoded_page {
@@ -116,7 +116,7 @@
     std::int64_t version_ = -1;
     std::string bytes_;
   };
-  encoded_page last_page_;  ///< Most who ask ask for the same.
+  encoded_page last_page_;                       ///< Most who ask ask for the same.
   milliseconds store_answered_at_ = 0;           ///< 0 when never.
   bool busy_ = false;                            ///< The last look brought many rows.
   std::map<std::string, milliseconds> avoided_;  ///< Peers that failed, until when.
--- a/birchlever/controllers/peer_state.cpp
+++ b/birchlever/controllers/peer_state.cpp
@@ -7,6 +7,18 @@
 
 using json = nlohmann::json;
 
+/// Places of fields that daemons of earlier versions do not send.
+enum class added_field : std::size_t { allowance_ranges = 6, follows, region, cores, followers };
+
+/// Reads such a field where it is there.
+template <class Field>
+auto read_added(const json& message, added_field field, Field& into) -> void {
+  auto place = static_cast<std::size_t>(field);
+  if (message.size() > place) {
+    message.at(place).get_to(into);
+  }
+}
+
 }  // namespace
 
 auto encode(const peer_state& state) -> std::string {
@@ -20,9 +32,17 @@
   for (const auto& one : state.followers_) {
     followers.push_back(json::array({one.vm_, one.control_address_, one.cores_, one.age_}));
   }
-  auto message = json{state.vm_,      silence, state.configuration_,    state.control_address_,
-                      state.running_, news,    state.allowance_ranges_, state.follows_,
-                      state.region_, state.cores_, followers};
+  auto message = json{state.vm_,
+                      silence,
+                      state.configuration_,
+                      state.control_address_,
+                      state.running_,
+                      news,
+                      state.allowance_ranges_,
+                      state.follows_,
+                      state.region_,
+                      state.cores_,
+                      followers};
   json::to_cbor(message, bytes);
   return bytes;
 }
@@ -43,27 +63,14 @@
       auto born = one.size() > born_field ? one.at(born_field).get<std::int64_t>() : 0;
       state.news_.push_back({one.at(0).get<std::string>(), one.at(1).get<bool>(), born});
     }
-    constexpr auto ranges_field = std::size_t{6};
-    if (message.size() > ranges_field) {  // Daemons of an earlier version hold none.
-      message.at(ranges_field).get_to(state.allowance_ranges_);
-    }
-    constexpr auto follows_field = std::size_t{7};
-    if (message.size() > follows_field) {
-      message.at(follows_field).get_to(state.follows_);
-    }
-    constexpr auto region_field = std::size_t{8};
-    if (message.size() > region_field) {
-      message.at(region_field).get_to(state.region_);
-    }
-    constexpr auto cores_field = std::size_t{9};
-    if (message.size() > cores_field) {
-      message.at(cores_field).get_to(state.cores_);
-    }
-    constexpr auto followers_field = std::size_t{10};
-    if (message.size() > followers_field) {
-      for (const auto& one : message.at(followers_field)) {
-        state.followers_.push_back({one.at(0), one.at(1), one.at(2), one.at(3)});
-      }
+    read_added(message, added_field::allowance_ranges, state.allowance_ranges_);
+    read_added(message, added_field::follows, state.follows_);
+    read_added(message, added_field::region, state.region_);
+    read_added(message, added_field::cores, state.cores_);
+    auto followers = json::array();
+    read_added(message, added_field::followers, followers);
+    for (const auto& one : followers) {
+      state.followers_.push_back({one.at(0), one.at(1), one.at(2), one.at(3)});
     }
     return state;
   } catch (const json::exception& fault) {
--- a/birchlever/controllers/peer_views.h
+++ b/birchlever/controllers/peer_views.h
@@ -43,8 +43,8 @@
   /// Control addresses of the peers heard of within so many ms, by VM.
   [[nodiscard]] auto addresses_within(milliseconds span) const -> std::map<std::string, std::string>;
 
-  /// Peers that follow the table of upstreams themselves and said so within so many ms, to this daemon or to one
-  /// that told of it.
+  /// Peers that follow the table of upstreams themselves and said so within so many ms, to this daemon or to
+  /// one that told of it.
   [[nodiscard]] auto followers_within(milliseconds span) const -> std::vector<told_follower>;
 
   /// The control address of the peer that last said it holds a range of allowances; it may hold it no more.
--- a/birchlever/coordination/budget_peers.h
+++ b/birchlever/coordination/budget_peers.h
@@ -25,8 +25,8 @@
   virtual auto ask(std::string program_key, std::vector<std::string> holders, std::int64_t tokens)
       -> task<handed_tokens> = 0;
 
-  /// Asks a daemon for a reservation that it holds for the program's next turn. True when it gave it away: then
-  /// it is ours, and nobody else will use it.
+  /// Asks a daemon for a reservation that it holds for the program's next turn. True when it gave it away:
+  /// then it is ours, and nobody else will use it.
   virtual auto take_lease(std::string program_key, std::string reservation, std::string holder)
       -> task<bool> = 0;
 
--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -71,7 +71,7 @@
   std::int64_t most_tokens_ = 0;        ///< The most that this turn generates.
   std::string input_;
   std::optional<milliseconds> patience_;  ///< ms for which it may wait for a store that is away; else as set.
-  bool late_ = false;  ///< Its program should have ended already: others go first.
+  bool late_ = false;                     ///< Its program should have ended already: others go first.
 };
 
 /// A turn that may be sent now: its budget is reserved.
@@ -129,8 +129,8 @@
   /// its next turns need some too. What is handed over is no more ours, also when the answer is lost.
   auto hand_over(const std::string& program_key, const std::string& to, std::int64_t tokens) -> handed_tokens;
 
-  /// Gives a reservation that is held here for a program's next turn to the daemon where that turn came. False
-  /// when it is not held, or not for long enough.
+  /// Gives a reservation that is held here for a program's next turn to the daemon where that turn came.
+  /// False when it is not held, or not for long enough.
   auto hand_over_lease(const std::string& program_key, const std::string& reservation) -> bool;
 
   /// Where tokens are asked for that other daemons drew. Without peers only the store is asked.
@@ -165,8 +165,7 @@
       -> task<result<chain>>;
   auto take_leased(entry& program, const turn_order& order) -> std::optional<std::string>;
   /// Asks the daemon that holds a reservation for it, as the program's record tells.
-  auto take_leased_elsewhere(entry_pointer program, std::int64_t tokens)
-      -> task<std::optional<std::string>>;
+  auto take_leased_elsewhere(entry_pointer program, std::int64_t tokens) -> task<std::optional<std::string>>;
   auto reserve(entry_pointer program, const turn_order& order, milliseconds time_left) -> task<status>;
   auto queue(const entry_pointer& program, change_pointer wanted) -> void;
   auto wait_for(change_pointer wanted, milliseconds time_left) -> task<status>;
--- a/birchlever/coordination/program_store_write.cpp
+++ b/birchlever/coordination/program_store_write.cpp
@@ -149,9 +149,8 @@
     return;
   }
   auto usable_until = clock_.now() + settings_.reservation_lease_;
-  auto next =
-      leased_reservation{settled.turn_key_ + lease_sign + settings_.daemon_, settled.most_tokens_,
-                         usable_until - store_clock_error_};
+  auto next = leased_reservation{settled.turn_key_ + lease_sign + settings_.daemon_, settled.most_tokens_,
+                                 usable_until - store_clock_error_};
   auto longest_turn = std::max(settings_.longest_turn_, settled.longest_turn_);
   auto expires_at = usable_until + store_clock_ahead_ + longest_turn;
   record.reserved_[next.name_] = {next.tokens_, expires_at};
--- a/birchlever/storage/call_pace.cpp
+++ b/birchlever/storage/call_pace.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 constexpr auto ms_per_second = 1000.0;
-constexpr auto fade_ms = 1000.0;        // Over which the calls that were taken are counted.
-constexpr auto unknown_share = 20.0;    // Calls a second, while the store's rate is not known.
-constexpr auto least_burst = 2.0;       // A turn's two calls.
+constexpr auto fade_ms = 1000.0;      // Over which the calls that were taken are counted.
+constexpr auto unknown_share = 20.0;  // Calls a second, while the store's rate is not known.
+constexpr auto least_burst = 2.0;     // A turn's two calls.
 
 }  // namespace
 
--- a/birchlever/storage/call_pace.h
+++ b/birchlever/storage/call_pace.h
@@ -16,13 +16,13 @@
 
 /// How the rate is kept. Times in ms.
 struct call_pace_settings {
-  double kept_after_refusal_ = 0.7;    ///< Of the rate at which calls were sent, after one was refused.
-  double refused_share_ = 0.03;        ///< Of the calls, at which growth and falls are in balance.
-  double most_growth_per_s_ = 0.6;     ///< Of the rate, in each second without a refusal.
-  milliseconds refusal_gap_ = 100;     ///< Refusals so close together count as one: they answer one burst.
-  milliseconds calm_ = 5000;           ///< After so long without a refusal nothing is held back any more.
-  milliseconds burst_ = 60;            ///< Calls of so long may go out at once.
-  double fleet_part_ = 0.8;            ///< Of the store's rate that equal shares are made of.
+  double kept_after_refusal_ = 0.7;  ///< Of the rate at which calls were sent, after one was refused.
+  double refused_share_ = 0.03;      ///< Of the calls, at which growth and falls are in balance.
+  double most_growth_per_s_ = 0.6;   ///< Of the rate, in each second without a refusal.
+  milliseconds refusal_gap_ = 100;   ///< Refusals so close together count as one: they answer one burst.
+  milliseconds calm_ = 5000;         ///< After so long without a refusal nothing is held back any more.
+  milliseconds burst_ = 60;          ///< Calls of so long may go out at once.
+  double fleet_part_ = 0.8;          ///< Of the store's rate that equal shares are made of.
 };
 
 /// A pure function of calls, refusals and times.
@@ -50,14 +50,14 @@
   [[nodiscard]] auto sending_rate(milliseconds now) const -> double;
 
   call_pace_settings settings_;
-  double share_ = 0;              ///< Calls a second that are always allowed.
-  double rate_ = 0;               ///< As of `rate_at_`, while `bounded_`.
+  double share_ = 0;  ///< Calls a second that are always allowed.
+  double rate_ = 0;   ///< As of `rate_at_`, while `bounded_`.
   bool bounded_ = false;
   milliseconds rate_at_ = 0;
   milliseconds refused_at_ = 0;
-  double tokens_ = 0;             ///< As of `tokens_at_`.
+  double tokens_ = 0;  ///< As of `tokens_at_`.
   milliseconds tokens_at_ = 0;
-  double sent_per_s_ = 0;         ///< Fading count of calls that were taken, as of `sent_at_`.
+  double sent_per_s_ = 0;  ///< Fading count of calls that were taken, as of `sent_at_`.
   milliseconds sent_at_ = 0;
 };
 
--- a/birchlever/upstream/cold_start_pace.h
+++ b/birchlever/upstream/cold_start_pace.h
@@ -15,9 +15,9 @@
 
 /// What all daemons may send to a cold upstream.
 struct cold_start_limit {
-  double per_s_ = 0;           ///< Requests a second of all daemons together; 0: no bound.
-  std::int64_t daemons_ = 1;   ///< That share it.
-  milliseconds lasts_ = 0;     ///< How long an upstream is cold after a start.
+  double per_s_ = 0;          ///< Requests a second of all daemons together; 0: no bound.
+  std::int64_t daemons_ = 1;  ///< That share it.
+  milliseconds lasts_ = 0;    ///< How long an upstream is cold after a start.
 };
 
 /// A place in the row of periods: a request may be sent while `open_`, one for each number.
--- a/birchlever/upstream/upstream.h
+++ b/birchlever/upstream/upstream.h
@@ -62,8 +62,8 @@
   int running_ = 0;               ///< Requests of this daemon there now.
   double running_elsewhere_ = 0;  ///< Requests of other daemons, as they last said.
   upstream_health health_;
-  double phase_;                  ///< 0 to 1, differs between daemons and upstreams.
-  std::int64_t used_turn_ = -1;   ///< Number of the last turn in which a request went to it while cold.
+  double phase_;                 ///< 0 to 1, differs between daemons and upstreams.
+  std::int64_t used_turn_ = -1;  ///< Number of the last turn in which a request went to it while cold.
   milliseconds full_until_ = 0;
   prompt_cache cache_;
   std::size_t place_ = 0;          ///< In its pool.
--- a/birchlever/upstream/upstream_directory.h
+++ b/birchlever/upstream/upstream_directory.h
@@ -162,7 +162,7 @@
   upstream_directory_settings settings_;
   own_link link_;
   bool link_blamed_ = false;  ///< Failures are put down to the link, until an upstream answers.
-  std::map<std::string, common_parts> common_;  ///< By service.
+  std::map<std::string, common_parts> common_;                   ///< By service.
   std::unordered_map<std::string, upstream_pointer> upstreams_;  ///< By id.
   std::map<std::string, upstream_pool> pools_;                   ///< By service.
   std::vector<upstream_pointer> busy_;                           ///< Where requests of this daemon run.
--- a/birchlever/upstream/upstream_entry.h
+++ b/birchlever/upstream/upstream_entry.h
@@ -17,10 +17,10 @@
   std::string service_;
   boost::asio::ip::tcp::endpoint address_;
   std::string data_hall_;
-  std::int64_t slots_ = 1;       ///< Requests that run at once.
-  bool leaving_ = false;         ///< Takes no new request.
-  std::int64_t born_ = 0;        ///< Unix ms of its start; 0 where starts are told apart by ids alone.
-  milliseconds cold_left_ = 0;   ///< ms for which it bears few requests, from the moment it was written.
+  std::int64_t slots_ = 1;      ///< Requests that run at once.
+  bool leaving_ = false;        ///< Takes no new request.
+  std::int64_t born_ = 0;       ///< Unix ms of its start; 0 where starts are told apart by ids alone.
+  milliseconds cold_left_ = 0;  ///< ms for which it bears few requests, from the moment it was written.
   std::vector<std::string> models_;
 };
 
--- a/birchlever/upstream/upstream_pool.h
+++ b/birchlever/upstream/upstream_pool.h
@@ -17,10 +17,10 @@
 
 /// How many are weighed.
 struct upstream_pool_settings {
-  std::size_t most_weighed_ = 160;  ///< Up to so many, all are.
-  std::size_t used_last_ = 16;      ///< Of a sample: those that this daemon used last.
-  std::size_t own_hall_ = 24;       ///< Of its own data hall.
-  std::size_t anywhere_ = 8;        ///< Of all.
+  std::size_t most_weighed_ = 160;   ///< Up to so many, all are.
+  std::size_t used_last_ = 16;       ///< Of a sample: those that this daemon used last.
+  std::size_t own_hall_ = 24;        ///< Of its own data hall.
+  std::size_t anywhere_ = 8;         ///< Of all.
   std::size_t home_candidates_ = 8;  ///< Neighbours on the ring among which a subject's home is.
 };
 
--- a/birchlever_daemon/gateway_daemon_pages.cpp
+++ b/birchlever_daemon/gateway_daemon_pages.cpp
@@ -67,6 +67,9 @@
   counters.gauge("store_calls_by_outcome{outcome=\"conflict\"}", static_cast<double>(usage.conflicts_));
   counters.gauge("store_calls_by_outcome{outcome=\"throttled\"}", static_cast<double>(usage.throttled_));
   counters.gauge("store_calls_by_outcome{outcome=\"failed\"}", static_cast<double>(usage.failed_));
+  counters.gauge("store_writes_waiting", static_cast<double>(store_->writes_waiting()));
+  counters.gauge("upstreams_listed", static_cast<double>(context_->upstreams_->size()));
+  counters.gauge("upstream_entries_unreadable", static_cast<double>(upstream_follower_->unreadable()));
   counters.gauge("store_reachable", store_->reachable() ? 1 : 0);
   counters.gauge("peers_heard", peers_ ? static_cast<double>(peers_->views().fresh_peers()) : 0);
   counters.gauge("log_lines_dropped", static_cast<double>(dropped_log_lines()));
--- a/birchlever_daemon/gateway_daemon_peers.cpp
+++ b/birchlever_daemon/gateway_daemon_peers.cpp
@@ -21,11 +21,11 @@
 constexpr auto peer_gone_after =
     milliseconds{30000};  // A daemon that is silent for so long was removed: cuts last
                           // some ten seconds. At 350 daemons each is heard by then.
-constexpr auto unknown_fleet = std::int64_t{1000};  // Daemons that are assumed until the list of them is known,
-                                                    // so that nobody takes too large a share.
+constexpr auto unknown_fleet = std::int64_t{1000};  // Daemons that are assumed until the list of them is
+                                                    // known, so that nobody takes too large a share.
 constexpr auto peer_address_age = milliseconds{10000};  // Addresses stay; of a thousand peers half are heard
                                                         // within it. One that was lost does not answer.
-constexpr auto peer_clock_margin = milliseconds{150};  // Calls that were under way when the store went away.
+constexpr auto peer_clock_margin = milliseconds{150};   // Calls that were under way when the store went away.
 
 }  // namespace
 
@@ -48,8 +48,8 @@
   context_->upstreams_->on_news([this](const upstream_news& news) { peers_->tell(news); });
   auto transfer_settings = budget_transfer_settings{};
   transfer_settings.daemon_ = incarnation_name();
-  budget_transfer_ =
-      budget_transfer::create(loop_, transfer_settings, [this] { return peers_->views().addresses_within(peer_address_age); });
+  budget_transfer_ = budget_transfer::create(
+      loop_, transfer_settings, [this] { return peers_->views().addresses_within(peer_address_age); });
   context_->programs_->set_budget_peers(budget_transfer_);
   auto held = hold_allowances();
   if (!ok(held)) {
--- a/unit_tests/controllers/follower_test.cpp
+++ b/unit_tests/controllers/follower_test.cpp
@@ -89,7 +89,8 @@
   auto settings = table_follower_settings{};
   settings.table_ = "servers";
   settings.most_scanned_ = 1200;
-  auto events = table_follower_events{[] {}, take, [&ended](std::int64_t /*version*/) { ++ended; }, take, nullptr};
+  auto events =
+      table_follower_events{[] {}, take, [&ended](std::int64_t /*version*/) { ++ended; }, take, nullptr};
   auto follower = table_follower::create(loop, rows, settings, std::move(events));
   run_loop_for(loop, 100);
   CHECK(ended == 1);
--- a/unit_tests/controllers/peer_feed_test.cpp
+++ b/unit_tests/controllers/peer_feed_test.cpp
@@ -239,7 +239,8 @@
   CHECK(status == 200);
 }
 
-TEST_CASE("followers are told on with their age, fade, and are forgotten when they say that they follow no more") {
+TEST_CASE(
+    "followers are told on with their age, fade, and are forgotten when they say that they follow no more") {
   auto clock = std::make_shared<manual_clock>();
   clock->advance(10'000);
   auto views = peer_views{"vm-1", 1500, clock};
--- a/unit_tests/coordination/program_store_test.cpp
+++ b/unit_tests/coordination/program_store_test.cpp
@@ -302,9 +302,11 @@
   CHECK(fleet.rows_->commits() > before);
 }
 
-TEST_CASE("a reservation is used once, whoever asks for it, and a lost answer costs its tokens for a while only") {
+TEST_CASE(
+    "a reservation is used once, whoever asks for it, and a lost answer costs its tokens for a while only") {
   auto fleet = named_daemons{};
-  constexpr auto budget = 3 * most_tokens;  // The lease after the first turn takes the last of it but one turn.
+  constexpr auto budget =
+      3 * most_tokens;  // The lease after the first turn takes the last of it but one turn.
   fleet.turn(*fleet.here_, "t1", "", budget, 10);
   auto kept = fleet.begin(*fleet.here_, "t2", "t1", budget);
   REQUIRE(ok(kept));
--- a/unit_tests/platform/decode_test.cpp
+++ b/unit_tests/platform/decode_test.cpp
@@ -90,7 +90,8 @@
   REQUIRE(failure(decode_upstream("i1", R"({"service":"s","address":"nowhere"})")).code_ ==
           error_code::missing_field);
   REQUIRE(failure(decode_upstream("i1", R"({"service":"s","address":"nowhere","zone":"a","slots":6,
-      "version":"v1","cold_left_ms":0,"sequence":4,"state":"ready"})")).code_ == error_code::invalid_setting);
+      "version":"v1","cold_left_ms":0,"sequence":4,"state":"ready"})"))
+              .code_ == error_code::invalid_setting);
 }
 
 TEST_CASE("an upstream's entry says whether it leaves") {
@@ -118,11 +119,12 @@
     without.erase(field);
     CHECK(failure(decode_upstream("i1", without.dump())).code_ == error_code::missing_field);
   }
-  const auto others = std::vector<nlohmann::json>{nullptr, true, -1, 1.5, "", "x", nlohmann::json::array(),
-                                                  nlohmann::json::object()};
+  const auto others = std::vector<nlohmann::json>{
+      nullptr, true, -1, 1.5, "", "x", nlohmann::json::array(), nlohmann::json::object()};
   for (const auto& field : good.items()) {
     for (const auto& other : others) {
-      auto same_kind = other.type() == field.value().type() || (other.is_number() && field.key() == "sequence");
+      auto same_kind =
+          other.type() == field.value().type() || (other.is_number() && field.key() == "sequence");
       if (same_kind) {
         continue;
       }
--- a/unit_tests/storage/call_pace_test.cpp
+++ b/unit_tests/storage/call_pace_test.cpp
@@ -75,7 +75,8 @@
 
 }  // namespace
 
-TEST_CASE("a storm of writes: few are refused, what the store can do is done, and calm returns with the load") {
+TEST_CASE(
+    "a storm of writes: few are refused, what the store can do is done, and calm returns with the load") {
   // Daemons and rates of deployments of three sizes.
   for (auto [daemons, per_s] : {std::pair{12, 800.0}, std::pair{76, 1500.0}, std::pair{984, 4000.0}}) {
     INFO(daemons);
--- a/unit_tests/upstream/upstream_start_test.cpp
+++ b/unit_tests/upstream/upstream_start_test.cpp
@@ -1,5 +1,6 @@
 /// Upstreams that start again, halls that operators close, regions, and upstreams that have just started.
 #include <catch2/catch.hpp>
+#include <chrono>
 
 #include "birchlever/upstream/upstream_directory.h"
 
@@ -52,7 +53,8 @@
 
 }  // namespace
 
-TEST_CASE("another start under the same id is another upstream, and what waits at the former is told at once") {
+TEST_CASE(
+    "another start under the same id is another upstream, and what waits at the former is told at once") {
   auto fixture = start_fixture{};
   fixture.directory_.put(entry_in("u1", "a", 1000));
   auto former = fixture.directory_.find("u1");
@@ -248,4 +250,46 @@
   CHECK(fixture.chosen(excluded) == "u9999");  // The only one left is found though no sample holds it.
 }
 
+TEST_CASE("a choice costs about the same before a hundred upstreams and before twenty thousand") {
+  constexpr auto choices = 2000U;
+  auto cost_of = [](int upstreams) {
+    auto fixture = start_fixture{};
+    fixture.policy_ =
+        value(make_policy(policy_settings{policy_kind::program_aware, {{"prefill_rate", 45000}}}));
+    for (auto number = 0; number < upstreams; ++number) {
+      fixture.directory_.put(entry_in("u" + std::to_string(number), number % 5 == 0 ? "a" : "b"), false);
+    }
+    auto wish = plain_wish();
+    wish.parts_ = {{1, 3000}, {2, 100}};
+    wish.prompt_tokens_ = 3100;
+    wish.cache_room_ = 10000;
+    auto began = std::chrono::steady_clock::now();
+    for (auto seed = 0U; seed < choices; ++seed) {
+      wish.seed_ = seed * 2'654'435'761U;
+      REQUIRE(ok(fixture.directory_.choose(*fixture.policy_, wish)));
+    }
+    return std::chrono::steady_clock::now() - began;
+  };
+  // Within one run: a walk over all would cost a hundred times as much. Samples miss the processor's caches.
+  CHECK(cost_of(20'000) <= 3 * cost_of(150));
+}
+
+TEST_CASE("among thousands the busiest upstream gets little more than the mean") {
+  auto fixture = start_fixture{};
+  constexpr auto upstreams = 1000;
+  constexpr auto requests = upstreams * 3;  // Half of the places.
+  for (auto number = 0; number < upstreams; ++number) {
+    fixture.directory_.put(entry_in("u" + std::to_string(number), "a"), false);
+  }
+  auto most = 0;
+  for (auto request = 0U; request < requests; ++request) {
+    auto wish = plain_wish(request * 0x9e3779b97f4a7c15U);
+    auto choice = fixture.directory_.choose(*fixture.policy_, wish);
+    REQUIRE(ok(choice));
+    fixture.directory_.begin(*value(choice).chosen_, wish);
+    most = std::max(most, value(choice).chosen_->running());
+  }
+  CHECK(most <= 1.34 * requests / upstreams);  // Whole requests: four where three are the mean.
+}
+
 }  // namespace birchlever
