--- a/birchlever/controllers/peer_feed.cpp
+++ b/birchlever/controllers/peer_feed.cpp
@@ -160,6 +160,7 @@
       break;
     }
     note_source(peer->first, peer->second);
+    auto began = clock_.now();
     auto told = co_await look_at_peer(peer->second, after);
     if (ok(told)) {
       co_return std::move(value(told));
@@ -167,6 +168,9 @@
     log_event(log_level::info, "follower_left",
               {{"peer", peer->first}, {"version", after}, {"reason", failure(told).detail_}});
     avoided_[peer->first] = clock_.now() + settings_.avoid_;
+    if (clock_.now() - began > settings_.grace_) {
+      break;  // It was silent; another silent one would double the time without news.
+    }
   }
   co_return std::nullopt;
 }
--- a/birchlever/controllers/table_follower.h
+++ b/birchlever/controllers/table_follower.h
@@ -19,10 +19,10 @@
       2000;  ///< ms that one look at the feed is held by the store; a lost one is noticed soon after.
   milliseconds scan_limit_ = 1500;  ///< ms for one page of a scan.
   std::size_t most_scanned_ = 0;    ///< Rows after which a scan ends, though there are more; 0: none. The
-                                  ///< others become known as they change.
-  milliseconds retry_gap_ = 300;  ///< ms between tries while the store does not answer.
-  milliseconds stale_gap_ = 200;  ///< ms until a scan is repeated that was older than what is known.
-  milliseconds settle_ = 20;      ///< ms between two looks, so that changes in a row come together.
+                                    ///< others become known as they change.
+  milliseconds retry_gap_ = 300;    ///< ms between tries while the store does not answer.
+  milliseconds stale_gap_ = 200;    ///< ms until a scan is repeated that was older than what is known.
+  milliseconds settle_ = 20;        ///< ms between two looks, so that changes in a row come together.
 
   /// Waits for changes of a table after a version.
   using changes_function = std::function<task<result<row_page>>(std::string table, std::int64_t after)>;
