--- a/birchlever/controllers/peer_feed.h
+++ b/birchlever/controllers/peer_feed.h
@@ -34,7 +34,7 @@
                                      ///< tell each other, so that all hear of it within a second.
   milliseconds start_delay_ = 1000;  ///< At most, before the first look at the store: of hundreds that start
                                      ///< at once those that draw the shortest become followers.
-  milliseconds wait_ = 600;    ///< A look is held by a peer so long.
+  milliseconds wait_ = 600;          ///< A look is held by a peer so long.
   milliseconds grace_ = 250;   ///< Beyond that, until the peer is taken for silent. With wait_ less than half
                                ///< of the shortest time after which a leaving upstream must get no work.
   milliseconds oldest_ = 800;  ///< A follower that the store answered longer ago tells nobody.
--- a/birchlever/controllers/upstream_follower.cpp
+++ b/birchlever/controllers/upstream_follower.cpp
@@ -10,8 +10,8 @@
     std::size_t{2000};  // Enough to serve with. Of thousands the others come by their
                         // heartbeats, read by a few followers: hundreds of daemons that
                         // start at once must not read the whole list each.
-constexpr auto most_announced = std::size_t{16};  // New entries named one by one; hundreds at once are
-                                                  // counted: a line each would take a small VM seconds.
+constexpr auto most_announced = std::size_t{16};        // New entries named one by one; hundreds at once are
+                                                        // counted: a line each would take a small VM seconds.
 constexpr auto most_told_unreadable = std::size_t{32};  // Entries named in the log, once each.
 constexpr auto lapse_check_gap = milliseconds{100};
 
--- a/birchlever_daemon/gateway_daemon_peers.cpp
+++ b/birchlever_daemon/gateway_daemon_peers.cpp
@@ -21,8 +21,8 @@
 constexpr auto peer_gone_after =
     milliseconds{30000};  // A daemon that is silent for so long was removed: cuts last
                           // some ten seconds. At 350 daemons each is heard by then.
-constexpr auto unknown_fleet = std::int64_t{1000};  // Daemons that are assumed until the list of them is
-                                                    // known, so that nobody takes too large a share.
+constexpr auto unknown_fleet = std::int64_t{1000};      // Daemons that are assumed until the list of them is
+                                                        // known, so that nobody takes too large a share.
 constexpr auto peer_address_age = milliseconds{10000};  // Addresses stay; of a thousand peers half are heard
                                                         // within it. One that was lost does not answer.
 constexpr auto peer_clock_margin = milliseconds{150};   // Calls that were under way when the store went away.
