--- a/birchlever/controllers/table_follower.cpp
+++ b/birchlever/controllers/table_follower.cpp
@@ -40,7 +40,11 @@
 auto table_follower::record_response() -> void {
   if (std::exchange(store_unreachable_, false)) {
     reconnected_at_ = clock_.now();
-    log_event(log_level::info, "table_poll_recovered", {{"table", settings_.table_}, {"version", version_}});
+    log_event(log_level::info, "table_poll_recovered",
+              {{"table", settings_.table_},
+               {"version", version_},
+               {"failures", std::exchange(failures_, 0)},
+               {"failing_ms", clock_.now() - failing_since_}});
   }
 }
 
@@ -62,20 +66,24 @@
   co_return succeeded;
 }
 
-auto table_follower::record_failure(const error& reason) -> void {
+auto table_follower::record_failure(const error& reason, milliseconds started_at) -> void {
+  ++failures_;
   if (!std::exchange(store_unreachable_, true)) {
+    failing_since_ = started_at;
     log_event(log_level::warning, "table_poll_failing",
               {{"table", settings_.table_},
                {"version", version_},
+               {"waited_ms", clock_.now() - started_at},
                {"reason", std::string{name_of(reason.code_)}},
                {"detail", reason.detail_}});
   }
 }
 
 auto table_follower::read_page(const row_range& range) -> task<std::optional<row_page>> {
+  auto started_at = clock_.now();
   auto page = co_await rows_->read(range, settings_.scan_limit_);
   if (!ok(page)) {
-    record_failure(failure(page));
+    record_failure(failure(page), started_at);
     co_return std::nullopt;
   }
   record_response();
@@ -131,7 +139,7 @@
       scan_needed_ = true;
       co_return true;
     }
-    record_failure(failure(page));
+    record_failure(failure(page), started_at);
     co_return false;
   }
   record_response();
--- a/birchlever/controllers/table_follower.h
+++ b/birchlever/controllers/table_follower.h
@@ -77,7 +77,7 @@
   auto poll(milliseconds wait) -> task<bool>;
   auto record_response() -> void;
   auto notify_verified(milliseconds started_at) -> void;
-  auto record_failure(const error& reason) -> void;
+  auto record_failure(const error& reason, milliseconds started_at) -> void;
 
   event_loop* loop_;
   std::shared_ptr<row_store_interface> rows_;
@@ -86,6 +86,8 @@
   steady_clock clock_;
   std::int64_t version_ = 0;
   milliseconds reconnected_at_ = 0;
+  milliseconds failing_since_ = 0;  ///< Start of the first request that failed. Only valid while unreachable.
+  std::int64_t failures_ = 0;       ///< Consecutive failed requests.
   bool scan_needed_ = true;
   bool primed_ = false;
   bool first_page_read_ = false;
--- a/birchlever/http/http_call.cpp
+++ b/birchlever/http/http_call.cpp
@@ -1,10 +1,20 @@
 #include "birchlever/http/http_call.h"
 
+#include "birchlever/telemetry/log.h"
+
 namespace birchlever {
 namespace {
 
 constexpr auto any_age = milliseconds{3'600'000};
 
+auto log_timeout(const asio::ip::tcp::endpoint& address, const outgoing_connection& connection,
+                 milliseconds waited) -> void {
+  log_event(log_level::info, "exchange_timed_out",
+            {{"address", address.address().to_string() + ":" + std::to_string(address.port())},
+             {"reused_connection", connection.reused()},
+             {"waited_ms", waited}});
+}
+
 }  // namespace
 
 auto call_http(connection_pool& connections, asio::ip::tcp::endpoint address,
@@ -15,10 +25,14 @@
     co_return *fault;
   }
   auto connection = std::get<0>(taken);
+  auto started_at = steady_clock{}.now();
   connection->send(std::move(request), limit);
   auto head = co_await connection->read_head();
   if (auto* fault = std::get_if<exchange_fault>(&head)) {
     connection->abort();
+    if (*fault == exchange_fault::timed_out) {
+      log_timeout(address, *connection, steady_clock{}.now() - started_at);
+    }
     co_return *fault;
   }
   auto body = co_await connection->read_rest(most_body);
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -38,6 +38,7 @@
 constexpr auto finish_check_gap = milliseconds{20};
 constexpr auto trust_margin = 10;  // A tenth less than the bound: timers fire late, and a request that was
                                    // judged is sent on a moment later.
+constexpr auto never_verified = milliseconds{-1};
 constexpr auto renewal_gap = milliseconds{150};  // Between two looks that requests wait for and that failed.
 
 auto read_text(const std::string& file) -> std::string {
@@ -229,9 +230,12 @@
   if (value(decoded).version_ <= known) {
     return;
   }
+  auto verified_at = context_->freshness_->verified_at();
   log_event(log_level::info, "configuration_taken",
             {{"version", value(decoded).version_},
              {"before", known},
+             {"row_version", row.version_},
+             {"before_verified_ms", verified_at ? context_->clock_.now() - *verified_at : never_verified},
              {"routes", static_cast<std::int64_t>(value(decoded).routes_.size())},
              {"accounts", value(decoded).accounts_
                               ? static_cast<std::int64_t>(value(decoded).accounts_->accounts().size())
