Reproduce the late configuration: open connections to the store go silent

New fault sets of the soak: silent (only this, every 3.3 to 5.3 s) and usual_changes (all kinds); in both, configurations change in series beside the faults, and every gateway is asked for each new route from config_apply_ms after the change on, whenever no fault was there for contact_ms.

--- a/soak/fault_schedule.cpp
+++ b/soak/fault_schedule.cpp
@@ -12,6 +12,13 @@
 constexpr auto shortest_fault_ms = 200;
 constexpr auto longest_fault_ms = 2200;
 constexpr auto longest_gap_ms = 700;  // Between the beginnings of two faults, which overlap therefore.
+constexpr auto shortest_silent_gap_ms =
+    3300;  // Longer than the calm time, so that the bounds hold in between.
+constexpr auto longest_silent_gap_ms = 5300;
+constexpr auto shortest_change_gap_ms = 300;
+constexpr auto longest_change_gap_ms = 2500;
+constexpr auto in_force_checked_ms = milliseconds{2500};  // From the bound on.
+constexpr auto in_force_interval_ms = milliseconds{150};
 constexpr auto most_writes_harmed = 6;
 constexpr auto stop_limit_ms = milliseconds{8000};  // After which the platform kills.
 constexpr auto look_ms = milliseconds{25};
@@ -20,9 +27,9 @@
 }  // namespace
 
 auto name_of(fault_kind kind) -> const char* {
-  constexpr auto names = std::array<const char*, 9>{"store_link",         "store_down",   "store_late",
-                                                    "store_answers_lost", "history_gone", "gateway_killed",
-                                                    "gateway_paused",     "herd_killed",  "upstream_faulty"};
+  constexpr auto names = std::array<const char*, 10>{
+      "store_link",     "store_down",     "store_late",  "store_answers_lost", "history_gone",
+      "gateway_killed", "gateway_paused", "herd_killed", "upstream_faulty",    "connections_silent"};
   return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -129,24 +136,90 @@
     case fault_kind::upstream_faulty:
       co_await spoil_upstream(duration);
       break;
+    case fault_kind::connections_silent:
+      silence_connections();
+      break;
   }
   --active_;
   last_fault_at_ = clock_.now();
 }
 
-auto fault_schedule::harm(milliseconds duration) -> task<> {
+auto fault_schedule::silence_connections() -> void {
+  for (auto number : some_gateways()) {
+    fleet_->gateways()[static_cast<std::size_t>(number)].store_link_->silence_open();
+  }
+}
+
+auto fault_schedule::draw_kind() -> fault_kind {
+  if (settings_.faults_ == fault_set::silent) {
+    return fault_kind::connections_silent;
+  }
+  auto last =
+      settings_.faults_ == fault_set::usual ? fault_kind::upstream_faulty : fault_kind::connections_silent;
+  return static_cast<fault_kind>(draw(static_cast<int>(last)));
+}
+
+auto fault_schedule::draw_gap() -> milliseconds {
+  if (settings_.faults_ == fault_set::silent) {
+    return shortest_silent_gap_ms + draw(longest_silent_gap_ms - shortest_silent_gap_ms);
+  }
+  return draw(longest_gap_ms);
+}
+
+auto fault_schedule::harm(milliseconds duration, soak_callers& callers) -> task<> {
   auto until = clock_.now() + duration;
+  if (settings_.faults_ != fault_set::usual) {
+    start(*loop_, "change_configurations", change_configurations(until, callers));
+  }
   while (clock_.now() < until) {
-    auto kind = static_cast<fault_kind>(draw(static_cast<int>(fault_kind::upstream_faulty)));
+    auto kind = draw_kind();
     std::cout << "fault " << name_of(kind) << "\n";
     start(*loop_, "run_fault", run_fault(kind));
-    co_await pause_for(*loop_, draw(longest_gap_ms));
+    co_await pause_for(*loop_, draw_gap());
   }
-  while (active_ > 0) {
+  while (active_ > 0 || checks_ > 0) {
     co_await pause_for(*loop_, look_ms);
   }
 }
 
+auto fault_schedule::change_configurations(milliseconds until, soak_callers& callers) -> task<> {
+  while (clock_.now() < until) {
+    co_await pause_for(*loop_, shortest_change_gap_ms + draw(longest_change_gap_ms - shortest_change_gap_ms));
+    fleet_->configure(++version_);
+    auto bound = clock_.now() + settings_.configuration_;
+    start(*loop_, "check_in_force",
+          check_in_force(version_, clock_.now(), bound + in_force_checked_ms, callers));
+  }
+}
+
+auto fault_schedule::check_in_force(int version, milliseconds changed_at, milliseconds until,
+                                    soak_callers& callers) -> task<> {
+  ++checks_;
+  co_await pause_for(*loop_, settings_.configuration_);
+  while (clock_.now() < until) {
+    for (auto number = 0; number < settings_.gateways_; ++number) {
+      start(*loop_, "ask_for_route", ask_for_route(version, changed_at, number, callers));
+    }
+    co_await pause_for(*loop_, in_force_interval_ms);
+  }
+  --checks_;
+}
+
+auto fault_schedule::ask_for_route(int version, milliseconds changed_at, int gateway, soak_callers& callers)
+    -> task<> {
+  ++checks_;
+  auto asked_at = clock_.now();
+  auto path = "/extra-" + std::to_string(version) + "/x";
+  auto heard = co_await callers.ask_plain(gateway, path);
+  if (heard.status_ == 404 && calm_since(asked_at)) {
+    ledger_->broken(promise::change_in_force,
+                    path + " is unknown at gateway " + std::to_string(gateway) + " " +
+                        std::to_string(asked_at - changed_at) + " ms after the change, " +
+                        std::to_string(asked_at - last_fault_at_) + " ms after the last fault");
+  }
+  --checks_;
+}
+
 auto fault_schedule::change_configuration(soak_callers& callers) -> task<> {
   auto changed_at = clock_.now();
   fleet_->configure(++version_);
--- a/soak/fault_schedule.h
+++ b/soak/fault_schedule.h
@@ -19,6 +19,7 @@
   gateway_paused,
   herd_killed,
   upstream_faulty,
+  connections_silent,  ///< Open connections to the store go silent for good; new ones work.
 };
 
 /// The stable name of a kind.
@@ -29,8 +30,9 @@
  public:
   fault_schedule(event_loop& loop, const soak_settings& settings, soak_fleet& fleet, soak_ledger& ledger);
 
-  /// Draws faults for so long; yields when all have ended.
-  auto harm(milliseconds duration) -> task<>;
+  /// Draws faults for so long; yields when all have ended. Where the fault set says so, configurations change
+  /// meanwhile.
+  auto harm(milliseconds duration, soak_callers& callers) -> task<>;
 
   /// Planned work without faults beside it: a change of configuration, a leaving upstream, a stop, a reload.
   auto plan(soak_callers& callers) -> task<>;
@@ -44,12 +46,21 @@
  private:
   auto draw(int most) -> int { return std::uniform_int_distribution<int>{0, most}(random_); }
   auto some_gateways() -> std::vector<int>;
+  auto draw_kind() -> fault_kind;
+  auto draw_gap() -> milliseconds;
   auto run_fault(fault_kind kind) -> task<>;
   auto harm_links(milliseconds duration) -> task<>;
   auto kill_some(std::vector<int> numbers) -> task<>;
   auto pause_one(milliseconds duration) -> task<>;
   auto spoil_upstream(milliseconds duration) -> task<>;
+  auto silence_connections() -> void;
   auto change_configuration(soak_callers& callers) -> task<>;
+  auto change_configurations(milliseconds until, soak_callers& callers) -> task<>;
+  /// Asks every gateway for the newest route of a version until `until`, and records a broken promise if one
+  /// does not know it although no fault was there during the calm time before the request.
+  auto check_in_force(int version, milliseconds changed_at, milliseconds until, soak_callers& callers)
+      -> task<>;
+  auto ask_for_route(int version, milliseconds changed_at, int gateway, soak_callers& callers) -> task<>;
   auto leave_upstream() -> task<>;
   auto stop_gateway(int number) -> task<>;
 
@@ -60,6 +71,7 @@
   std::mt19937_64 random_;
   steady_clock clock_;
   int active_ = 0;
+  int checks_ = 0;  ///< Checks of configurations that have not ended.
   milliseconds last_fault_at_ = 0;
   int version_ = 1;
 };
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -14,6 +14,8 @@
 DEFINE_int32(engines, 4, "stand-ins of model engines");
 DEFINE_int32(callers, 12, "programs under way at once");
 DEFINE_double(seconds, 6, "of faults in each round");
+DEFINE_string(faults, "usual", "kinds of faults: usual, silent or usual_changes");
+DEFINE_bool(accounts, true, "callers belong to client accounts");
 DEFINE_int32(rounds, 1, "of faults, each followed by planned work in calm");
 
 namespace birchlever::soak {
@@ -34,6 +36,10 @@
   settings.engines_ = FLAGS_engines;
   settings.callers_ = FLAGS_callers;
   settings.duration_ = static_cast<milliseconds>(FLAGS_seconds * ms_per_second);
+  settings.accounts_ = FLAGS_accounts;
+  settings.faults_ = FLAGS_faults == "silent"          ? fault_set::silent
+                     : FLAGS_faults == "usual_changes" ? fault_set::usual_changes
+                                                       : fault_set::usual;
   return settings;
 }
 
@@ -98,10 +104,12 @@
     for (auto number = 0; number < settings_.callers_; ++number) {
       start(loop_, "run_programs", callers_->run_programs(number));
     }
-    start(loop_, "run_spare_keys", callers_->run_spare_keys());
-    start(loop_, "run_hot_account", callers_->run_hot_account());
+    if (settings_.accounts_) {
+      start(loop_, "run_spare_keys", callers_->run_spare_keys());
+      start(loop_, "run_hot_account", callers_->run_hot_account());
+    }
     for (auto round = 0; round < FLAGS_rounds; ++round) {
-      co_await schedule_->harm(settings_.duration_);
+      co_await schedule_->harm(settings_.duration_, *callers_);
       co_await schedule_->plan(*callers_);
     }
     co_await schedule_->kill_all();
@@ -129,5 +137,9 @@
 auto main(int argc, char** argv) -> int {
   gflags::SetUsageMessage("runs gateways under faults and checks what callers and upstreams see");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (FLAGS_faults != "usual" && FLAGS_faults != "silent" && FLAGS_faults != "usual_changes") {
+    std::cerr << "--faults must be usual, silent or usual_changes, not " << FLAGS_faults << "\n";
+    return 2;
+  }
   return birchlever::soak::soak_run{birchlever::soak::settings_from_flags()}.run();
 }
--- a/soak/soak_caller.cpp
+++ b/soak/soak_caller.cpp
@@ -39,6 +39,12 @@
   return output;
 }
 
+auto set_key(http_request& request, const sender& from) -> void {
+  if (!from.key_.empty()) {
+    request.set(names::account_key, from.key_);
+  }
+}
+
 }  // namespace
 
 soak_callers::soak_callers(event_loop& loop, const soak_settings& settings, soak_fleet& fleet,
@@ -92,12 +98,16 @@
   co_return heard;
 }
 
+auto soak_callers::owner_of(int number) const -> sender {
+  return settings_.accounts_ ? soak_accounts::of_caller(number) : sender{};
+}
+
 auto soak_callers::ask_plain(int gateway, std::string path) -> task<heard_answer> {
   auto id = new_id("plain");
   auto request = http_request{http::verb::get, path, 11};
   request.set(names::request_id, id);
-  auto owner = soak_accounts::of_caller(0);
-  request.set(names::account_key, owner.key_);
+  auto owner = owner_of(0);
+  set_key(request, owner);
   ledger_->sent(id, "", true, owner);
   co_return co_await ask(gateway, std::move(request));
 }
@@ -150,7 +160,7 @@
       request.set(names::previous_turn, line.turn_);
     }
     request.body() = input;
-    request.set(names::account_key, line.owner_.key_);
+    set_key(request, line.owner_);
     ledger_->sent(id, line.chain_ + input, false, line.owner_);
     auto gateway = fleet_->pick_gateway(random_());
     auto heard = co_await ask(gateway, std::move(request));
@@ -179,7 +189,7 @@
     request.set(names::request_id, id);
     request.set(names::program, program);
     request.body() = repeatable ? "" : "do it";
-    request.set(names::account_key, owner.key_);
+    set_key(request, owner);
     ledger_->sent(id, request.body(), repeatable, owner);
     auto gateway = fleet_->pick_gateway(random_());
     auto heard = co_await ask(gateway, std::move(request));
@@ -225,6 +235,9 @@
 }
 
 auto soak_callers::ask_as_stranger(kept_turn line) -> task<> {
+  if (!settings_.accounts_) {
+    co_return;
+  }
   auto stranger = soak_accounts::stranger_to(line.owner_);
   auto id = new_id("stranger");
   auto request = http_request{http::verb::post, "/turn/x", 11};
@@ -233,7 +246,7 @@
   request.set(names::session, "s");
   request.set(names::token_usage, "100," + std::to_string(most_tokens));
   request.set(names::previous_turn, line.turn_);
-  request.set(names::account_key, stranger.key_);
+  set_key(request, stranger);
   request.body() = "go on;";
   ledger_->sent(id, "never", false, stranger);
   auto gateway = fleet_->pick_gateway(random_());
@@ -247,7 +260,7 @@
   auto id = new_id("tool");
   auto request = http_request{http::verb::post, "/once/x", 11};
   request.set(names::request_id, id);
-  request.set(names::account_key, owner.key_);
+  set_key(request, owner);
   request.body() = "do it";
   ledger_->sent(id, request.body(), false, owner);
   auto gateway = fleet_->pick_gateway(random_());
@@ -282,7 +295,7 @@
   request.set(names::budget, std::to_string(money.budget_));
   request.set(names::token_usage, "100," + std::to_string(most_tokens));
   request.body() = "whole prompt of " + program;
-  request.set(names::account_key, owner.key_);
+  set_key(request, owner);
   ledger_->sent(id, request.body(), false, owner);
   auto gateway = fleet_->pick_gateway(random_());
   auto heard = co_await ask(gateway, std::move(request));
@@ -320,7 +333,7 @@
 auto soak_callers::run_programs(int number) -> task<> {
   ++running_;
   co_await pause_for(*loop_, number * 7);  // Not all at once.
-  auto owner = soak_accounts::of_caller(number);
+  auto owner = owner_of(number);
   while (!stopped_) {
     auto brief = draw(2) == 0;  // A third of all programs keep nothing of their turns.
     if (brief) {
--- a/soak/soak_caller.h
+++ b/soak/soak_caller.h
@@ -69,6 +69,8 @@
   enum class turn_result { whole, refused_budget, failed };
 
   auto new_id(const char* kind) -> std::string;
+  /// Returns the sender of a caller's requests.
+  [[nodiscard]] auto owner_of(int number) const -> sender;
   auto draw(int most) -> int { return std::uniform_int_distribution<int>{0, most}(random_); }
   auto ask(int gateway, http_request request) -> task<heard_answer>;
   auto run_brief_turn(const sender& owner, const std::string& program, spending& money) -> task<turn_result>;
--- a/soak/soak_fleet.cpp
+++ b/soak/soak_fleet.cpp
@@ -294,12 +294,12 @@
            {"engine",
             {{"slots", 16}, {"kv_capacity", 200000}, {"chunk_tokens", upstream_stand_in::tokens_per_event}}}};
   auto tools = json{{"name", plain_service}, {"health_path", "/healthz"}, {"max_conns", 200}};
-  auto whole = json{{"version", version},
-                    {"routes", routes},
-                    {"services", json::array({engines, tools})},
-                    {"tenants", accounts_of(version)}};
+  auto whole = json{{"version", version}, {"routes", routes}, {"services", json::array({engines, tools})}};
+  if (settings_.accounts_) {
+    whole["tenants"] = accounts_of(version);
+  }
   rows_->put({names::operator_table, "", names::configuration_key}, whole.dump());
-  if (version > 1) {
+  if (version > 1 && settings_.accounts_) {
     ledger_->revoked(soak_accounts::spare_key(version - 1).key_, settings_.revoke_);
   }
   version_ = version;
--- a/soak/soak_settings.h
+++ b/soak/soak_settings.h
@@ -8,11 +8,20 @@
 
 namespace birchlever::soak {
 
+/// Which kinds of faults a run draws from.
+enum class fault_set {
+  usual,   ///< All kinds but silent connections, and no change of configuration beside them.
+  silent,  ///< Open connections to the store go silent again and again; configurations change meanwhile.
+  usual_changes,  ///< All kinds; configurations change meanwhile.
+};
+
 /// Sizes and times of a run. Times in ms.
 struct soak_settings {
   std::string binary_ = "out/release/birchlever";  ///< The program under test.
   std::string folder_ = "/tmp";                    ///< For settings files and logs of the gateways.
   std::uint64_t seed_ = 1;                         ///< Decides faults, their times, and what callers do.
+  fault_set faults_ = fault_set::usual;
+  bool accounts_ = true;  ///< Whether the configuration has client accounts.
   int gateways_ = 4;
   int engines_ = 4;
   int services_ = 3;
--- a/soak/tcp_proxy.cpp
+++ b/soak/tcp_proxy.cpp
@@ -63,6 +63,7 @@
 
 auto tcp_proxy::connect(std::shared_ptr<socket> caller) -> task<> {
   auto self = shared_from_this();
+  auto connection = next_connection_++;
   auto server = std::make_shared<socket>(*loop_);
   auto code = boost::system::error_code{};
   co_await server->async_connect(target_, resume_with(code));
@@ -70,12 +71,12 @@
     reset(*caller);
     co_return;
   }
-  start(*loop_, "proxy_up", carry(caller, server, true));
-  start(*loop_, "proxy_down", carry(server, caller, false));
+  start(*loop_, "proxy_up", carry(caller, server, connection, true));
+  start(*loop_, "proxy_down", carry(server, caller, connection, false));
 }
 
-auto tcp_proxy::carry(std::shared_ptr<socket> from, std::shared_ptr<socket> to, bool towards_server)
-    -> task<> {
+auto tcp_proxy::carry(std::shared_ptr<socket> from, std::shared_ptr<socket> to, std::uint64_t connection,
+                      bool towards_server) -> task<> {
   auto self = shared_from_this();
   auto buffer = std::array<char, piece_size>{};
   auto code = boost::system::error_code{};
@@ -85,7 +86,8 @@
     if (state_ == link_state::resetting) {
       break;
     }
-    lost = lost || state_ == link_state::silent || (state_ == link_state::answers_lost && !towards_server);
+    lost = lost || connection < first_audible_ || state_ == link_state::silent ||
+           (state_ == link_state::answers_lost && !towards_server);
     if (state_ == link_state::slow) {
       co_await pause_for(*loop_, slow_ms);
     }
@@ -94,7 +96,9 @@
     }
   }
   reset(*from);
-  reset(*to);
+  if (connection >= first_audible_) {
+    reset(*to);
+  }
 }
 
 }  // namespace birchlever::soak
--- a/soak/tcp_proxy.h
+++ b/soak/tcp_proxy.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -27,6 +28,11 @@
       -> result<std::shared_ptr<tcp_proxy>>;
 
   auto set(link_state state) -> void { state_ = state; }
+
+  /// Makes the connections that are open now silent for good, without closing them. New ones are not
+  /// affected.
+  auto silence_open() -> void { first_audible_ = next_connection_; }
+
   [[nodiscard]] auto state() const -> link_state { return state_; }
 
  private:
@@ -35,13 +41,16 @@
   tcp_proxy(event_loop& loop, asio::ip::tcp::endpoint target);
 
   auto accept_all() -> task<>;
-  auto carry(std::shared_ptr<socket> from, std::shared_ptr<socket> to, bool towards_server) -> task<>;
+  auto carry(std::shared_ptr<socket> from, std::shared_ptr<socket> to, std::uint64_t connection,
+             bool towards_server) -> task<>;
   auto connect(std::shared_ptr<socket> caller) -> task<>;
 
   event_loop* loop_;
   asio::ip::tcp::acceptor acceptor_;
   asio::ip::tcp::endpoint target_;
   link_state state_ = link_state::good;
+  std::uint64_t next_connection_ = 0;  ///< Number of the next accepted connection.
+  std::uint64_t first_audible_ = 0;    ///< Connections with lower numbers are silent.
 };
 
 }  // namespace birchlever::soak
