After a timeout, do not use connections that were idle meanwhile

What callers saw: 404 for a route that had been added seconds before (CONFIG), when open connections to the store had gone silent without a reset while new ones worked.

Cause: a timed-out exchange closed its own connection only. The retry took the next idle connection of the pool, which was opened as early and was silent too, so each of up to eight cost another timeout: 2.7 s for a poll of the configuration. The class of fault: a timeout was taken as news of the other side, never of the path's other connections.

Change: an exchange of call_http that times out closes the idle connections to its address, all users of it alike: the store client, relayed calls, the peers' feed, budget transfers. exchange_timed_out tells how many (idle_closed).

Why it works: a new connection is the one thing known to tell a silent path from a silent server. A pool that is closed needlessly, because the server was slow, costs a handshake for each of at most eight connections.

--- a/birchlever/http/connection_pool.cpp
+++ b/birchlever/http/connection_pool.cpp
@@ -54,15 +54,17 @@
   kept.push_back({std::move(connection), clock_.now()});
 }
 
-auto connection_pool::forget(const asio::ip::tcp::endpoint& address) -> void {
+auto connection_pool::forget(const asio::ip::tcp::endpoint& address) -> std::size_t {
   auto found = idle_.find(address);
   if (found == idle_.end()) {
-    return;
+    return 0;
   }
   for (auto& kept : found->second) {
     kept.connection_->abort();
   }
+  auto closed = found->second.size();
   idle_.erase(found);
+  return closed;
 }
 
 auto connection_pool::sweep() -> void {
--- a/birchlever/http/connection_pool.h
+++ b/birchlever/http/connection_pool.h
@@ -40,8 +40,10 @@
   auto give_back(const asio::ip::tcp::endpoint& address, std::shared_ptr<outgoing_connection> connection)
       -> void;
 
-  /// Closes what is kept for an address.
-  auto forget(const asio::ip::tcp::endpoint& address) -> void;
+  /// Closes the idle connections to an address and returns how many there were. To be called when an exchange
+  /// timed out: what silently drops the packets of one established connection may do so for all of them, while
+  /// new ones work.
+  auto forget(const asio::ip::tcp::endpoint& address) -> std::size_t;
 
   /// Closes connections that were idle too long. Call now and then.
   auto sweep() -> void;
--- a/birchlever/http/http_call.cpp
+++ b/birchlever/http/http_call.cpp
@@ -8,11 +8,22 @@
 constexpr auto any_age = milliseconds{3'600'000};
 
 auto log_timeout(const asio::ip::tcp::endpoint& address, const outgoing_connection& connection,
-                 milliseconds waited) -> void {
+                 milliseconds waited, std::size_t closed) -> void {
   log_event(log_level::info, "exchange_timed_out",
             {{"address", address.address().to_string() + ":" + std::to_string(address.port())},
              {"reused_connection", connection.reused()},
-             {"waited_ms", waited}});
+             {"waited_ms", waited},
+             {"idle_closed", static_cast<std::int64_t>(closed)}});
+}
+
+auto end_failed_exchange(connection_pool& connections, const asio::ip::tcp::endpoint& address,
+                         outgoing_connection& connection, exchange_fault fault, milliseconds started_at)
+    -> void {
+  connection.abort();
+  if (fault == exchange_fault::timed_out) {
+    auto closed = connections.forget(address);
+    log_timeout(address, connection, steady_clock{}.now() - started_at, closed);
+  }
 }
 
 }  // namespace
@@ -29,15 +40,12 @@
   connection->send(std::move(request), limit);
   auto head = co_await connection->read_head();
   if (auto* fault = std::get_if<exchange_fault>(&head)) {
-    connection->abort();
-    if (*fault == exchange_fault::timed_out) {
-      log_timeout(address, *connection, steady_clock{}.now() - started_at);
-    }
+    end_failed_exchange(connections, address, *connection, *fault, started_at);
     co_return *fault;
   }
   auto body = co_await connection->read_rest(most_body);
   if (auto* fault = std::get_if<exchange_fault>(&body)) {
-    connection->abort();
+    end_failed_exchange(connections, address, *connection, *fault, started_at);
     co_return *fault;
   }
   connections.give_back(address, connection);
