Repeat the configuration's poll early enough for config_apply_ms

What callers saw: 404 for a route that had been added seconds before, from daemons whose open connections to the store had gone silent, up to 5.7 s after that, while a daemon is in touch again after 3 s.

Cause: the long poll of the configuration was held for 2 s, failed 0.7 s later and was repeated 0.3 s after that, on any deployment. 3.0 s until it is repeated is more than config_apply_ms (2 s) and all of contact_ms, even if the repeated poll is answered at once. The class of fault: a time-out chosen without the bound that it serves.

Change: the wait of the poll follows from configuration_apply_ms: with the time for which an answer may be late and a reserve for a new connection it stays within the bound (700 ms for 2 s, 1700 ms for 3 s, 2 s without a bound). A poll that failed is repeated 300 ms after its start, thus at once after a timeout; refusals are repeated as before.

Why it works: a poll that begins before a change is answered or repeated on a new connection before the change's bound is over, so no time of silence that the bound allows can hide it.

--- a/birchlever/controllers/table_follower.cpp
+++ b/birchlever/controllers/table_follower.cpp
@@ -7,10 +7,21 @@
 namespace birchlever {
 namespace {
 
-constexpr auto successor_suffix = '\x01';  // Appended to a key to get its successor.
+constexpr auto successor_suffix = '\x01';     // Appended to a key to get its successor.
+constexpr auto min_wait = milliseconds{100};  // Limits the load on the store.
+constexpr auto repeat_reserve =
+    milliseconds{600};  // For a poll on a new connection and for applying its result.
 
 }  // namespace
 
+auto poll_wait_within(milliseconds bound, milliseconds response_grace) -> milliseconds {
+  auto longest = table_follower_settings{}.wait_;
+  if (bound == 0) {
+    return longest;
+  }
+  return std::clamp(bound - response_grace - repeat_reserve, min_wait, longest);
+}
+
 table_follower::table_follower(event_loop& loop, std::shared_ptr<row_store_interface> rows,
                                table_follower_settings settings, table_follower_events events)
     : loop_{&loop}, rows_{std::move(rows)}, settings_{std::move(settings)}, events_{std::move(events)} {}
@@ -27,13 +38,16 @@
 auto table_follower::follow() -> task<> {
   auto self = shared_from_this();
   while (true) {
+    auto started_at = clock_.now();
     auto succeeded = false;
     if (scan_needed_) {
       succeeded = co_await scan();
     } else {
       succeeded = co_await poll(settings_.wait_);
     }
-    co_await pause_for(*loop_, succeeded ? settings_.min_poll_interval_ : settings_.retry_interval_);
+    auto retry_at = started_at + settings_.retry_interval_;
+    auto pause = succeeded ? settings_.min_poll_interval_ : retry_at - clock_.now();
+    co_await pause_for(*loop_, std::max(pause, settings_.min_poll_interval_));
   }
 }
 
--- a/birchlever/controllers/table_follower.h
+++ b/birchlever/controllers/table_follower.h
@@ -19,7 +19,8 @@
   milliseconds scan_limit_ = 1500;  ///< Timeout in ms of one page of a scan.
   /// Rows after which a scan ends early; 0 for no limit. The remaining rows become known when they change.
   std::size_t max_scan_rows_ = 0;
-  milliseconds retry_interval_ = 300;        ///< ms between attempts while the store does not respond.
+  milliseconds retry_interval_ =
+      300;  ///< ms between the starts of attempts while the store does not respond.
   milliseconds stale_retry_interval_ = 200;  ///< ms until a scan older than the known version is repeated.
   milliseconds min_poll_interval_ = 20;      ///< ms between two polls; batches changes in quick succession.
 
@@ -28,6 +29,11 @@
   changes_function changes_;  ///< Replaces the store's own feed, with the same failures; may be empty.
 };
 
+/// Returns the wait in ms of long polls with which a change is delivered `bound` ms after it was committed,
+/// even if the connection of the poll in progress went silent. `response_grace` is the time in ms after its
+/// wait at which a poll without response fails. A bound of 0 sets no limit.
+[[nodiscard]] auto poll_wait_within(milliseconds bound, milliseconds response_grace) -> milliseconds;
+
 /// Callbacks with which a table_follower delivers scans and later changes of its table.
 struct table_follower_events {
   /// A scan starts: rows that it does not deliver until its end no longer exist.
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -176,6 +176,7 @@
 auto gateway_daemon::follow_store() -> void {
   auto settings = table_follower_settings{};
   settings.table_ = platform::names::operator_table;
+  settings.wait_ = poll_wait_within(settings_.configuration_apply_ms_, store_->feed_poll_grace());
   auto take_all = [this](const std::vector<stored_row>& rows, bool whole_table) {
     take_closures(rows, whole_table);
     for (const auto& row : rows) {
--- a/unit_tests/platform/silent_store_connections_test.cpp
+++ b/unit_tests/platform/silent_store_connections_test.cpp
@@ -38,6 +38,7 @@
     client_ = store_client::create(loop, client_settings);
     auto settings = table_follower_settings{};
     settings.table_ = names::operator_table;
+    settings.wait_ = poll_wait_within(apply_bound, client_->feed_poll_grace());
     auto take = [this](const std::vector<stored_row>& rows) {
       for (const auto& row : rows) {
         known_ = row.value_;
@@ -116,6 +117,17 @@
 
 }  // namespace
 
+/// Failure: polls are held so long that a silent connection is noticed only after the bound.
+TEST_CASE("the wait of a poll leaves time to repeat it within the bound, within limits") {
+  constexpr auto grace = milliseconds{700};
+  const auto longest = table_follower_settings{}.wait_;
+  CHECK(poll_wait_within(apply_bound, grace) + grace < apply_bound);
+  CHECK(poll_wait_within(3000, grace) + grace < 3000);
+  CHECK(poll_wait_within(0, grace) == longest);
+  CHECK(poll_wait_within(60000, grace) == longest);
+  CHECK(poll_wait_within(1, grace) > 0);
+}
+
 /// Failure: a daemon in touch for 3 s again refuses requests as an older configuration says, 2 s after the
 /// change.
 TEST_CASE("a configuration is known in time although the open connections to the store went silent") {
