After a request that got no response, do not use upstream connections that were idle meanwhile

What callers saw: with open connections to an upstream silent, each pooled one (up to eight, for repeatable requests as long as the upstream keeps it open) cost one more caller its deadline, 504, although new connections worked.

Cause: an attempt without any response closed its own connection and left the others of the pool in use.

Change: an attempt that ended by its deadline or by its caller's leaving, without a byte of response for 1 s or more, closes the idle connections to that upstream that carried no response after it began. Those in use under load stay, so a busy upstream that is only slow keeps its connections.

Why it works: connections that were silenced together carry no response after that moment; the next request opens a new one.

--- a/birchlever/gateway/upstream_attempt.cpp
+++ b/birchlever/gateway/upstream_attempt.cpp
@@ -12,6 +12,8 @@
 constexpr auto unlimited_age = milliseconds{3'600'000};  // Repeatable requests may use any idle connection.
 constexpr auto lowest_urgency = 9;                       // Range of the urgency header: 0 to 9.
 constexpr auto ranks_per_account = 3;                    // Three account ranks of three route ranks each.
+constexpr auto silent_after =
+    milliseconds{1000};  // Without a byte of response, the connection may be silent.
 constexpr auto max_refusal_bytes = std::size_t{65536};
 
 auto is_success(const http_response& head) -> bool {
@@ -115,10 +117,26 @@
   co_return std::nullopt;
 }
 
+auto upstream_attempt::drop_silent_connections(exchange_fault fault, milliseconds waited) -> void {
+  auto ended_by_us = fault == exchange_fault::timed_out || fault == exchange_fault::aborted;
+  if (!ended_by_us || waited < silent_after) {
+    return;
+  }
+  auto now = context_->clock_.now();
+  auto closed = context_->upstream_connections_->forget_unused_since(target_->entry().address_, now - waited);
+  log_event(log_level::info, "upstream_connection_silent",
+            {{"request", request_->metadata_.request_id_},
+             {"upstream", target_->entry().id_},
+             {"waited_ms", waited},
+             {"idle_closed", static_cast<std::int64_t>(closed)}});
+}
+
 auto upstream_attempt::relay() -> task<attempt_outcome> {
   auto address = target_->entry().address_;
+  auto started_at = context_->clock_.now();
   auto read = co_await connection_->read_head();
   if (auto* fault = std::get_if<exchange_fault>(&read)) {
+    drop_silent_connections(*fault, context_->clock_.now() - started_at);
     connection_->abort();
     co_return classify(*fault);
   }
--- a/birchlever/gateway/upstream_attempt.h
+++ b/birchlever/gateway/upstream_attempt.h
@@ -41,6 +41,10 @@
   /// Connects and sends the request. Yields an outcome if that failed.
   auto send() -> task<std::optional<attempt_outcome>>;
   auto relay() -> task<attempt_outcome>;
+
+  /// Closes the idle connections to the upstream that were not used while this attempt got no response for
+  /// `waited` ms: they may be silent too, while new ones work.
+  auto drop_silent_connections(exchange_fault fault, milliseconds waited) -> void;
   auto build_request() const -> std::shared_ptr<const http_request>;
   auto classify(exchange_fault fault) const -> attempt_outcome;
   auto relay_response(http_response head) -> task<attempt_outcome>;
--- a/birchlever/http/connection_pool.cpp
+++ b/birchlever/http/connection_pool.cpp
@@ -1,6 +1,7 @@
 #include "birchlever/http/connection_pool.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace birchlever {
 
@@ -55,15 +56,21 @@
 }
 
 auto connection_pool::forget(const asio::ip::tcp::endpoint& address) -> std::size_t {
+  return forget_unused_since(address, std::numeric_limits<milliseconds>::max());
+}
+
+auto connection_pool::forget_unused_since(const asio::ip::tcp::endpoint& address, milliseconds time)
+    -> std::size_t {
   auto found = idle_.find(address);
   if (found == idle_.end()) {
     return 0;
   }
-  for (auto& kept : found->second) {
-    kept.connection_->abort();
-  }
-  auto closed = found->second.size();
-  idle_.erase(found);
+  auto& kept = found->second;
+  auto first_used =
+      std::find_if(kept.begin(), kept.end(), [&](const idle_connection& one) { return one.since_ > time; });
+  auto closed = static_cast<std::size_t>(first_used - kept.begin());
+  std::for_each(kept.begin(), first_used, [](const idle_connection& one) { one.connection_->abort(); });
+  kept.erase(kept.begin(), first_used);
   return closed;
 }
 
--- a/birchlever/http/connection_pool.h
+++ b/birchlever/http/connection_pool.h
@@ -41,10 +41,14 @@
       -> void;
 
   /// Closes the idle connections to an address and returns how many there were. To be called when an exchange
-  /// timed out: what silently drops the packets of one established connection may do so for all of them, while
-  /// new ones work.
+  /// timed out: what silently drops the packets of one established connection may do so for all of them,
+  /// while new ones work.
   auto forget(const asio::ip::tcp::endpoint& address) -> std::size_t;
 
+  /// Closes the idle connections to an address that carried no response after `time`, on the local clock, and
+  /// returns how many there were.
+  auto forget_unused_since(const asio::ip::tcp::endpoint& address, milliseconds time) -> std::size_t;
+
   /// Closes connections that were idle too long. Call now and then.
   auto sweep() -> void;
 
