After a blocking request without response, use a new connection

What callers saw: with open connections silent, each of up to 32 pooled ones (table service, upstreams, list of VMs) cost another request its timeout, 2 s by default.

Cause: a request without response ended its own connection and left the pool's others in use.

Change: http_connection_pool closes the idle connections to an endpoint when a request on it got no response; streamed exchanges do the same after a failed read, not when our own side cancelled.

--- a/birchlever/storage/http_connection_pool.cpp
+++ b/birchlever/storage/http_connection_pool.cpp
@@ -89,6 +89,12 @@
   }
 }
 
+auto http_connection_pool::forget(const endpoint& target) -> void {
+  auto closed = std::vector<std::unique_ptr<httplib::Client>>{};  // Destroyed without the lock.
+  auto lock = std::lock_guard{mutex_};
+  closed.swap(idle_[target.text()]);
+}
+
 auto http_connection_pool::request(const endpoint& target, const std::string& method, const std::string& path,
                                    const std::string& body, const std::map<std::string, std::string>& headers)
     -> result<buffered_response> {
@@ -107,6 +113,7 @@
   if (!lost && is_connection_failure(outcome.error())) {
     return error{error_code::upstream_refused, "no connection to " + target.text()};
   }
+  forget(target);
   return error{error_code::upstream_timeout, "no response from " + target.text(), ran_state::outcome_unknown};
 }
 
--- a/birchlever/storage/http_connection_pool.h
+++ b/birchlever/storage/http_connection_pool.h
@@ -64,6 +64,10 @@
   /// Returns a connection to the pool. It must have no response pending.
   auto release(const endpoint& target, std::unique_ptr<httplib::Client> client) -> void;
 
+  /// Closes the idle connections to an endpoint. To be called when a request got no response: what silently
+  /// drops the packets of one established connection may do so for all of them, while new ones work.
+  auto forget(const endpoint& target) -> void;
+
  private:
   http_connection_pool(const http_pool_settings& settings, std::string link_name);
 
--- a/birchlever/upstream/upstream_exchange.cpp
+++ b/birchlever/upstream/upstream_exchange.cpp
@@ -61,6 +61,9 @@
   }
   auto unsent = !lost && (outcome.error() == httplib::Error::Connection ||
                           outcome.error() == httplib::Error::ConnectionTimeout);
+  if (!outcome && outcome.error() == httplib::Error::Read) {
+    pool->forget(request.target_);
+  }
   auto name = request.target_.text();
   finish(unsent ? std::make_unique<error>(
                       error{error_code::upstream_refused, "no connection to " + name, ran_state::not_run})
