After a peer call without answer, use a new connection

Cause: a call without answer ended its own connection and left the pool's others in use.

Change: peer_client_pool closes the idle connections to a peer that gave no answer.

--- a/birchlever/rpc/peer_client_pool.cpp
+++ b/birchlever/rpc/peer_client_pool.cpp
@@ -84,6 +84,12 @@
   }
 }
 
+auto peer_client_pool::forget(const std::string& address) -> void {
+  auto closed = std::vector<std::unique_ptr<connection>>{};  // Destroyed without the lock.
+  auto lock = std::lock_guard{mutex_};
+  closed.swap(idle_[address]);
+}
+
 auto peer_client_pool::call(const std::string& address, milliseconds answer_timeout, const exchange& use)
     -> status {
   auto state = test_switches::instance().link("peer:" + address);
@@ -105,6 +111,7 @@
     try {
       use(*used->client_);
     } catch (const thrift::TException& fault) {
+      forget(address);
       return error{error_code::owner_unreachable, "daemon " + address + " gave no answer: " + fault.what(),
                    ran_state::outcome_unknown, 500};
     }
--- a/birchlever/rpc/peer_client_pool.h
+++ b/birchlever/rpc/peer_client_pool.h
@@ -45,6 +45,10 @@
   auto borrow(const std::string& address) -> result<std::unique_ptr<connection>>;
   auto give_back(const std::string& address, std::unique_ptr<connection> used) -> void;
 
+  /// Closes the idle connections to a peer that gave no answer on another one: they may be silent too, while
+  /// new ones work.
+  auto forget(const std::string& address) -> void;
+
   peer_pool_settings settings_;
   std::mutex mutex_;
   std::map<std::string, std::vector<std::unique_ptr<connection>>> idle_;
