Test that a leaving upstream is known in time although connections went silent

The cause of the late configuration, looked for in the list of upstreams: five daemons, one following the table in the store and four reading it through that one; all open connections go silent, a second later an upstream says that it leaves.

--- a/unit_tests/platform/silent_store_connections_test.cpp
+++ b/unit_tests/platform/silent_store_connections_test.cpp
@@ -2,7 +2,10 @@
 /// while new ones work.
 #include <catch2/catch.hpp>
 
-#include "birchlever/controllers/table_follower.h"
+#include "birchlever/controllers/peer_feed.h"
+#include "birchlever/controllers/peer_views.h"
+#include "birchlever/controllers/upstream_follower.h"
+#include "birchlever/core/hashing.h"
 #include "birchlever/storage/memory_row_store.h"
 #include "platform/names.h"
 #include "platform/store_client.h"
@@ -69,16 +72,75 @@
   milliseconds known_at_ = 0;
 };
 
+/// Reads the table of upstreams through another daemon if one follows it.
+struct upstream_reader {
+  upstream_reader(event_loop& loop, const std::string& vm, const std::string& store)
+      : vm_{vm}, store_{loop, store} {
+    auto served_at = "127.0.0.1:" + std::to_string(free_port(loop));
+    address_ = "127.0.0.1:" + std::to_string(free_port(loop));
+    auto settings = peer_feed_settings{};
+    settings.vm_ = vm;
+    settings.followers_ = 1;
+    settings.max_start_delay_ = 0;
+    auto meaning = [](const stored_row& row) { return hash_of(row.value_); };
+    feed_ = peer_feed::create(loop, store_.client_, views_, settings, meaning);
+    auto page = [feed = feed_](const http_request& request) { return feed->answer(request); };
+    auto listening = http_listener::create(loop, served_at, serve_pages(page));
+    auto link = soak::tcp_proxy::create(loop, address_, served_at);
+    REQUIRE(ok(listening));
+    REQUIRE(ok(link));
+    listener_ = value(listening);
+    link_ = value(link);
+    auto decode = [](const std::string& id, std::string_view text) -> result<upstream_entry> {
+      auto entry = upstream_entry{};
+      entry.id_ = id;
+      entry.leaving_ = text == "leaving";
+      return entry;
+    };
+    follower_ = upstream_follower::create(loop, store_.client_, names::upstream_table, directory_, decode,
+                                          100, feed_);
+  }
+
+  [[nodiscard]] auto describe() const -> peer_state {
+    auto state = peer_state{};
+    state.vm_ = vm_;
+    state.control_address_ = address_;
+    state.follows_ = feed_->follows();
+    return state;
+  }
+
+  [[nodiscard]] auto knows_leaving() const -> bool {
+    auto found = directory_->find("u1");
+    return found != nullptr && !found->accepts_requests();
+  }
+
+  auto silence() -> void {
+    link_->silence_open();
+    store_.link_->silence_open();
+  }
+
+  std::string vm_;
+  std::string address_;  ///< Of its changes, behind a link that can silence connections.
+  following_daemon store_;
+  peer_views views_{vm_, 60000, std::make_shared<steady_clock>()};
+  std::shared_ptr<peer_feed> feed_;
+  std::shared_ptr<http_listener> listener_;
+  std::shared_ptr<soak::tcp_proxy> link_;
+  std::shared_ptr<upstream_directory> directory_ =
+      std::make_shared<upstream_directory>(upstream_directory_settings{});
+  std::shared_ptr<upstream_follower> follower_;
+};
+
 /// Daemons whose polls began at different times, before one store.
 struct silent_store_fixture {
   silent_store_fixture() {
     rows_->put(configuration_row(), "first");
-    auto at = "127.0.0.1:" + std::to_string(free_port(loop_));
-    auto server = soak::row_store_server::create(loop_, at, rows_);
+    store_address_ = "127.0.0.1:" + std::to_string(free_port(loop_));
+    auto server = soak::row_store_server::create(loop_, store_address_, rows_);
     REQUIRE(ok(server));
     server_ = std::move(value(server));
     for (auto made = 0; made < followers; ++made) {
-      daemons_.push_back(std::make_unique<following_daemon>(loop_, at));
+      daemons_.push_back(std::make_unique<following_daemon>(loop_, store_address_));
       run_loop_for(loop_, phase);
     }
     REQUIRE(run_loop_until(loop_, [this] { return all_know("first"); }));
@@ -111,6 +173,7 @@
   event_loop loop_{1};
   steady_clock clock_;
   std::shared_ptr<memory_row_store> rows_ = std::make_shared<memory_row_store>(loop_);
+  std::string store_address_;
   std::unique_ptr<soak::row_store_server> server_;
   std::vector<std::unique_ptr<following_daemon>> daemons_;
 };
@@ -141,4 +204,48 @@
   CHECK(fixture.longest_delay(changed_at) <= apply_bound);
 }
 
+/// Failure: a daemon in touch for 3 s again sends requests to an upstream that said 2 s ago that it leaves.
+TEST_CASE(
+    "a leaving upstream is known in time although connections to the store and the follower went silent") {
+  constexpr auto drain_bound = milliseconds{2000};
+  constexpr auto told_interval = milliseconds{200};  // Of the daemons' messages to each other.
+  auto fixture = silent_store_fixture{};
+  auto row = row_key{names::upstream_table, "", "u1"};
+  fixture.rows_->put(row, "ready");
+  auto follower = upstream_reader{fixture.loop_, "vm-1", fixture.store_address_};
+  REQUIRE(run_loop_until(fixture.loop_, [&] { return follower.feed_->follows(); }));
+  auto readers = std::vector<std::unique_ptr<upstream_reader>>{};
+  for (auto made = 0; made < 4; ++made) {
+    readers.push_back(std::make_unique<upstream_reader>(fixture.loop_, "vm-" + std::to_string(made + 2),
+                                                        fixture.store_address_));
+    readers.back()->views_.record_state(follower.describe());
+    run_loop_for(fixture.loop_, told_interval);
+  }
+  auto tell_and_run = [&](milliseconds duration) {
+    for (auto left = duration; left > 0; left -= told_interval) {
+      for (auto& reader : readers) {
+        reader->views_.record_state(follower.describe());
+      }
+      run_loop_for(fixture.loop_, std::min(left, told_interval));
+    }
+  };
+  tell_and_run(1000);
+  for (auto& reader : readers) {
+    reader->store_.use_store(6);
+  }
+  follower.store_.use_store(6);
+  tell_and_run(100);
+  for (auto& reader : readers) {
+    reader->silence();
+  }
+  follower.silence();
+  tell_and_run(contact - drain_bound);
+  fixture.rows_->put(row, "leaving");
+  tell_and_run(drain_bound);
+  CHECK(follower.knows_leaving());
+  for (auto& reader : readers) {
+    CHECK(reader->knows_leaving());
+  }
+}
+
 }  // namespace birchlever::platform
