--- a/birchlever/gateway/upstream_attempt.cpp
+++ b/birchlever/gateway/upstream_attempt.cpp
@@ -117,14 +117,14 @@
   co_return std::nullopt;
 }
 
-auto upstream_attempt::drop_silent_connections(exchange_fault fault, milliseconds waited) -> void {
+auto upstream_attempt::close_unused_connections(exchange_fault fault, milliseconds waited) -> void {
   auto ended_by_us = fault == exchange_fault::timed_out || fault == exchange_fault::aborted;
   if (!ended_by_us || waited < silent_after) {
     return;
   }
   auto now = context_->clock_.now();
   auto closed = context_->upstream_connections_->forget_unused_since(target_->entry().address_, now - waited);
-  log_event(log_level::info, "upstream_connection_silent",
+  log_event(log_level::info, "upstream_no_response",
             {{"request", request_->metadata_.request_id_},
              {"upstream", target_->entry().id_},
              {"waited_ms", waited},
@@ -136,7 +136,7 @@
   auto started_at = context_->clock_.now();
   auto read = co_await connection_->read_head();
   if (auto* fault = std::get_if<exchange_fault>(&read)) {
-    drop_silent_connections(*fault, context_->clock_.now() - started_at);
+    close_unused_connections(*fault, context_->clock_.now() - started_at);
     connection_->abort();
     co_return classify(*fault);
   }
--- a/birchlever/gateway/upstream_attempt.h
+++ b/birchlever/gateway/upstream_attempt.h
@@ -43,8 +43,8 @@
   auto relay() -> task<attempt_outcome>;
 
   /// Closes the idle connections to the upstream that were not used while this attempt got no response for
-  /// `waited` ms: they may be silent too, while new ones work.
-  auto drop_silent_connections(exchange_fault fault, milliseconds waited) -> void;
+  /// `waited` ms: its connection may have gone silent, and these with it, while new ones work.
+  auto close_unused_connections(exchange_fault fault, milliseconds waited) -> void;
   auto build_request() const -> std::shared_ptr<const http_request>;
   auto classify(exchange_fault fault) const -> attempt_outcome;
   auto relay_response(http_response head) -> task<attempt_outcome>;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -2,7 +2,10 @@
 /// callers and upstreams see. Exit code 0 when every promise held.
 #include <gflags/gflags.h>
 
+#include <algorithm>
+#include <array>
 #include <iostream>
+#include <optional>
 
 #include "soak/fault_schedule.h"
 #include "soak/soak_accounts.h"
@@ -27,6 +30,12 @@
 constexpr auto look_ms = milliseconds{25};
 constexpr auto most_last_turns = std::size_t{40};
 
+auto fault_set_of(std::string_view name) -> std::optional<fault_set> {
+  constexpr auto names = std::array<std::string_view, 3>{"usual", "silent", "usual_changes"};
+  const auto* found = std::find(names.begin(), names.end(), name);
+  return found == names.end() ? std::nullopt : std::optional{static_cast<fault_set>(found - names.begin())};
+}
+
 auto settings_from_flags() -> soak_settings {
   auto settings = soak_settings{};
   settings.binary_ = FLAGS_binary;
@@ -37,9 +46,7 @@
   settings.callers_ = FLAGS_callers;
   settings.duration_ = static_cast<milliseconds>(FLAGS_seconds * ms_per_second);
   settings.accounts_ = FLAGS_accounts;
-  settings.faults_ = FLAGS_faults == "silent"          ? fault_set::silent
-                     : FLAGS_faults == "usual_changes" ? fault_set::usual_changes
-                                                       : fault_set::usual;
+  settings.faults_ = fault_set_of(FLAGS_faults).value_or(fault_set::usual);
   return settings;
 }
 
@@ -137,7 +144,7 @@
 auto main(int argc, char** argv) -> int {
   gflags::SetUsageMessage("runs gateways under faults and checks what callers and upstreams see");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  if (FLAGS_faults != "usual" && FLAGS_faults != "silent" && FLAGS_faults != "usual_changes") {
+  if (!birchlever::soak::fault_set_of(FLAGS_faults)) {
     std::cerr << "--faults must be usual, silent or usual_changes, not " << FLAGS_faults << "\n";
     return 2;
   }
