Soak: open connections to upstreams go silent too

In the fault sets silent and usual_changes gateways reach upstreams through links, all of whose open connections go silent together with those to the store.

--- a/soak/fault_schedule.cpp
+++ b/soak/fault_schedule.cpp
@@ -148,6 +148,9 @@
   for (auto number : some_gateways()) {
     fleet_->gateways()[static_cast<std::size_t>(number)].store_link_->silence_open();
   }
+  for (const auto& link : fleet_->upstream_links()) {
+    link->silence_open();
+  }
 }
 
 auto fault_schedule::draw_kind() -> fault_kind {
--- a/soak/fault_schedule.h
+++ b/soak/fault_schedule.h
@@ -19,7 +19,7 @@
   gateway_paused,
   herd_killed,
   upstream_faulty,
-  connections_silent,  ///< Open connections to the store go silent for good; new ones work.
+  connections_silent,  ///< Open connections to the store and to upstreams go silent for good; new ones work.
 };
 
 /// The stable name of a kind.
--- a/soak/soak_fleet.cpp
+++ b/soak/soak_fleet.cpp
@@ -24,8 +24,9 @@
 
 constexpr auto networks = 250;  // Of loopback addresses, one for each soak that runs at the same time.
 constexpr auto store_port = 9000;
-constexpr auto link_port = 9100;      // And upwards, one a gateway.
-constexpr auto upstream_port = 9200;  // And upwards, one an upstream.
+constexpr auto link_port = 9100;           // And upwards, one a gateway.
+constexpr auto upstream_port = 9200;       // And upwards, one an upstream.
+constexpr auto upstream_link_port = 9600;  // And upwards, one an upstream.
 constexpr auto caller_port = 8080;
 constexpr auto ready_port = 8081;
 constexpr auto control_port = 8082;
@@ -252,6 +253,14 @@
   auto identity = upstream_identity{(engine ? "engine-" : "tool-") + std::to_string(number),
                                     engine ? engine_service : plain_service,
                                     address(stand_in_host, upstream_port + number), engine};
+  identity.listed_address_ = identity.address_;
+  if (settings_.faults_ != fault_set::usual) {
+    auto listed = add_link(number, identity.address_);
+    if (!ok(listed)) {
+      return failure(listed);
+    }
+    identity.listed_address_ = value(listed);
+  }
   auto made = upstream_stand_in::create(*loop_, identity, *ledger_, settings_.seed_ + 1000U + number);
   if (!ok(made)) {
     return failure(made);
@@ -261,9 +270,19 @@
   return success;
 }
 
+auto soak_fleet::add_link(int upstream, const std::string& target) -> result<std::string> {
+  auto listed = address(stand_in_host, upstream_link_port + upstream);
+  auto link = tcp_proxy::create(*loop_, listed, target);
+  if (!ok(link)) {
+    return failure(link);
+  }
+  upstream_links_.push_back(value(link));
+  return listed;
+}
+
 auto soak_fleet::list_upstream(const upstream_identity& identity, bool leaving) -> void {
   auto entry = json{{"service", identity.service_},
-                    {"address", identity.address_},
+                    {"address", identity.listed_address_},
                     {"zone", "hall-0"},
                     {"version", "1"},
                     {"slots", 16},
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -61,6 +61,9 @@
   [[nodiscard]] auto upstreams() -> std::vector<std::unique_ptr<upstream_stand_in>>& { return upstreams_; }
   [[nodiscard]] auto rows() -> memory_row_store& { return *rows_; }
 
+  /// The links before the upstreams; none in runs whose fault set has no silent connections.
+  [[nodiscard]] auto upstream_links() -> std::vector<std::shared_ptr<tcp_proxy>>& { return upstream_links_; }
+
   /// Starts and lists one more upstream. Failures: invalid_setting.
   auto add_upstream(bool engine) -> status;
 
@@ -80,6 +83,8 @@
 
   auto open() -> status;
   auto open_store() -> status;
+  /// Puts a link before an upstream and returns its address. Failures: invalid_setting.
+  auto add_link(int upstream, const std::string& target) -> result<std::string>;
   [[nodiscard]] auto address(int last, int port) const -> std::string;
   [[nodiscard]] auto settings_file(int number) const -> std::string;
   auto look_at(gateway_process& gateway) -> task<>;
@@ -93,6 +98,7 @@
   std::unique_ptr<row_store_server> store_;
   std::vector<gateway_process> gateways_;
   std::vector<std::unique_ptr<upstream_stand_in>> upstreams_;
+  std::vector<std::shared_ptr<tcp_proxy>> upstream_links_;
   int made_upstreams_ = 0;
   int version_ = 0;
 };
--- a/soak/upstream_stand_in.h
+++ b/soak/upstream_stand_in.h
@@ -19,8 +19,9 @@
 struct upstream_identity {
   std::string id_;
   std::string service_;
-  std::string address_;  ///< "ip:port".
+  std::string address_;  ///< "ip:port" at which it listens.
   bool engine_ = false;
+  std::string listed_address_;  ///< "ip:port" in the store's list: its own, or that of a link before it.
 };
 
 /// For the soak's one loop.
