--- a/soak/soak_settings.h
+++ b/soak/soak_settings.h
@@ -11,7 +11,8 @@
 /// Which kinds of faults a run draws from.
 enum class fault_set {
   usual,   ///< All kinds but silent connections, and no change of configuration beside them.
-  silent,  ///< Open connections to the store go silent again and again; configurations change meanwhile.
+  silent,  ///< Open connections to the store and to upstreams go silent again and again; configurations
+           ///< change.
   usual_changes,  ///< All kinds; configurations change meanwhile.
 };
 
--- a/soak/tcp_proxy.cpp
+++ b/soak/tcp_proxy.cpp
@@ -86,7 +86,7 @@
     if (state_ == link_state::resetting) {
       break;
     }
-    lost = lost || connection < first_audible_ || state_ == link_state::silent ||
+    lost = lost || connection < silent_before_ || state_ == link_state::silent ||
            (state_ == link_state::answers_lost && !towards_server);
     if (state_ == link_state::slow) {
       co_await pause_for(*loop_, slow_ms);
@@ -96,7 +96,7 @@
     }
   }
   reset(*from);
-  if (connection >= first_audible_) {
+  if (connection >= silent_before_) {
     reset(*to);
   }
 }
--- a/soak/tcp_proxy.h
+++ b/soak/tcp_proxy.h
@@ -31,7 +31,7 @@
 
   /// Makes the connections that are open now silent for good, without closing them. New ones are not
   /// affected.
-  auto silence_open() -> void { first_audible_ = next_connection_; }
+  auto silence_open() -> void { silent_before_ = next_connection_; }
 
   [[nodiscard]] auto state() const -> link_state { return state_; }
 
@@ -50,7 +50,7 @@
   asio::ip::tcp::endpoint target_;
   link_state state_ = link_state::good;
   std::uint64_t next_connection_ = 0;  ///< Number of the next accepted connection.
-  std::uint64_t first_audible_ = 0;    ///< Connections with lower numbers are silent.
+  std::uint64_t silent_before_ = 0;    ///< Connections with lower numbers are silent.
 };
 
 }  // namespace birchlever::soak
--- a/unit_tests/controllers/follower_test.cpp
+++ b/unit_tests/controllers/follower_test.cpp
@@ -40,8 +40,66 @@
   std::shared_ptr<upstream_follower> follower_;
 };
 
+/// A store whose feed polls fail, each `delay_` ms after its start.
+class failing_feed final : public row_store_interface {
+ public:
+  failing_feed(event_loop& loop, std::shared_ptr<memory_row_store> inner, milliseconds delay)
+      : loop_{&loop}, inner_{std::move(inner)}, delay_{delay} {}
+
+  [[nodiscard]] auto reachable() const -> bool override { return true; }
+  auto wait_until_reachable(milliseconds limit) -> task<bool> override {
+    return inner_->wait_until_reachable(limit);
+  }
+  auto commit(row_transaction change, milliseconds left) -> task<result<commit_outcome>> override {
+    return inner_->commit(std::move(change), left);
+  }
+  auto read(row_range range, milliseconds left) -> task<result<row_page>> override {
+    return inner_->read(std::move(range), left);
+  }
+  auto changes(std::string /*table*/, std::int64_t /*after*/, milliseconds /*wait*/)
+      -> task<result<row_page>> override {
+    ++polls_;
+    co_await pause_for(*loop_, delay_);
+    co_return error{error_code::store_unknown, "timed_out"};
+  }
+  auto partitions(std::string table, std::string after, milliseconds left)
+      -> task<result<std::vector<std::string>>> override {
+    return inner_->partitions(std::move(table), std::move(after), left);
+  }
+
+  int polls_ = 0;
+
+ private:
+  event_loop* loop_;
+  std::shared_ptr<memory_row_store> inner_;
+  milliseconds delay_;
+};
+
+/// Returns the number of polls of a follower within `duration` ms if each fails after `delay` ms.
+auto count_failing_polls(milliseconds delay, milliseconds retry_interval, milliseconds duration) -> int {
+  auto loop = event_loop{1};
+  auto feed = std::make_shared<failing_feed>(loop, std::make_shared<memory_row_store>(loop), delay);
+  auto settings = table_follower_settings{};
+  settings.table_ = "op";
+  settings.retry_interval_ = retry_interval;
+  auto ignore_rows = [](const std::vector<stored_row>& /*rows*/) {};
+  auto events =
+      table_follower_events{[] {}, ignore_rows, [](std::int64_t /*version*/) {}, ignore_rows, nullptr};
+  auto follower = table_follower::create(loop, feed, settings, std::move(events));
+  run_loop_for(loop, duration);
+  return feed->polls_;
+}
+
 }  // namespace
 
+/// Failure: after a timeout, changes stay unknown for another retry interval.
+TEST_CASE("a poll that failed later than the retry interval is repeated at once, others after the interval") {
+  constexpr auto duration = milliseconds{1000};
+  constexpr auto retry_interval = milliseconds{100};
+  CHECK(count_failing_polls(125, retry_interval, duration) >= 6);  // 5 if the interval followed each timeout.
+  CHECK(count_failing_polls(10, retry_interval, duration) <= 11);
+}
+
 TEST_CASE("listed, changed and removed upstreams are applied to the directory") {
   auto fixture = follower_fixture{};
   REQUIRE(fixture.follower_->primed());
--- a/unit_tests/platform/silent_store_connections_test.cpp
+++ b/unit_tests/platform/silent_store_connections_test.cpp
@@ -204,11 +204,22 @@
   CHECK(fixture.longest_delay(changed_at) <= apply_bound);
 }
 
+/// Failure: the poll under way at the change is held so long, or repeated so late, that the bound is missed.
+TEST_CASE("a configuration that changes as the connections go silent is known within its bound") {
+  auto fixture = silent_store_fixture{};
+  fixture.silence_all();
+  auto changed_at = fixture.clock_.now();
+  fixture.rows_->put(configuration_row(), "second");
+  REQUIRE(run_loop_until(
+      fixture.loop_, [&] { return fixture.all_know("second"); }, 15000));
+  CHECK(fixture.longest_delay(changed_at) <= apply_bound);
+}
+
 /// Failure: a daemon in touch for 3 s again sends requests to an upstream that said 2 s ago that it leaves.
 TEST_CASE(
     "a leaving upstream is known in time although connections to the store and the follower went silent") {
   constexpr auto drain_bound = milliseconds{2000};
-  constexpr auto told_interval = milliseconds{200};  // Of the daemons' messages to each other.
+  constexpr auto message_interval = milliseconds{200};  // Between two state messages of a daemon.
   auto fixture = silent_store_fixture{};
   auto row = row_key{names::upstream_table, "", "u1"};
   fixture.rows_->put(row, "ready");
@@ -219,29 +230,29 @@
     readers.push_back(std::make_unique<upstream_reader>(fixture.loop_, "vm-" + std::to_string(made + 2),
                                                         fixture.store_address_));
     readers.back()->views_.record_state(follower.describe());
-    run_loop_for(fixture.loop_, told_interval);
+    run_loop_for(fixture.loop_, message_interval);
   }
-  auto tell_and_run = [&](milliseconds duration) {
-    for (auto left = duration; left > 0; left -= told_interval) {
+  auto run_with_messages = [&](milliseconds duration) {
+    for (auto left = duration; left > 0; left -= message_interval) {
       for (auto& reader : readers) {
         reader->views_.record_state(follower.describe());
       }
-      run_loop_for(fixture.loop_, std::min(left, told_interval));
+      run_loop_for(fixture.loop_, std::min(left, message_interval));
     }
   };
-  tell_and_run(1000);
+  run_with_messages(1000);
   for (auto& reader : readers) {
     reader->store_.use_store(6);
   }
   follower.store_.use_store(6);
-  tell_and_run(100);
+  run_with_messages(100);
   for (auto& reader : readers) {
     reader->silence();
   }
   follower.silence();
-  tell_and_run(contact - drain_bound);
+  run_with_messages(contact - drain_bound);
   fixture.rows_->put(row, "leaving");
-  tell_and_run(drain_bound);
+  run_with_messages(drain_bound);
   CHECK(follower.knows_leaving());
   for (auto& reader : readers) {
     CHECK(reader->knows_leaving());
--- a/unit_tests/rpc/peer_client_pool_test.cpp
+++ b/unit_tests/rpc/peer_client_pool_test.cpp
@@ -10,6 +10,7 @@
 
 #include "birchlever/rpc/generated/peer.h"
 #include "soak/tcp_proxy.h"
+#include "unit_tests/http/concurrent_calls.h"
 #include "unit_tests/http/free_port.h"
 #include "unit_tests/http/loop_thread.h"
 
@@ -18,15 +19,17 @@
 
 namespace thrift = apache::thrift;
 
-constexpr auto answer_delay = milliseconds{100};  // Longer than it takes to start the calls that fill a pool.
-constexpr auto answer_timeout = 4 * answer_delay;
+constexpr auto answer_timeout = milliseconds{400};
+constexpr auto idle_connections = 3;
 
-/// Answers every message after a delay.
-class slow_handler final : public rpc::peerNull {
+/// Answers the messages that fill a pool once all have arrived, and later ones at once.
+class gathering_handler final : public rpc::peerNull {
  public:
   auto hear_generation(rpc::text_reply& /*reply*/, const rpc::envelope& /*sender*/) -> void override {
-    std::this_thread::sleep_for(std::chrono::milliseconds{answer_delay});
+    calls_.arrive_and_wait();
   }
+
+  call_barrier calls_;
 };
 
 /// Tells when a server listens.
@@ -49,7 +52,7 @@
     });
     auto socket = std::make_shared<thrift::transport::TServerSocket>("127.0.0.1", port);
     server_ = std::make_unique<thrift::server::TThreadedServer>(
-        std::make_shared<rpc::peerProcessor>(std::make_shared<slow_handler>()), socket,
+        std::make_shared<rpc::peerProcessor>(messages_), socket,
         std::make_shared<thrift::transport::TFramedTransportFactory>(),
         std::make_shared<thrift::protocol::TCompactProtocolFactory>());
     auto handler = std::make_shared<listening_handler>();
@@ -73,20 +76,10 @@
     return ok(pool_->call(address_, answer_timeout, exchange));
   }
 
-  /// Leaves `count` idle connections in the pool.
-  auto fill_pool(int count) -> void {
-    auto pending = std::vector<std::future<bool>>{};
-    for (auto started = 0; started < count; ++started) {
-      pending.push_back(std::async(std::launch::async, [this] { return call(); }));
-    }
-    for (auto& answered : pending) {
-      REQUIRE(answered.get());
-    }
-  }
-
   loop_thread link_thread_;
   std::string address_;
   std::shared_ptr<soak::tcp_proxy> link_;
+  std::shared_ptr<gathering_handler> messages_ = std::make_shared<gathering_handler>();
   std::unique_ptr<thrift::server::TThreadedServer> server_;
   std::thread server_thread_;
   std::shared_ptr<peer_client_pool> pool_ = value(peer_client_pool::create({}));
@@ -97,7 +90,8 @@
 /// Failure: every connection that was pooled before the link went silent costs another call its timeout.
 TEST_CASE("after a peer call without answer the next one uses a new connection") {
   auto fixture = silent_peer_fixture{};
-  fixture.fill_pool(3);
+  fixture.messages_->calls_.expect(idle_connections);
+  REQUIRE(call_concurrently(idle_connections, [&] { return fixture.call(); }));
   fixture.link_thread_.run([&] { fixture.link_->silence_open(); });
   REQUIRE_FALSE(fixture.call());
   CHECK(fixture.call());
