--- a/birchlever/http/http_call.cpp
+++ b/birchlever/http/http_call.cpp
@@ -22,7 +22,10 @@
   connection.abort();
   if (fault == exchange_fault::timed_out) {
     auto closed = connections.forget(address);
-    log_timeout(address, connection, steady_clock{}.now() - started_at, closed);
+    // An outage, in which every exchange times out on a connection of its own, is reported by the callers.
+    if (closed > 0 || connection.reused()) {
+      log_timeout(address, connection, steady_clock{}.now() - started_at, closed);
+    }
   }
 }
 
