Wait for the peer messages in progress before the peer server is gone

The kernel names the place: TNonblockingIOThread::notify of the Thrift server.

Cause: stop() ended the server's own thread, not those that handle messages. One that was handling a message then told a server that no longer existed.

Change: stop() also stops the threads that handle messages, which waits for those in progress. These end: the actors they ask are stopped after the peer server.

--- a/birchlever/rpc/peer_server.cpp
+++ b/birchlever/rpc/peer_server.cpp
@@ -181,6 +181,7 @@
 }  // namespace
 
 struct peer_server::state {
+  std::shared_ptr<thrift::concurrency::ThreadManager> handlers_;
   std::shared_ptr<thrift::server::TNonblockingServer> server_;
   std::thread thread_;
 };
@@ -207,6 +208,7 @@
   auto socket = std::make_shared<thrift::transport::TNonblockingServerSocket>(
       settings.listen_address_, static_cast<int>(settings.peer_port_));
   auto made = std::make_unique<state>();
+  made->handlers_ = threads;
   made->server_ = std::make_shared<thrift::server::TNonblockingServer>(processor, protocol, socket, threads);
   auto bound = std::make_shared<std::promise<void>>();
   auto outcome = bound->get_future();
@@ -237,6 +239,7 @@
   if (state_->thread_.joinable()) {
     state_->server_->stop();
     state_->thread_.join();
+    state_->handlers_->stop();  // A message in progress refers to the server until it has been handled.
   }
 }
 
--- a/birchlever/rpc/peer_server.h
+++ b/birchlever/rpc/peer_server.h
@@ -25,7 +25,7 @@
 
   ~peer_server();
 
-  /// Ends serving and waits for its threads.
+  /// Ends serving and waits for its threads and for the messages that they are handling.
   auto stop() -> void;
 
  private:
