--- /dev/null
+++ b/review/stand_ins/store.h
@@ -0,0 +1,63 @@
+/// Stand-in of the platform's store: rows in tables and parts, transactions, reads and the change feed, as
+/// PROTOCOL.md ("The platform's metadata store") has them. Linearizable: one lock orders all calls.
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <tuple>
+
+#include "wire.h"
+
+namespace review {
+
+/// Answers calls on a loopback address until the process ends.
+class store {
+ public:
+  explicit store(const std::string& ip);
+
+  /// The address of the store.
+  [[nodiscard]] auto address() const -> std::string { return listener_.address(); }
+
+  /// Writes a row with an empty part as the operator or a server does.
+  auto put(const std::string& table, const std::string& key, const nlohmann::json& value) -> void;
+
+  /// Sets how long a transaction and a read take, in ms.
+  auto set_pace(std::int64_t transaction_ms, std::int64_t read_ms) -> void;
+
+ private:
+  using row_name = std::tuple<std::string, std::string, std::string>;  // Table, part, key.
+  struct row {
+    std::string value_;  // In base64, as sent.
+    std::int64_t version_ = 0;
+  };
+  struct change {
+    row_name name_;
+    std::int64_t version_ = 0;
+    bool removed_ = false;
+  };
+  using query = std::map<std::string, std::string>;
+
+  auto serve(connection& caller) -> void;
+  auto answer(const message& request) -> std::string;
+  auto transact(const std::string& body) -> std::string;
+  auto read(const query& asked) -> std::string;
+  auto feed(const query& asked) -> std::string;
+  auto parts(const query& asked) -> std::string;
+  [[nodiscard]] auto shown(const row_name& name) const -> nlohmann::json;
+  auto write(const row_name& name, const std::string& value) -> void;
+
+  std::mutex lock_;
+  std::condition_variable changed_;
+  std::map<row_name, row> rows_;
+  std::vector<change> changes_;
+  std::int64_t version_ = 0;
+  std::atomic<std::int64_t> transaction_ms_ = 8;
+  std::atomic<std::int64_t> read_ms_ = 4;
+  listener listener_;
+};
+
+}  // namespace review
