--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,172 +1,153 @@
-/// Case 3: a machine is added while one tenant sends many times its usual. Does the tenant stay within its
-/// allotment, summed over all machines?
+/// Case 3: one gateway is killed while three turns of a looping program run there. Do the program's turns
+/// together stay within its budget, plus the most of one turn?
 #include <iostream>
 #include <thread>
 
-#include "../stand_ins/deployment.h"
+#include "../stand_ins/agent.h"
 
 namespace review {
 namespace {
 
 using json = nlohmann::json;
 
-constexpr auto machines = 3;  // And one that is added.
-constexpr auto tenant_count = 8;
-constexpr auto senders_each = 6;   // Clients of the tenant at each machine.
-constexpr auto rate_per_s = 30.0;  // Of the tenant.
-constexpr auto burst = 30.0;
-constexpr auto usual_x = 1.6;  // quota_x of the site: the rate against what a tenant usually sends.
-constexpr auto hot_x = 7.5;    // hot_tenant, x of the site's troubles.
-constexpr auto hot_ms = std::int64_t{6500};  // hot_tenant, for_s of the site's troubles.
-constexpr auto usual_ms = std::int64_t{2500};
-constexpr auto window_ms = std::int64_t{5000};  // quota_window_s.
-constexpr auto overage = 0.1;                   // quota_overage.
-constexpr auto tolerance = 20.0;                // quota_tolerance.
-constexpr auto limit_ms = std::int64_t{2000};
-constexpr auto ready_limit_ms = std::int64_t{10'000};
-constexpr auto work_ms = std::int64_t{2};
-constexpr auto tenant = "tenant-6";  // One whose grants move to the machine that is added.
-constexpr auto key = "key-of-tenant-6";
+constexpr auto gateways = 2;
+constexpr auto max_tokens = 128;
+constexpr auto budget = std::int64_t{12} * max_tokens;
+constexpr auto lines = 3;                                                 // Sub-agents that run side by side.
+constexpr auto handed_before_kill = std::int64_t{13} * tokens_per_event;  // Of 16 events of each turn.
+constexpr auto down_ms = std::int64_t{500};     // The platform starts a killed process again.
+constexpr auto away_ms = std::int64_t{13'000};  // The stopped program returns, within retention_s.
+constexpr auto retention_s = 60;
+constexpr auto most_turns = 40;
+constexpr auto most_tries = 3;  // A failed turn is sent anew twice.
 
-/// When the tenant's requests were sent, and when they ran.
-struct ledger {
-  std::mutex lock_;
-  std::map<std::string, std::int64_t> sent_;
-  std::map<std::string, std::int64_t> ran_;
-};
-
-/// Runs each request at once.
-class tool_server {
+/// The one program, and the tokens that its client was handed.
+class looping_program {
  public:
-  tool_server(store& platform, const std::string& id, ledger& seen, record& out)
-      : ledger_{&seen},
-        record_{&out},
-        server_{platform, id, "visor", 6,
-                [this](const message& request, connection& caller) { return handle(request, caller); }} {}
+  looping_program(deployment& fleet, record& out) : fleet_{&fleet}, record_{&out} {}
 
- private:
-  auto handle(const message& request, connection& caller) -> bool {
-    auto id = request.header("X-Request-Id");
-    if (request.header("X-Tenant") == tenant) {
-      auto guard = std::lock_guard{ledger_->lock_};
-      ledger_->ran_[id] = now_ms();
+  /// Sends a turn under a new request id.
+  auto send(int gateway, const std::string& line, const std::string& previous,
+            const std::function<void(std::int64_t)>& received = nullptr)
+      -> std::pair<std::string, turn_result> {
+    auto sent = turn{};
+    {
+      auto guard = std::lock_guard{lock_};
+      sent.id_ = "t" + std::to_string(++turns_);
     }
-    record_->write(server_.id() + " runs " + id + " of tenant " + request.header("X-Tenant"));
-    sleep_ms(work_ms);
-    auto headers = server_.answer_headers(request);
-    headers["X-Response-Signature"] = "mac-" + id;
-    return caller.write(answer_bytes(200, headers, "tile"));
+    sent.program_ = "looping";
+    sent.session_ = line;
+    sent.previous_ = previous;
+    sent.input_ = "input of " + sent.id_ + "\n";
+    sent.budget_ = budget;
+    sent.max_tokens_ = max_tokens;
+    auto result = send_turn(fleet_->front(gateway), sent, *record_, received);
+    auto guard = std::lock_guard{lock_};
+    handed_ += result.tokens_;
+    return {sent.id_, result};
   }
 
-  ledger* ledger_;
-  record* record_;
-  server server_;
-};
-
-/// Sends requests of the tenant at an even pace; those that are refused aren't repeated.
-auto run_sender(const std::string& front, const std::string& name, const std::atomic<std::int64_t>& gap_ms,
-                const std::atomic<bool>& stop, ledger& seen, record& out) -> void {
-  auto channel = std::unique_ptr<connection>{};
-  auto next = now_ms();
-  for (auto count = 0; !stop; ++count) {
-    next = std::max(next + gap_ms, now_ms());
-    sleep_ms(next - now_ms());
-    channel = channel ? std::move(channel) : connection::open(front, limit_ms);
-    auto id = name + "r" + std::to_string(count);
-    {
-      auto guard = std::lock_guard{seen.lock_};
-      seen.sent_[id] = now_ms();
+  /// Sends one turn of each line at once, through the first gateway. Gives the ids of those answered whole.
+  auto send_lines(const std::vector<std::string>& previous, std::vector<std::int64_t>& handed)
+      -> std::vector<std::string> {
+    auto ends = std::vector<std::string>(previous.size());
+    auto threads = std::vector<std::thread>{};
+    for (auto line = std::size_t{0}; line < previous.size(); ++line) {
+      threads.emplace_back([&, line] {
+        auto [id, result] = send(0, "line" + std::to_string(line), previous[line], [&](std::int64_t tokens) {
+          auto guard = std::lock_guard{lock_};
+          handed[line] = tokens;
+        });
+        ends[line] = result.whole_ && result.status_ == 200 ? id : std::string{};
+      });
     }
-    auto request = "GET /tile-fetch/x HTTP/1.1\r\nHost: review.example\r\nX-Request-Id: " + id +
-                   "\r\nX-Deadline-Ms: " + std::to_string(limit_ms) + "\r\nX-Key: " + key + "\r\n\r\n";
-    auto answer = std::optional<message>{};
-    if (channel && channel->write(request)) {
-      answer = channel->read_message(limit_ms);
-    }
-    out.write("client got " + std::to_string(answer ? answer->status() : 0) + " for " + id + " through " +
-              front);
-    if (!answer || answer->header("Connection") == "close") {
-      channel.reset();
+    for (auto& thread : threads) {
+      thread.join();
     }
+    return ends;
   }
-}
 
-/// The most requests that were both sent and run within one window.
-auto most_in_window(ledger& seen) -> int {
-  auto guard = std::lock_guard{seen.lock_};
-  auto most = 0;
-  for (const auto& [first, began] : seen.sent_) {
-    auto inside = 0;
-    for (const auto& [id, ran] : seen.ran_) {
-      inside += seen.sent_.at(id) >= began && ran < began + window_ms ? 1 : 0;
+  /// Goes on turn by turn until the budget is spent, or until a turn failed three times.
+  auto go_on(int gateway, std::string previous) -> std::string {
+    auto tries = 0;
+    for (auto count = 0; count < most_turns && tries < most_tries; ++count) {
+      auto [id, result] = send(gateway, "main", previous);
+      if (result.status_ == 402) {
+        return previous;
+      }
+      auto whole = result.status_ == 200 && result.whole_;
+      previous = whole ? id : previous;
+      tries = whole ? 0 : tries + 1;
+      sleep_ms(whole ? 20 : std::max<std::int64_t>(result.retry_ms_, 300));
     }
-    most = std::max(most, inside);
+    return previous;
   }
-  return most;
-}
 
-/// op/config's tenants, all with the same allotment.
-auto tenants() -> json {
-  auto all = json::array();
-  for (auto number = 1; number <= tenant_count; ++number) {
-    auto name = "tenant-" + std::to_string(number);
-    all.push_back({{"name", name},
-                   {"api_keys", json::array({"key-of-" + name})},
-                   {"rate_per_s", rate_per_s},
-                   {"burst", burst}});
+  auto handed() -> std::int64_t {
+    auto guard = std::lock_guard{lock_};
+    return handed_;
   }
-  return all;
-}
+
+  auto least_of(const std::vector<std::int64_t>& handed) -> std::int64_t {
+    auto guard = std::lock_guard{lock_};
+    return *std::min_element(handed.begin(), handed.end());
+  }
+
+ private:
+  deployment* fleet_;
+  record* record_;
+  std::mutex lock_;
+  int turns_ = 0;
+  std::int64_t handed_ = 0;
+};
 
 auto run_case(const std::string& record_file) -> int {
   auto out = record{record_file};
-  auto seen = ledger{};
   static auto platform = store{"127.0.0.1"};
-  configure(platform, json::array({route("tile-fetch", "safe", "visor", 2000, json::object())}),
-            json::array({{{"name", "visor"}, {"health_path", "/healthz"}, {"max_conns", 410}}}), tenants());
-  static auto first = tool_server{platform, "visor-1", seen, out};
-  static auto second = tool_server{platform, "visor-2", seen, out};
-  auto fleet = deployment{platform, {std::vector<std::string>(machines + 1, "zone-a"), true}};
-  fleet.start_all(machines);
-  sleep_ms(usual_ms);
-  auto present = machines;
-  if (with_trouble()) {
-    out.write("a machine is added");
-    fleet.start(machines);
-    if (!fleet.wait_ready(machines, ready_limit_ms)) {
-      cannot_run("the added gateway was not ready");
+  configure(platform,
+            json::array({route("turn", "streaming", "asistente", 5000,
+                               {{"retained", true}, {"retention_s", retention_s}})}),
+            json::array({engine_service("asistente")}));
+  static auto first = engine{platform, "engine-1", 64, 50, out};
+  static auto second = engine{platform, "engine-2", 64, 50, out};
+  auto fleet = deployment{platform, {std::vector<std::string>(gateways, "zone-a")}};
+  fleet.start_all(gateways);
+  auto program = looping_program{fleet, out};
+  auto [root, rooted] = program.send(0, "main", "");
+  auto handed = std::vector<std::int64_t>(lines);
+  auto started = program.send_lines(std::vector<std::string>(lines, root), handed);
+  for (const auto& line : started) {
+    if (!rooted.whole_ || line.empty()) {
+      cannot_run("the first turns were not served");
     }
-    out.write("the added machine is ready and gets clients");
-    ++present;
   }
-  auto usual_gap = static_cast<std::int64_t>(1000.0 * present * senders_each * usual_x / rate_per_s);
-  auto gap_ms = std::atomic<std::int64_t>{usual_gap};
-  auto stop = std::atomic<bool>{false};
-  auto threads = std::vector<std::thread>{};
-  for (auto number = 0; number < present * senders_each; ++number) {
-    threads.emplace_back([&, number] {
-      run_sender(fleet.front(number % present), "c" + std::to_string(number), gap_ms, stop, seen, out);
-    });
+  handed.assign(lines, 0);
+  auto kill_amid = std::thread{[&] { program.send_lines(started, handed); }};
+  if (with_trouble()) {
+    auto due = now_ms() + 4000;
+    while (program.least_of(handed) < handed_before_kill && now_ms() < due) {
+      sleep_ms(1);
+    }
+    out.write("gateway 1 is killed");
+    fleet.kill(0);
   }
-  sleep_ms(usual_ms);
-  out.write("the tenant sends many times its usual");
-  gap_ms = static_cast<std::int64_t>(static_cast<double>(usual_gap) / hot_x);
-  sleep_ms(hot_ms);
-  out.write("the tenant sends its usual again");
-  gap_ms = usual_gap;
-  stop = true;
-  for (auto& thread : threads) {
-    thread.join();
+  kill_amid.join();
+  auto killed_at = now_ms();
+  if (with_trouble()) {
+    sleep_ms(down_ms);
+    fleet.start(0);
+    out.write("gateway 1 is started again");
   }
-  sleep_ms(100);
-  auto allowed = (rate_per_s * window_ms / 1000.0 + burst) * (1 + overage) + tolerance;
-  auto most = most_in_window(seen);
-  out.write("most requests of the tenant run in one window: " + std::to_string(most) + ", allowed " +
-            std::to_string(allowed) + "; sent in all " + std::to_string(seen.sent_.size()) + ", run " +
-            std::to_string(seen.ran_.size()));
-  std::cout << "most in a window: " << most << ", allowed: " << allowed << ", sent: " << seen.sent_.size()
-            << ", run: " << seen.ran_.size() << "\n";
-  return most > allowed ? 1 : 0;
+  auto last = program.go_on(1, started.front());
+  out.write("the program is stopped, " + std::to_string(program.handed()) + " tokens handed so far");
+  sleep_ms(killed_at + away_ms - now_ms());
+  out.write("the program returns");
+  program.go_on(1, last);
+  auto allowed = budget + max_tokens;
+  out.write("tokens handed: " + std::to_string(program.handed()) + ", budget " + std::to_string(budget) +
+            " + the most of one turn " + std::to_string(max_tokens) + " = " + std::to_string(allowed));
+  std::cout << "tokens handed: " << program.handed() << ", allowed: " << allowed << "\n";
+  return program.handed() > allowed ? 1 : 0;
 }
 
 }  // namespace
