--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -19,6 +19,7 @@
 constexpr auto most_pause_ms = std::int64_t{55};  // Of a client between two requests.
 constexpr auto calm_ms = std::int64_t{1500};
 constexpr auto harm_ms = std::int64_t{5000};  // garble, for_s of the site's troubles.
+constexpr auto spells = 3;                    // Impairments may come repeatedly (BENCH.md).
 constexpr auto extra_share = 0.03;            // garble, x of the site's troubles.
 constexpr auto call_limit_ms = std::int64_t{6000};
 
@@ -122,6 +123,7 @@
     auto request = "POST /deed-export/x HTTP/1.1\r\nHost: review.example\r\nX-Request-Id: " + id +
                    "\r\nX-Deadline-Ms: " + std::to_string(call_limit_ms) +
                    "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    out.write("client sends " + id + " to " + front);
     auto answer = std::optional<message>{};
     if (channel && channel->write(request)) {
       answer = channel->read_message(call_limit_ms);
@@ -184,10 +186,12 @@
     threads.emplace_back(
         [&, number] { run_client(number, fleet.front(number % gateways), stop, seen, out); });
   }
-  sleep_ms(calm_ms);
-  second.set_harm(with_trouble());
-  sleep_ms(harm_ms);
-  second.set_harm(false);
+  for (auto spell = 0; spell < spells; ++spell) {
+    sleep_ms(calm_ms);
+    second.set_harm(with_trouble());
+    sleep_ms(harm_ms);
+    second.set_harm(false);
+  }
   sleep_ms(calm_ms);
   stop = true;
   for (auto& thread : threads) {
--- a/review/stand_ins/agent.cpp
+++ b/review/stand_ins/agent.cpp
@@ -87,6 +87,8 @@
               "\r\n" + (sent.budget_ > 0 ? "X-Token-Budget: " + std::to_string(sent.budget_) + "\r\n" : "") +
               (sent.previous_.empty() ? "" : "X-Previous-Turn: " + sent.previous_ + "\r\n") +
               "Content-Length: " + std::to_string(sent.input_.size()) + "\r\n\r\n" + sent.input_;
+  out.write("client sends turn " + sent.id_ + " of program " + sent.program_ +
+            (sent.previous_.empty() ? "" : ", going on from " + sent.previous_) + ", to " + front);
   auto head = channel->write(text) ? channel->read_head(gap_limit_ms) : std::nullopt;
   if (!head) {
     out.write("client got no answer to turn " + sent.id_);
--- a/review/stand_ins/wire.h
+++ b/review/stand_ins/wire.h
@@ -86,8 +86,8 @@
   std::string address_;
 };
 
-/// A free TCP port of this loopback address.
-[[nodiscard]] auto free_port(const std::string& ip) -> int;
+/// Free TCP ports of this loopback address, no two alike.
+[[nodiscard]] auto free_ports(const std::string& ip, int count) -> std::vector<int>;
 
 /// The bytes of an answer with a length.
 [[nodiscard]] auto answer_bytes(int status, const header_map& headers, const std::string& body)
