--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <iostream>
 #include <random>
+#include <semaphore>
 #include <thread>
 
 #include "../stand_ins/deployment.h"
@@ -13,8 +14,9 @@
 using json = nlohmann::json;
 
 constexpr auto gateways = 2;
-constexpr auto clients = 20;
-constexpr auto slots = 6;  // Of a visor server.
+constexpr auto clients = 26;
+constexpr auto slots = 6;   // Of a visor server.
+constexpr auto queued = 3;  // Requests that wait for a slot; more are refused.
 constexpr auto work_ms = std::int64_t{40};
 constexpr auto most_pause_ms = std::int64_t{55};  // Of a client between two requests.
 constexpr auto calm_ms = std::int64_t{1500};
@@ -30,7 +32,7 @@
   std::map<std::string, int> answered_;
 };
 
-/// A server with a number of slots and no queue. The faulty one repeats a share of its answers late.
+/// A server with a number of slots and a short queue. The faulty one repeats a share of its answers late.
 class tool_server {
  public:
   tool_server(store& platform, const std::string& id, bool faulty, ledger& seen, record& out)
@@ -60,27 +62,38 @@
         return false;
       }
     }
-    if (running_.fetch_add(1) >= slots) {
-      running_.fetch_sub(1);
+    if (admitted_.fetch_add(1) >= slots + queued) {
+      admitted_.fetch_sub(1);
       record_->write(server_.id() + " is full and refuses " + id);
       auto refused = server_.refusal(request, 503);
       answers_ += harm_ ? 1 : 0;
       keep_late(&caller, refused);
       return caller.write(refused);
     }
+    free_slots_.acquire();
+    if (caller.peer_gone()) {
+      record_->write(server_.id() + " drops " + id + ", whose channel is closed");
+      leave();
+      return false;
+    }
     {
       auto guard = std::lock_guard{ledger_->lock_};
       ledger_->ran_[id].push_back(server_.id());
     }
     record_->write(server_.id() + " runs " + id);
     sleep_ms(work_ms);
-    running_.fetch_sub(1);
+    leave();
     answers_ += harm_ ? 1 : 0;
     auto headers = server_.answer_headers(request);
     headers["X-Response-Signature"] = "mac-" + id;
     return caller.write(answer_bytes(200, headers, "answer to " + id));
   }
 
+  auto leave() -> void {
+    free_slots_.release();
+    admitted_.fetch_sub(1);
+  }
+
   /// Keeps a copy for the next request on the connection, while the share of such answers stays in bounds.
   auto keep_late(connection* caller, const std::string& answer) -> void {
     auto guard = std::lock_guard{lock_};
@@ -104,7 +117,8 @@
   record* record_;
   std::mutex lock_;
   std::map<connection*, std::string> late_;
-  std::atomic<int> running_ = 0;
+  std::counting_semaphore<> free_slots_{slots};
+  std::atomic<int> admitted_ = 0;
   std::atomic<int> answers_ = 0;
   std::atomic<int> extras_ = 0;
   server server_;
--- a/review/stand_ins/store.cpp
+++ b/review/stand_ins/store.cpp
@@ -14,6 +14,11 @@
 constexpr auto most_entries = std::size_t{100};
 constexpr auto most_transaction_bytes = std::size_t{1'000'000};
 constexpr auto most_parts = std::size_t{1000};
+constexpr auto transaction_ms = std::int64_t{8};  // tx_ms of the sheet.
+constexpr auto read_ms = std::int64_t{4};         // An answer, by the sheet.
+constexpr auto part_gap_ms = std::int64_t{7};     // part_writes_per_s 150, one after another.
+constexpr auto most_part_wait_ms = std::int64_t{1000};
+constexpr auto ms_per_s = 1000.0;
 
 auto unescaped(const std::string& text) -> std::string {
   auto plain = std::string{};
@@ -70,9 +75,28 @@
   changed_.notify_all();
 }
 
-auto store::set_pace(std::int64_t transaction_ms, std::int64_t read_ms) -> void {
-  transaction_ms_ = transaction_ms;
-  read_ms_ = read_ms;
+auto store::rate::take() -> bool {
+  auto now = now_ms();
+  left_ = std::min(left_ + per_s_ * static_cast<double>(now - filled_at_) / ms_per_s, per_s_);
+  filled_at_ = now;
+  auto allowed = left_ >= 1;
+  left_ -= allowed ? 1 : 0;
+  return allowed;
+}
+
+auto store::wait_for_part(const std::string& part) -> bool {
+  auto begins = std::int64_t{0};
+  {
+    auto guard = std::lock_guard{lock_};
+    auto& free_at = part_free_at_[part];
+    begins = std::max(now_ms(), free_at);
+    if (begins - now_ms() > most_part_wait_ms) {
+      return false;
+    }
+    free_at = begins + part_gap_ms;
+  }
+  sleep_ms(begins + transaction_ms - now_ms());
+  return true;
 }
 
 auto store::write(const row_name& name, const std::string& value) -> void {
@@ -112,7 +136,14 @@
     auto sign = std::min(item.find('='), item.size() - 1);
     asked[item.substr(0, sign)] = unescaped(item.substr(sign + 1));
   }
-  if (path == "/birchlever/rows-tx") {
+  auto writes = path == "/birchlever/rows-tx";
+  {
+    auto guard = std::lock_guard{lock_};
+    if (!(writes ? writes_ : reads_).take()) {
+      return reply(429, json::object());
+    }
+  }
+  if (writes) {
     return transact(request.body_);
   }
   if (path == "/birchlever/rows-get") {
@@ -128,7 +159,6 @@
 }
 
 auto store::transact(const std::string& body) -> std::string {
-  sleep_ms(transaction_ms_);
   auto asked = json::parse(body, nullptr, false);
   if (!asked.is_object()) {
     return reply(400, json::object());
@@ -149,6 +179,9 @@
   if (entries > most_entries || body.size() > most_transaction_bytes || named_parts.size() > 1) {
     return reply(400, json::object());
   }
+  if (!named_parts.empty() && !wait_for_part(*named_parts.begin())) {
+    return reply(429, json::object());
+  }
   auto guard = std::lock_guard{lock_};
   auto holds = true;
   auto stand = json::array();
@@ -175,7 +208,7 @@
 }
 
 auto store::read(const query& asked) -> std::string {
-  sleep_ms(read_ms_);
+  sleep_ms(read_ms);
   auto table = text_of(asked, "table");
   auto part = text_of(asked, "part");
   auto until = text_of(asked, "target_version");
@@ -233,7 +266,7 @@
 }
 
 auto store::parts(const query& asked) -> std::string {
-  sleep_ms(read_ms_);
+  sleep_ms(read_ms);
   auto table = text_of(asked, "table");
   auto after = text_of(asked, "after");
   auto guard = std::lock_guard{lock_};
--- a/review/stand_ins/wire.cpp
+++ b/review/stand_ins/wire.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -220,8 +221,10 @@
   return whole ? read : std::nullopt;
 }
 
-auto connection::shut_down() -> void {
-  shutdown(descriptor_, SHUT_RDWR);
+auto connection::peer_gone() -> bool {
+  auto byte = char{};
+  auto seen = recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return seen == 0 || (seen < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
 listener::listener(const std::string& ip, serve_function serve) {
--- a/review/stand_ins/wire.h
+++ b/review/stand_ins/wire.h
@@ -34,7 +34,7 @@
   [[nodiscard]] auto header(const std::string& name) const -> std::string;
 };
 
-/// One TCP connection. Used by one thread at a time, except for shut_down().
+/// One TCP connection, used by one thread.
 class connection {
  public:
   explicit connection(int descriptor) : descriptor_{descriptor} {}
@@ -59,8 +59,8 @@
   /// Reads a head and its whole body.
   auto read_message(std::int64_t limit_ms) -> std::optional<message>;
 
-  /// Ends the connection; a thread that waits on it wakes.
-  auto shut_down() -> void;
+  /// True when the peer has closed or reset the connection.
+  auto peer_gone() -> bool;
 
  private:
   auto fill(std::int64_t due) -> bool;
