Log what joins the attempts of a request and what became of an upstream whose response was lost

The hypotheses could not be told apart: request_offered had no key that joins attempts with different ids, and one outcome, unknown, for every broken exchange. It now has the fingerprint of the work (account, method, host, target, cookie, program, session, previous turn, model, prompt parts, body; not the id), the session, the incarnation, the kind of fault, and after a lost response the state of the server's port, probed 20 ms later (200 ms at most); metric lost_responses_total{port}. No decision uses any of this. A repeat after a lost response starts these 20 ms later.

--- a/birchlever/gateway/gateway_request.h
+++ b/birchlever/gateway/gateway_request.h
@@ -31,6 +31,7 @@
   const route* route_ = nullptr;             ///< Points into configuration_.
   const client_account* account_ = nullptr;  ///< Points into configuration_; may be null.
   std::string service_;
+  std::string fingerprint_;                     ///< Equal for all attempts of one piece of work.
   std::string last_upstream_;                   ///< Upstream that ran the previous turn.
   std::string reservation_;                     ///< Id of the reservation of the turn's budget.
   std::optional<std::int64_t> granted_tokens_;  ///< Limit of tokens sent to the caller. Below the turn's
--- /dev/null
+++ b/birchlever/gateway/request_fingerprint.cpp
@@ -0,0 +1,47 @@
+#include "birchlever/gateway/request_fingerprint.h"
+
+#include <array>
+#include <cstdio>
+
+#include "birchlever/core/hashing.h"
+#include "birchlever/gateway/gateway_request.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto second_seed = std::uint64_t{1};  // Two 64-bit hashes make one digest.
+
+/// Appends a field with its length, so that different fields never yield equal texts.
+auto append_field(std::string& text, std::string_view field) -> void {
+  text += std::to_string(field.size());
+  text += ':';
+  text += field;
+}
+
+}  // namespace
+
+auto fingerprint_of(const gateway_request& request) -> std::string {
+  const auto& metadata = request.metadata_;
+  const auto& message = request.message_;
+  auto text = std::string{};
+  append_field(text, request.account_name());
+  append_field(text, std::string{message.method_string()});
+  append_field(text, field_of(message, "Host"));
+  append_field(text, std::string{message.target()});
+  append_field(text, field_of(message, "Cookie"));
+  append_field(text, metadata.program_);
+  append_field(text, metadata.session_);
+  append_field(text, metadata.previous_turn_);
+  append_field(text, metadata.model_);
+  append_field(text, message.body());
+  for (const auto& part : metadata.parts_) {
+    append_field(text, std::to_string(part.id_));
+  }
+  auto digits = std::array<char, 33>{};
+  std::snprintf(digits.data(), digits.size(), "%016llx%016llx",
+                static_cast<unsigned long long>(hash_of(text)),
+                static_cast<unsigned long long>(hash_of(text, second_seed)));
+  return digits.data();
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/gateway/request_fingerprint.h
@@ -0,0 +1,15 @@
+/// Recognizes repeats of a request, which have other ids and may reach other daemons.
+#pragma once
+
+#include <string>
+
+namespace birchlever {
+
+struct gateway_request;
+
+/// Returns a digest in hexadecimal of what all attempts of one piece of work have in common: account, method,
+/// target, program, session, previous turn, prompt, cookies and body, but not the request id. Must be called before
+/// the stored history is prepended to the body.
+[[nodiscard]] auto fingerprint_of(const gateway_request& request) -> std::string;
+
+}  // namespace birchlever
--- a/birchlever/gateway/upstream_attempt.cpp
+++ b/birchlever/gateway/upstream_attempt.cpp
@@ -70,7 +70,8 @@
   return copy;
 }
 
-auto upstream_attempt::classify(exchange_fault fault) const -> attempt_outcome {
+auto upstream_attempt::classify(exchange_fault fault) -> attempt_outcome {
+  fault_ = fault;
   switch (fault) {
     case exchange_fault::not_connected:
       return attempt_outcome::not_reached;
@@ -275,6 +276,7 @@
   while (!last) {
     auto read = co_await connection_->read_piece();
     if (auto* fault = std::get_if<exchange_fault>(&read)) {
+      fault_ = *fault;
       auto broken = *fault == exchange_fault::broken || *fault == exchange_fault::malformed ||
                     *fault == exchange_fault::aborted;
       co_return record_interruption(name_of(*fault), broken);
--- a/birchlever/gateway/upstream_attempt.h
+++ b/birchlever/gateway/upstream_attempt.h
@@ -43,6 +43,9 @@
   /// incarnation.
   auto run() -> task<attempt_outcome>;
 
+  /// Returns why the exchange with the upstream ended early, if it did.
+  [[nodiscard]] auto fault() const -> std::optional<exchange_fault> { return fault_; }
+
  private:
   /// Connects and sends the request. Yields an outcome if that failed.
   auto send() -> task<std::optional<attempt_outcome>>;
@@ -52,7 +55,7 @@
   /// `waited` ms: its connection may have gone silent, and these with it, while new ones work.
   auto close_unused_connections(exchange_fault fault, milliseconds waited) -> void;
   auto build_request() const -> std::shared_ptr<const http_request>;
-  auto classify(exchange_fault fault) const -> attempt_outcome;
+  auto classify(exchange_fault fault) -> attempt_outcome;
   auto relay_response(http_response head) -> task<attempt_outcome>;
   auto write_stream_head(http_response head) -> task<bool>;
   auto relay_stream(http_response head) -> task<attempt_outcome>;
@@ -74,6 +77,7 @@
   std::shared_ptr<request_progress> progress_;
   std::shared_ptr<outgoing_connection> connection_;
   event_stream events_;
+  std::optional<exchange_fault> fault_;
   milliseconds blocked_ = 0;  ///< Time for which the caller accepted no data, not yet recorded.
 };
 
--- a/birchlever/gateway/upstream_dispatch.cpp
+++ b/birchlever/gateway/upstream_dispatch.cpp
@@ -11,6 +11,9 @@
 
 constexpr auto no_upstream_retry_ms = milliseconds{250};  // About the duration of a tool call or turn.
 
+// A process that ends closes its connections and its port in any order.
+constexpr auto port_probe_delay = milliseconds{20};
+constexpr auto port_probe_limit = milliseconds{200};
 constexpr auto first_error_status = 500;
 constexpr auto min_connection_share = std::int64_t{2};  // Of an upstream's connections, per daemon.
 
@@ -115,12 +118,15 @@
   auto duration = context_->clock_.now() - started_at;
   context_->metrics_->observe("upstream_ms{outcome=\"" + std::string{name_of(outcome)} + "\"}",
                               static_cast<double>(duration));
+  auto port = co_await probe_after_loss(request, *target, attempt, outcome);
   log_event(log_level::info, "request_offered",
             {{"request", request.metadata_.request_id_},
              {"program", request.metadata_.program_},
              {"account", request.account_name()},
              {"route", request.route_->name_},
-             {"upstream", target->entry().id_},
+             {"fingerprint", request.fingerprint_},
+             {"session", request.metadata_.session_},
+             {"upstream", incarnation_of(target->entry())},
              {"candidates", static_cast<std::int64_t>(value(choice).candidates_)},
              {"held_tokens", value(choice).cached_tokens_},
              {"prompt_tokens", request.metadata_.prompt_tokens_},
@@ -129,10 +135,26 @@
              {"took_ms", duration},
              {"events", request.relayed_.events_},
              {"configuration", request.configuration_->version_},
-             {"outcome", std::string{name_of(outcome)}}});
+             {"outcome", std::string{name_of(outcome)}},
+             {"fault", attempt.fault() ? std::string{name_of(*attempt.fault())} : std::string{}},
+             {"upstream_port", port ? std::string{name_of(*port)} : std::string{}}});
   co_return outcome;
 }
 
+auto upstream_dispatch::probe_after_loss(const gateway_request& request, const upstream& target,
+                                         const upstream_attempt& attempt, attempt_outcome outcome)
+    -> task<std::optional<port_state>> {
+  auto lost = outcome == attempt_outcome::unknown ||
+              (outcome == attempt_outcome::broken_off && request.relayed_.interrupted_by_upstream_);
+  if (!lost || !attempt.fault()) {
+    co_return std::nullopt;
+  }
+  co_await pause_for(*context_->loop_, port_probe_delay);
+  auto state = co_await probe_port(*context_->loop_, target.entry().address_, port_probe_limit);
+  context_->metrics_->count("lost_responses_total{port=\"" + std::string{name_of(state)} + "\"}");
+  co_return state;
+}
+
 auto upstream_dispatch::may_retry(const gateway_request& request, attempt_outcome last,
                                   const attempt_counts& counts) const -> bool {
   auto time_left = request.deadline_ - context_->clock_.now() > context_->limits_.deadline_margin_ms_;
--- a/birchlever/gateway/upstream_dispatch.h
+++ b/birchlever/gateway/upstream_dispatch.h
@@ -4,6 +4,7 @@
 #include "birchlever/gateway/gateway_context.h"
 #include "birchlever/gateway/gateway_filter.h"
 #include "birchlever/gateway/upstream_attempt.h"
+#include "birchlever/http/port_probe.h"
 #include "birchlever/upstream/upstream_directory.h"
 
 namespace birchlever {
@@ -30,6 +31,10 @@
   auto abort_stream(gateway_request& request) -> void;
   auto attempt_once(gateway_request& request, upstream_criteria& criteria, attempt_counts& counts)
       -> task<attempt_outcome>;
+  /// Probes the port of an upstream whose response was lost. Yields nothing after other outcomes.
+  auto probe_after_loss(const gateway_request& request, const upstream& target,
+                        const upstream_attempt& attempt, attempt_outcome outcome)
+      -> task<std::optional<port_state>>;
   auto may_retry(const gateway_request& request, attempt_outcome last, const attempt_counts& counts) const
       -> bool;
   static auto final_error(attempt_outcome last, const attempt_counts& counts) -> error;
