--- a/unit_tests/gateway/gateway_fixture.cpp
+++ b/unit_tests/gateway/gateway_fixture.cpp
@@ -41,7 +41,7 @@
 }
 
 gateway_fixture::gateway_fixture()
-    : rows_{std::make_shared<memory_row_store>(loop_)}, context_{std::make_shared<gateway_context>()} {
+    : rows_{std::make_shared<memory_row_store>(loop_)} {
   configuration_.version_ = 1;
   auto resumable = make_route("/resume/", route_kind::streaming, engine_service, false);
   resumable.resumable_ = true;
@@ -54,41 +54,81 @@
   engines.engine_ = engine_capacity{8, 100000, 4};
   configuration_.services_[engine_service] = engines;
   configuration_.services_[tool_service] = service_description{tool_service, "/healthz", 8, std::nullopt};
-  context_->loop_ = &loop_;
-  context_->dialect_ = std::make_shared<platform::header_dialect>();
-  context_->upstream_connections_ = connection_pool::create(loop_, {});
-  context_->freshness_ = std::make_shared<configuration_freshness>(loop_);
-  context_->upstreams_ = std::make_shared<upstream_directory>(upstream_directory_settings{"hall-a"});
-  auto programs = program_store::create(loop_, rows_, {});
-  REQUIRE(ok(programs));
-  context_->programs_ = value(programs);
-  context_->policies_ = std::make_shared<policy_registry>();
-  context_->metrics_ = std::make_shared<metrics>();
-  context_->engine_policy_ = "engines";
-  context_->service_policy_ = "services";
-  context_->policies_->load({{"engines", policy_settings{policy_kind::program_aware, {}}},
-                             {"services", policy_settings{policy_kind::least_loaded, {}}}},
-                            {});
-  context_->configuration_ = std::make_shared<const serving_configuration>(configuration_);
+  context_ = make_context();
+  contexts_ = {context_};
   for (const auto* name : {"engine-1", "engine-2", "tool-1", "tool-2"}) {
-    auto port = free_port(loop_);
-    auto listening = http_listener::create(
-        loop_, "127.0.0.1:" + std::to_string(port),
-        [this, name](auto connection) { return serve_upstream(name, std::move(connection)); });
-    REQUIRE(ok(listening));
-    upstreams_.push_back(value(listening));
-    add_upstream(name, std::string{name}.substr(0, 4) == "tool" ? tool_service : engine_service, port);
+    start_upstream(name, std::string{name}.substr(0, 4) == "tool" ? tool_service : engine_service);
+  }
+  open_gateway();
+  server_ = servers_.front();
+}
+
+auto gateway_fixture::make_context() -> std::shared_ptr<gateway_context> {
+  auto context = std::make_shared<gateway_context>();
+  context->loop_ = &loop_;
+  context->dialect_ = std::make_shared<platform::header_dialect>();
+  context->upstream_connections_ = connection_pool::create(loop_, {});
+  context->freshness_ = std::make_shared<configuration_freshness>(loop_);
+  context->upstreams_ = std::make_shared<upstream_directory>(upstream_directory_settings{"hall-a"});
+  auto settings = program_store_settings{};
+  settings.daemon_ += std::to_string(contexts_.size());
+  auto programs = program_store::create(loop_, rows_, settings);
+  REQUIRE(ok(programs));
+  context->programs_ = value(programs);
+  context->policies_ = std::make_shared<policy_registry>();
+  context->metrics_ = std::make_shared<metrics>();
+  context->engine_policy_ = "engines";
+  context->service_policy_ = "services";
+  context->policies_->load({{"engines", policy_settings{policy_kind::program_aware, {}}},
+                            {"services", policy_settings{policy_kind::least_loaded, {}}}},
+                           {});
+  context->configuration_ = std::make_shared<const serving_configuration>(configuration_);
+  for (const auto& [name, upstream] : upstreams_) {
+    context->upstreams_->put(upstream.entry_);
   }
-  address_ = "127.0.0.1:" + std::to_string(free_port(loop_));
-  auto server = gateway_server::create(context_, address_);
+  return context;
+}
+
+auto gateway_fixture::open_gateway() -> void {
+  addresses_.push_back("127.0.0.1:" + std::to_string(free_port(loop_)));
+  auto server = gateway_server::create(contexts_.back(), addresses_.back());
   REQUIRE(ok(server));
-  server_ = value(server);
+  servers_.push_back(value(server));
+}
+
+auto gateway_fixture::add_gateway() -> std::size_t {
+  contexts_.push_back(make_context());
+  open_gateway();
+  return contexts_.size() - 1;
+}
+
+auto gateway_fixture::start_upstream(const std::string& name, const std::string& service) -> void {
+  auto port = free_port(loop_);
+  auto listening = http_listener::create(
+      loop_, "127.0.0.1:" + std::to_string(port),
+      [this, name](auto connection) { return serve_upstream(name, std::move(connection)); });
+  REQUIRE(ok(listening));
+  add_upstream(name, service, port);
+  upstreams_[name].listener_ = value(listening);
+}
+
+auto gateway_fixture::end_upstream(const std::string& name) -> void {
+  auto& ended = upstreams_.at(name);
+  ended.listener_->stop();
+  for (const auto& connection : std::exchange(ended.connections_, {})) {
+    connection->close();
+  }
+  ++ended_;
 }
 
 gateway_fixture::~gateway_fixture() {
-  server_->stop_accepting();
-  for (const auto& listener : upstreams_) {
-    listener->stop();
+  for (const auto& server : servers_) {
+    server->stop_accepting();
+  }
+  for (const auto& [name, upstream] : upstreams_) {
+    if (upstream.listener_) {
+      upstream.listener_->stop();
+    }
   }
   run_for(20);
 }
@@ -102,7 +142,10 @@
   entry.data_hall_ = "hall-a";
   entry.slots_ = 8;
   entry.leaving_ = leaving;
-  context_->upstreams_->put(std::move(entry));
+  for (const auto& context : contexts_) {
+    context->upstreams_->put(entry);
+  }
+  upstreams_[id].entry_ = std::move(entry);
 }
 
 auto gateway_fixture::set_accounts(std::vector<client_account> accounts) -> void {
@@ -118,7 +161,7 @@
   loop_.run_for(std::chrono::milliseconds{duration});
 }
 
-auto gateway_fixture::run_script(script script_to_run, const http_request& request,
+auto gateway_fixture::run_script(const std::string& name, script script_to_run, const http_request& request,
                                  server_connection& connection) -> task<bool> {
   auto id = std::string{field_of(request, "X-Request-Id")};
   auto answer = http_response{static_cast<http::status>(script_to_run.status_), 11};
@@ -138,6 +181,10 @@
       co_return false;
     case script::kind::reset:
       co_return false;
+    case script::kind::end_process:
+      co_await pause_for(loop_, ends_after_);
+      end_upstream(name);
+      co_return false;
     case script::kind::garbage:
       co_await connection.write_piece("this is no answer");
       co_return false;
@@ -177,6 +224,7 @@
     -> task<> {
   auto limits = request_limits{};
   auto keep_open = true;
+  upstreams_.at(name).connections_.insert(connection);
   while (keep_open) {
     auto read = co_await connection->read_request(limits);
     auto* request = std::get_if<http_request>(&read);
@@ -190,18 +238,22 @@
     seen_.push_back(std::move(received));
     auto script_to_run = script{};
     script_to_run.kind_ = name[0] == 'e' ? script::kind::stream : script::kind::answer;
-    if (!scripts_.empty()) {
+    auto harmful = !harmful_text_.empty() && request->body().find(harmful_text_) != std::string::npos;
+    if (harmful) {
+      script_to_run.kind_ = script::kind::end_process;
+    } else if (!scripts_.empty()) {
       script_to_run = scripts_.front();
       scripts_.pop_front();
     }
-    keep_open = co_await run_script(script_to_run, *request, *connection);
+    keep_open = co_await run_script(name, script_to_run, *request, *connection);
   }
+  upstreams_.at(name).connections_.erase(connection);
   connection->close();
 }
 
-auto gateway_fixture::exchange(http_request request) -> task<received_response> {
+auto gateway_fixture::exchange(std::string address, http_request request) -> task<received_response> {
   auto received = received_response{};
-  auto parsed = parse_address(address_);
+  auto parsed = parse_address(address);
   auto opened = co_await outgoing_connection::open(loop_, value(parsed), 500);
   if (std::holds_alternative<exchange_fault>(opened)) {
     co_return received;
@@ -231,8 +283,9 @@
   co_return received;
 }
 
-auto gateway_fixture::send(const std::string& target, const std::map<std::string, std::string>& headers,
-                           const std::string& body) -> received_response {
+auto gateway_fixture::send_to(std::size_t gateway, const std::string& target,
+                              const std::map<std::string, std::string>& headers, const std::string& body)
+    -> std::shared_ptr<std::optional<received_response>> {
   auto request = http_request{body.empty() ? http::verb::get : http::verb::post, target, 11};
   request.set(http::field::host, "h.example");
   for (const auto& [name, content] : headers) {
@@ -242,21 +295,29 @@
   if (!body.empty()) {
     request.prepare_payload();
   }
-  auto received = received_response{};
-  auto done = false;
-  auto run = [](gateway_fixture& self, http_request sent, received_response& into, bool& finished) -> task<> {
-    into = co_await self.exchange(std::move(sent));
-    finished = true;
+  auto received = std::make_shared<std::optional<received_response>>();
+  auto run = [](gateway_fixture& self, std::string address, http_request sent, auto into) -> task<> {
+    *into = co_await self.exchange(std::move(address), std::move(sent));
   };
-  start(loop_, "send", run(*this, std::move(request), received, done));
+  start(loop_, "send", run(*this, addresses_.at(gateway), std::move(request), received));
+  return received;
+}
+
+auto gateway_fixture::send(const std::string& target, const std::map<std::string, std::string>& headers,
+                           const std::string& body) -> received_response {
+  auto received = send_to(0, target, headers, body);
+  REQUIRE(run_until([&] { return received->has_value(); }));
+  return **received;
+}
+
+auto gateway_fixture::run_until(const std::function<bool()>& condition, milliseconds limit) -> bool {
   auto clock = steady_clock{};
-  auto timeout_at = clock.now() + 6000;
+  auto timeout_at = clock.now() + limit;
   loop_.restart();
-  while (!done && clock.now() < timeout_at) {
+  while (!condition() && clock.now() < timeout_at) {
     loop_.run_one_for(std::chrono::milliseconds{100});
   }
-  REQUIRE(done);
-  return received;
+  return condition();
 }
 
 namespace {
@@ -286,7 +347,7 @@
 
 auto gateway_fixture::send_bytes(const std::string& bytes, milliseconds idle_timeout) -> std::string {
   auto reply = std::make_shared<received_bytes>();
-  start(loop_, "send_bytes", exchange_bytes(loop_, address_, bytes, reply));
+  start(loop_, "send_bytes", exchange_bytes(loop_, addresses_.front(), bytes, reply));
   auto clock = steady_clock{};
   auto idle_deadline = clock.now() + idle_timeout;
   auto size = std::size_t{0};
--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -5,6 +5,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,7 +36,8 @@
     cut_stream,
     skip_event,
     no_proof,
-    wrong_id
+    wrong_id,
+    end_process  ///< The upstream closes its port and all its connections.
   };
   kind kind_ = kind::answer;
   int events_ = 3;
@@ -70,6 +73,23 @@
   auto send(const std::string& target, const std::map<std::string, std::string>& headers,
             const std::string& body) -> received_response;
 
+  /// Adds a daemon that shares the store and the upstreams. Returns its index; the first daemon has index 0.
+  auto add_gateway() -> std::size_t;
+
+  /// Sends a request to a daemon and returns at once. The response is set when it arrives.
+  auto send_to(std::size_t gateway, const std::string& target,
+               const std::map<std::string, std::string>& headers, const std::string& body)
+      -> std::shared_ptr<std::optional<received_response>>;
+
+  /// Runs the loop until the condition holds, for at most `limit` ms. Returns whether it holds.
+  auto run_until(const std::function<bool()>& condition, milliseconds limit = 6000) -> bool;
+
+  /// Adds a scripted upstream that listens on a free port.
+  auto start_upstream(const std::string& name, const std::string& service) -> void;
+
+  /// Returns the number of upstreams that ended.
+  [[nodiscard]] auto ended_upstreams() const -> std::size_t { return ended_; }
+
   /// Sends raw bytes and returns all bytes received until the connection closes or none arrive for
   /// `idle_timeout` ms.
   auto send_bytes(const std::string& bytes, milliseconds idle_timeout = 300) -> std::string;
@@ -95,20 +115,35 @@
 
   event_loop loop_{1};
   std::shared_ptr<memory_row_store> rows_;
-  std::shared_ptr<gateway_context> context_;
-  std::shared_ptr<gateway_server> server_;
+  std::shared_ptr<gateway_context> context_;  ///< Of the first daemon.
+  std::shared_ptr<gateway_server> server_;    ///< Likewise.
+  std::vector<std::shared_ptr<gateway_context>> contexts_;
+  std::string harmful_text_;  ///< An upstream ends when it gets a body that contains this; empty: none does.
+  milliseconds ends_after_ = 0;  ///< ms for which an upstream runs such a request before it ends.
   std::deque<script> scripts_;  ///< For the next requests; when empty, a normal response or stream.
   std::vector<received_request> seen_;
   serving_configuration configuration_;
 
  private:
   auto serve_upstream(std::string name, std::shared_ptr<server_connection> connection) -> task<>;
-  auto run_script(script script_to_run, const http_request& request, server_connection& connection)
-      -> task<bool>;
-  auto exchange(http_request request) -> task<received_response>;
+  auto run_script(const std::string& name, script script_to_run, const http_request& request,
+                  server_connection& connection) -> task<bool>;
+  auto exchange(std::string address, http_request request) -> task<received_response>;
+  auto make_context() -> std::shared_ptr<gateway_context>;
+  auto open_gateway() -> void;
+  auto end_upstream(const std::string& name) -> void;
+
+  /// A scripted server with its open connections.
+  struct scripted_upstream {
+    upstream_entry entry_;
+    std::shared_ptr<http_listener> listener_;
+    std::set<std::shared_ptr<server_connection>> connections_;
+  };
 
-  std::vector<std::shared_ptr<http_listener>> upstreams_;
-  std::string address_;
+  std::map<std::string, scripted_upstream> upstreams_;
+  std::vector<std::shared_ptr<gateway_server>> servers_;
+  std::vector<std::string> addresses_;
+  std::size_t ended_ = 0;
 };
 
 }  // namespace birchlever::test
