Soak: gateways do not inherit the sockets of the stand-ins

Started with posix_spawn, a gateway kept the listening and connected sockets of every stand-in that existed then, so the port of an upstream that had ended still accepted connections, and connections of a killed gateway's peers stayed half open. Everything above standard error is closed in the child.

--- a/soak/soak_fleet.cpp
+++ b/soak/soak_fleet.cpp
@@ -177,6 +177,8 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A gateway that inherits the stand-ins' sockets keeps their ports and connections open.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   posix_spawn(&gateway.pid_, settings_.binary_.c_str(), &actions, nullptr, pointers.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   gateway.paused_ = false;
