--- /dev/null
+++ b/birchlever/controllers/crash_register.cpp
@@ -0,0 +1,236 @@
+#include "birchlever/controllers/crash_register.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+
+#include "birchlever/telemetry/log.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto max_changes = std::size_t{48};  // Per transaction, of 100 rows at most; a change may need two.
+constexpr auto max_pending = std::size_t{4096};
+constexpr auto separator = '/';
+
+/// Returns the key of a record's row. The state is part of the key: a write of an open send that the store
+/// applies late must not replace a crash.
+auto key_of(const send_record& record) -> std::string {
+  return record.fingerprint_ + separator + std::string{name_of(record.state_)} + separator + record.upstream_;
+}
+
+auto parse_key(const std::string& key) -> std::optional<send_record> {
+  auto first = key.find(separator);
+  auto second = first == std::string::npos ? first : key.find(separator, first + 1);
+  if (second == std::string::npos) {
+    return std::nullopt;
+  }
+  auto record = send_record{key.substr(0, first), key.substr(second + 1), send_state::open};
+  auto state = key.substr(first + 1, second - first - 1);
+  if (state == name_of(send_state::crashed)) {
+    record.state_ = send_state::crashed;
+  } else if (state != name_of(send_state::open)) {
+    return std::nullopt;
+  }
+  return record;
+}
+
+}  // namespace
+
+crash_register::crash_register(event_loop& loop, std::shared_ptr<row_store_interface> rows,
+                               const crash_register_settings& settings, owner_function owns)
+    : loop_{&loop},
+      rows_{std::move(rows)},
+      settings_{settings},
+      owns_{std::move(owns)},
+      history_{settings.history_},
+      written_signal_{loop} {}
+
+auto crash_register::create(event_loop& loop, std::shared_ptr<row_store_interface> rows,
+                            const crash_register_settings& settings, owner_function owns)
+    -> std::shared_ptr<crash_register> {
+  auto created =
+      std::shared_ptr<crash_register>{new crash_register{loop, std::move(rows), settings, std::move(owns)}};
+  created->follow();
+  start(loop, "sweep_crashes", created->sweep());
+  return created;
+}
+
+auto crash_register::follow() -> void {
+  auto settings = table_follower_settings{};
+  settings.table_ = settings_.table_;
+  settings.wait_ = settings_.poll_wait_;
+  auto events = table_follower_events{};
+  events.scan_started_ = [this] { scanned_keys_.clear(); };
+  events.page_scanned_ = [this](const auto& rows) {
+    for (const auto& row : rows) {
+      scanned_keys_.insert(row.key_.key_);
+    }
+    apply_rows(rows);
+  };
+  events.scan_ended_ = [this](std::int64_t /*version*/) { finish_scan(); };
+  events.changes_ = [this](const auto& rows) { apply_rows(rows); };
+  follower_ = table_follower::create(*loop_, rows_, settings, std::move(events));
+}
+
+auto crash_register::apply_rows(const std::vector<stored_row>& rows) -> void {
+  for (const auto& row : rows) {
+    auto record = parse_key(row.key_.key_);
+    if (!record) {
+      continue;
+    }
+    if (row.removed_) {
+      stored_keys_.erase(row.key_.key_);
+      history_.erase(*record);
+    } else {
+      stored_keys_.insert(row.key_.key_);
+      merge(*record, "store");
+    }
+  }
+}
+
+auto crash_register::finish_scan() -> void {
+  for (const auto& key : stored_keys_) {
+    auto record = parse_key(key);
+    if (record && scanned_keys_.count(key) == 0) {
+      history_.erase(*record);
+    }
+  }
+  stored_keys_ = std::exchange(scanned_keys_, {});
+}
+
+auto crash_register::merge(const send_record& record, const char* source) -> void {
+  if (!history_.record(record, clock_.now())) {
+    return;
+  }
+  log_event(log_level::info, "crash_recorded",
+            {{"fingerprint", record.fingerprint_},
+             {"upstream", record.upstream_},
+             {"state", std::string{name_of(record.state_)}},
+             {"source", std::string{source}},
+             {"crashes", std::int64_t{history_.crashes(record.fingerprint_)}}});
+}
+
+auto crash_register::publish(const send_record& record) -> void {
+  if (publish_) {
+    publish_(record);
+  }
+}
+
+auto crash_register::apply_peer_record(const send_record& record) -> void {
+  merge(record, "peer");
+}
+
+auto crash_register::enqueue(const send_record& record, bool removal) -> std::int64_t {
+  if (pending_.size() >= max_pending) {
+    log_event(log_level::warning, "crash_record_dropped", {{"reason", std::string{"queue_full"}}});
+    dropped_ = pending_.front().number_;
+    remove_pending(dropped_);
+  }
+  pending_.push_back({record, removal, clock_.now(), ++enqueued_});
+  if (!std::exchange(writing_, true)) {
+    start(*loop_, "write_crashes", write_pending());
+  }
+  return enqueued_;
+}
+
+auto crash_register::record(send_record record) -> task<bool> {
+  auto self = shared_from_this();
+  auto started_at = clock_.now();
+  merge(record, "self");
+  publish(record);
+  auto number = enqueue(record, false);
+  auto give_up_at = started_at + settings_.record_limit_;
+  while (written_ < number && clock_.now() < give_up_at) {
+    co_await written_signal_.wait_for(give_up_at - clock_.now());
+  }
+  auto stored = written_ >= number && dropped_ < number;
+  auto spread_left = started_at + settings_.spread_time_ - clock_.now();
+  if (record.state_ == send_state::crashed && spread_left > 0) {
+    co_await pause_for(*loop_, spread_left);
+  }
+  co_return stored;
+}
+
+auto crash_register::settle(const std::string& fingerprint, const std::string& upstream) -> void {
+  auto settled = send_record{fingerprint, upstream, send_state::settled};
+  if (!history_.record(settled, clock_.now())) {
+    return;
+  }
+  publish(settled);
+  enqueue({fingerprint, upstream, send_state::open}, true);
+}
+
+auto crash_register::clear(const std::string& fingerprint) -> void {
+  for (const auto& record : history_.clear(fingerprint)) {
+    enqueue(record, true);
+  }
+}
+
+auto crash_register::transaction_of(std::size_t count) const -> row_transaction {
+  auto final_changes = std::map<std::string, bool>{};  // By key; true: removed. A row occurs once only.
+  for (auto next = std::size_t{0}; next < count; ++next) {
+    const auto& change = pending_[next];
+    final_changes[key_of(change.record_)] = change.removal_;
+    if (change.record_.state_ == send_state::crashed) {
+      auto open = change.record_;
+      open.state_ = send_state::open;
+      final_changes[key_of(open)] = true;
+    }
+  }
+  auto transaction = row_transaction{};
+  transaction.priority_ = write_priority::ends_turn;
+  for (const auto& [key, removed] : final_changes) {
+    auto row = row_key{settings_.table_, "", key};
+    if (removed) {
+      transaction.removals_.push_back(std::move(row));
+    } else {
+      transaction.puts_.push_back({std::move(row), "1"});
+    }
+  }
+  return transaction;
+}
+
+auto crash_register::remove_pending(std::int64_t last) -> void {
+  while (!pending_.empty() && pending_.front().number_ <= last) {
+    pending_.pop_front();
+  }
+  written_ = std::max(written_, last);
+  written_signal_.notify();
+}
+
+auto crash_register::write_pending() -> task<> {
+  auto self = shared_from_this();
+  while (!pending_.empty()) {
+    auto count = std::min(pending_.size(), max_changes);
+    auto last = pending_[count - 1].number_;
+    auto committed = co_await rows_->commit(transaction_of(count), settings_.commit_limit_);
+    if (ok(committed)) {
+      remove_pending(last);
+      continue;
+    }
+    auto overdue = !pending_.empty() && clock_.now() - pending_.front().since_ > settings_.drop_after_;
+    if (overdue) {
+      log_failure(log_level::warning, "crash_record_dropped", failure(committed));
+      dropped_ = pending_.front().number_;
+      remove_pending(dropped_);
+    }
+    co_await pause_for(*loop_, settings_.retry_interval_);
+  }
+  writing_ = false;
+}
+
+auto crash_register::sweep() -> task<> {
+  auto self = shared_from_this();
+  while (true) {
+    co_await pause_for(*loop_, settings_.sweep_interval_);
+    for (const auto& record : history_.expire(clock_.now())) {
+      auto stored = stored_keys_.count(key_of(record)) != 0;
+      if (stored && owns_(record.fingerprint_)) {
+        enqueue(record, true);
+      }
+    }
+  }
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/controllers/crash_register.h
@@ -0,0 +1,112 @@
+/// The crash history that all daemons share: rows of a store table that each daemon follows, and messages to
+/// peers, which are faster and work while the store does not.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "birchlever/controllers/table_follower.h"
+#include "birchlever/coordination/crash_history.h"
+#include "birchlever/http/loop_signal.h"
+#include "birchlever/storage/row_store_interface.h"
+
+namespace birchlever {
+
+/// Settings of crash_register. Times in ms.
+struct crash_register_settings {
+  std::string table_ = "crashes";
+  milliseconds poll_wait_ = 5000;    ///< Time for which the store holds a poll of the table.
+  milliseconds record_limit_ = 400;  ///< Time for which `record` waits for the store.
+  /// Minimum duration of `record` for a crash. Within it, the message to peers and the store's change feed
+  /// reach all daemons, before the caller learns of the failure and repeats the request.
+  milliseconds spread_time_ = 60;
+  milliseconds commit_limit_ = 1000;
+  milliseconds retry_interval_ = 200;   ///< Interval between two writes while the store fails.
+  milliseconds drop_after_ = 30'000;    ///< Records that could not be written for this long are not stored.
+  milliseconds sweep_interval_ = 5000;  ///< Interval between two removals of expired records.
+  crash_history_settings history_;
+};
+
+/// Used by coroutines of one event loop.
+class crash_register : public std::enable_shared_from_this<crash_register> {
+ public:
+  /// Returns true if this daemon removes the expired rows of a fingerprint.
+  using owner_function = std::function<bool(const std::string& fingerprint)>;
+
+  /// Sends a record to peers.
+  using publish_function = std::function<void(const send_record&)>;
+
+  /// Creates the register and starts to follow its table.
+  static auto create(event_loop& loop, std::shared_ptr<row_store_interface> rows,
+                     const crash_register_settings& settings, owner_function owns)
+      -> std::shared_ptr<crash_register>;
+
+  [[nodiscard]] auto history() const -> const crash_history& { return history_; }
+
+  /// Returns true once the table was read.
+  [[nodiscard]] auto primed() const -> bool { return follower_->primed(); }
+
+  /// Sets the callback that sends records to peers.
+  auto on_publish(publish_function callback) -> void { publish_ = std::move(callback); }
+
+  /// Applies a record of a peer.
+  auto apply_peer_record(const send_record& record) -> void;
+
+  /// Records an open send or a crash, here at once, then with peers and in the store. Returns true if the
+  /// store acknowledged it within the limit; it is written later otherwise.
+  auto record(send_record record) -> task<bool>;
+
+  /// Removes an open send whose upstream did not end.
+  auto settle(const std::string& fingerprint, const std::string& upstream) -> void;
+
+  /// Removes all records of a piece of work that was served.
+  auto clear(const std::string& fingerprint) -> void;
+
+ private:
+  /// A change of the table that was not written yet.
+  struct pending_change {
+    send_record record_;
+    bool removal_ = false;
+    milliseconds since_ = 0;
+    std::int64_t number_ = 0;  ///< Consecutive.
+  };
+
+  crash_register(event_loop& loop, std::shared_ptr<row_store_interface> rows,
+                 const crash_register_settings& settings, owner_function owns);
+
+  auto follow() -> void;
+  auto apply_rows(const std::vector<stored_row>& rows) -> void;
+  auto finish_scan() -> void;
+  auto merge(const send_record& record, const char* source) -> void;
+  auto publish(const send_record& record) -> void;
+  /// Appends a change to those to be written. Returns its number.
+  auto enqueue(const send_record& record, bool removal) -> std::int64_t;
+  auto write_pending() -> task<>;
+  /// Returns the transaction of the first `count` pending changes.
+  [[nodiscard]] auto transaction_of(std::size_t count) const -> row_transaction;
+  auto remove_pending(std::int64_t last) -> void;
+  auto sweep() -> task<>;
+
+  event_loop* loop_;
+  std::shared_ptr<row_store_interface> rows_;
+  crash_register_settings settings_;
+  owner_function owns_;
+  publish_function publish_;
+  crash_history history_;
+  steady_clock clock_;
+  std::shared_ptr<table_follower> follower_;
+  std::set<std::string> stored_keys_;  ///< Keys of rows according to the store.
+  std::set<std::string> scanned_keys_;
+  std::deque<pending_change> pending_;
+  std::int64_t enqueued_ = 0;
+  std::int64_t written_ = 0;  ///< All changes up to this number were written or dropped.
+  std::int64_t dropped_ = 0;  ///< The last change that was dropped; 0 if none.
+  bool writing_ = false;
+  loop_signal written_signal_;
+};
+
+}  // namespace birchlever
--- a/birchlever/controllers/peer_exchange.cpp
+++ b/birchlever/controllers/peer_exchange.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr auto max_datagram_bytes = std::size_t{8192};  // About 20 bytes for each upstream in use.
+constexpr auto max_records = std::size_t{64};           // Per message; about 70 bytes each.
 constexpr auto first_list_interval =
     milliseconds{700};  // Daemons started at the same time register meanwhile.
 constexpr auto retry_interval = milliseconds{500};
@@ -81,20 +82,51 @@
 
 auto peer_exchange::publish(const upstream_health_report& report) -> void {
   pending_reports_.push_back(report);
-  if (pending_reports_.size() == 1) {
-    start(*loop_, "peer_news", send_health_reports());
+  start_reports();
+}
+
+auto peer_exchange::publish(const send_record& record) -> void {
+  pending_records_.push_back({record});
+  start_reports();
+}
+
+auto peer_exchange::start_reports() -> void {
+  if (!std::exchange(reporting_, true)) {
+    start(*loop_, "peer_news", send_reports());
   }
 }
 
-auto peer_exchange::send_health_reports() -> task<> {
+auto peer_exchange::take_send_records() -> std::vector<send_record> {
+  auto taken = std::vector<send_record>{};
+  auto left = std::vector<pending_record>{};
+  for (auto& pending : pending_records_) {
+    if (taken.size() < max_records) {
+      taken.push_back(pending.record_);
+      --pending.messages_;
+    }
+    if (pending.messages_ > 0) {
+      left.push_back(std::move(pending));
+    }
+  }
+  pending_records_ = std::move(left);
+  return taken;
+}
+
+auto peer_exchange::send_reports() -> task<> {
   auto self = shared_from_this();
-  auto since_last = clock_.now() - reports_sent_at_;
-  co_await pause_for(*loop_, std::max(settings_.report_delay_, settings_.min_report_interval_ - since_last));
-  reports_sent_at_ = clock_.now();
-  auto state = peer_state{};  // Health reports only; the rest is sent in regular messages.
-  state.vm_ = settings_.vm_;
-  state.health_reports_ = std::exchange(pending_reports_, {});
-  send(state, settings_.max_report_receivers_);
+  while (!pending_reports_.empty() || !pending_records_.empty()) {
+    auto since_last = clock_.now() - reports_sent_at_;
+    auto interval =
+        pending_records_.empty() ? settings_.min_report_interval_ : settings_.min_record_interval_;
+    co_await pause_for(*loop_, std::max(settings_.report_delay_, interval - since_last));
+    reports_sent_at_ = clock_.now();
+    auto state = peer_state{};  // Reports only; the rest is sent in regular messages.
+    state.vm_ = settings_.vm_;
+    state.health_reports_ = std::exchange(pending_reports_, {});
+    state.send_records_ = take_send_records();
+    send(state, settings_.max_report_receivers_);
+  }
+  reporting_ = false;
 }
 
 auto peer_exchange::receive_all() -> task<> {
@@ -127,7 +159,7 @@
 }
 
 auto peer_exchange::handle_message(peer_state state) -> void {
-  if (state.health_reports_.empty()) {
+  if (state.health_reports_.empty() && state.send_records_.empty()) {
     auto vm = state.vm_;
     views_.record_state(std::move(state));
     if (on_peer_seen_) {
@@ -140,6 +172,11 @@
       on_health_report_(state.vm_, report);
     }
   }
+  for (const auto& record : state.send_records_) {
+    if (on_send_record_) {
+      on_send_record_(record);
+    }
+  }
 }
 
 auto peer_exchange::announce() -> task<bool> {
--- a/birchlever/controllers/peer_exchange.h
+++ b/birchlever/controllers/peer_exchange.h
@@ -27,6 +27,8 @@
   milliseconds report_delay_ = 20;          ///< Time for which health reports are collected into one message.
   milliseconds min_report_interval_ = 200;  ///< Minimum interval between two messages with health reports;
                                             ///< 350 datagrams take some ms of a small VM's processor.
+  milliseconds min_record_interval_ = 40;   ///< Likewise if a record of the crash history waits: it must
+                                            ///< arrive before the caller's next attempt.
   int max_report_receivers_ = 350;  ///< Peers that get a message with health reports, selected at random.
                                     ///< Covers the largest fleet: the reports of three daemons suffice for
                                     ///< all others to avoid a dead upstream.
@@ -77,6 +79,14 @@
   /// Sends a health report to peers after a short delay, together with others.
   auto publish(const upstream_health_report& report) -> void;
 
+  /// Called with a record of the crash history received from a peer.
+  using send_record_function = std::function<void(const send_record&)>;
+  auto on_send_record(send_record_function callback) -> void { on_send_record_ = std::move(callback); }
+
+  /// Sends a record of the crash history to peers, together with health reports. Sent twice, since datagrams
+  /// may be lost.
+  auto publish(const send_record& record) -> void;
+
   /// Returns the number of peers in the list.
   [[nodiscard]] auto listed_peers() const -> std::size_t { return receivers_.size(); }
 
@@ -88,7 +98,9 @@
                 describe_function describe);
 
   auto send_all() -> task<>;
-  auto send_health_reports() -> task<>;
+  auto send_reports() -> task<>;
+  auto start_reports() -> void;
+  auto take_send_records() -> std::vector<send_record>;
   auto send(const peer_state& state, int max_receivers) -> void;
   auto receive_all() -> task<>;
   auto handle_message(peer_state state) -> void;
@@ -107,10 +119,19 @@
   std::mt19937 random_;
   std::vector<asio::ip::udp::endpoint> receivers_;
   std::set<asio::ip::udp::endpoint> known_;  ///< The endpoints in receivers_, for lookup.
+  /// A record with the number of messages that it is still to be sent in.
+  struct pending_record {
+    send_record record_;
+    int messages_ = 2;
+  };
+
   std::vector<upstream_health_report> pending_reports_;
+  std::vector<pending_record> pending_records_;
+  bool reporting_ = false;
   milliseconds reports_sent_at_ = 0;
   bool list_known_ = false;
   health_report_function on_health_report_;
+  send_record_function on_send_record_;
   list_function on_list_;
   peer_seen_function on_peer_seen_;
   peer_views views_;
--- a/birchlever/controllers/peer_state.cpp
+++ b/birchlever/controllers/peer_state.cpp
@@ -18,7 +18,8 @@
   followers,
   spent,
   pressure,
-  speeds
+  speeds,
+  send_records
 };
 
 /// Reads an optional field if the message has it.
@@ -87,6 +88,24 @@
   return speeds;
 }
 
+auto pack_send_records(const std::vector<send_record>& records) -> json {
+  auto packed = json::array();
+  for (const auto& record : records) {
+    packed.push_back(
+        json::array({record.fingerprint_, record.upstream_, static_cast<std::size_t>(record.state_)}));
+  }
+  return packed;
+}
+
+auto unpack_send_records(const json& packed) -> std::vector<send_record> {
+  auto records = std::vector<send_record>{};
+  for (const auto& fields : packed) {
+    auto state = std::min(fields.at(2).get<std::size_t>(), static_cast<std::size_t>(send_state::settled));
+    records.push_back({fields.at(0), fields.at(1), static_cast<send_state>(state)});
+  }
+  return records;
+}
+
 }  // namespace
 
 auto encode(const peer_state& state) -> std::string {
@@ -118,7 +137,8 @@
                       followers,
                       spent,
                       state.pressure_ ? encode_pressure(*state.pressure_) : json::array(),
-                      pack_speeds(state.speeds_)};
+                      pack_speeds(state.speeds_),
+                      pack_send_records(state.send_records_)};
   json::to_cbor(message, bytes);
   return bytes;
 }
@@ -161,6 +181,9 @@
     auto speeds = json::array();
     read_added(message, added_field::speeds, speeds);
     state.speeds_ = unpack_speeds(speeds);
+    auto send_records = json::array();
+    read_added(message, added_field::send_records, send_records);
+    state.send_records_ = unpack_send_records(send_records);
     return state;
   } catch (const json::exception& fault) {
     return error{error_code::malformed_json, std::string{"malformed peer message: "} + fault.what()};
--- a/birchlever/controllers/peer_state.h
+++ b/birchlever/controllers/peer_state.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "birchlever/admission/pressure_report.h"
+#include "birchlever/coordination/crash_history.h"
 #include "birchlever/coordination/spent_programs.h"
 #include "birchlever/core/clock.h"
 #include "birchlever/core/result.h"
@@ -40,6 +41,7 @@
   std::vector<reported_follower> followers_;  ///< Other followers, forwarded to spread the same set.
   std::vector<spent_report> spent_;           ///< Programs whose budgets were spent a short time ago.
   std::optional<pressure_report> pressure_;   ///< Only of daemons that limit new programs in a shortage.
+  std::vector<send_record> send_records_;     ///< Of the crash history; in messages with health reports only.
   std::vector<speed_report> speeds_;  ///< Speeds of upstreams that it observed recently, changed ones first.
 };
 
--- /dev/null
+++ b/birchlever/coordination/crash_history.cpp
@@ -0,0 +1,133 @@
+#include "birchlever/coordination/crash_history.h"
+
+#include <array>
+
+namespace birchlever {
+
+auto name_of(send_state state) -> std::string_view {
+  constexpr auto names = std::array<std::string_view, 3>{"open", "crashed", "settled"};
+  return names.at(static_cast<std::size_t>(state));
+}
+
+auto crash_history::work_of(const std::string& fingerprint) -> known_work& {
+  auto found = works_.find(fingerprint);
+  if (found != works_.end()) {
+    order_.splice(order_.end(), order_, found->second.order_);
+    return found->second;
+  }
+  if (works_.size() >= settings_.max_works_) {
+    forget(std::string{order_.front()});
+  }
+  auto& created = works_[fingerprint];
+  created.order_ = order_.insert(order_.end(), fingerprint);
+  return created;
+}
+
+auto crash_history::forget(const std::string& fingerprint) -> void {
+  auto found = works_.find(fingerprint);
+  if (found == works_.end()) {
+    return;
+  }
+  for (const auto& [upstream, send] : found->second.sends_) {
+    open_.erase({upstream, fingerprint});
+  }
+  order_.erase(found->second.order_);
+  works_.erase(found);
+}
+
+auto crash_history::record(const send_record& record, milliseconds now) -> bool {
+  if (record.state_ == send_state::settled) {
+    auto before = crashes(record.fingerprint_);
+    erase({record.fingerprint_, record.upstream_, send_state::open});
+    return crashes(record.fingerprint_) != before;
+  }
+  auto& work = work_of(record.fingerprint_);
+  auto [entry, added] = work.sends_.try_emplace(record.upstream_);
+  auto& send = entry->second;
+  auto changed = added || (send.state_ == send_state::open && record.state_ == send_state::crashed);
+  if (!changed) {
+    return false;
+  }
+  send = {record.state_, now};
+  work.changed_at_ = now;
+  if (record.state_ == send_state::open) {
+    open_.insert({record.upstream_, record.fingerprint_});
+  } else {
+    open_.erase({record.upstream_, record.fingerprint_});
+  }
+  return true;
+}
+
+auto crash_history::erase(const send_record& record) -> void {
+  auto found = works_.find(record.fingerprint_);
+  if (found == works_.end()) {
+    return;
+  }
+  auto& sends = found->second.sends_;
+  auto send = sends.find(record.upstream_);
+  if (send == sends.end() || send->second.state_ != record.state_) {
+    return;
+  }
+  open_.erase({record.upstream_, record.fingerprint_});
+  sends.erase(send);
+  if (sends.empty()) {
+    forget(record.fingerprint_);
+  }
+}
+
+auto crash_history::clear(const std::string& fingerprint) -> std::vector<send_record> {
+  auto cleared = std::vector<send_record>{};
+  auto found = works_.find(fingerprint);
+  if (found != works_.end()) {
+    for (const auto& [upstream, send] : found->second.sends_) {
+      cleared.push_back({fingerprint, upstream, send.state_});
+    }
+    forget(fingerprint);
+  }
+  return cleared;
+}
+
+auto crash_history::crashes(const std::string& fingerprint) const -> int {
+  auto found = works_.find(fingerprint);
+  return found == works_.end() ? 0 : static_cast<int>(found->second.sends_.size());
+}
+
+auto crash_history::upstreams_at_risk(const std::string& fingerprint, int min_crashes) const
+    -> std::set<std::string> {
+  auto at_risk = std::set<std::string>{};
+  for (const auto& [upstream, work] : open_) {
+    if (work != fingerprint && crashes(work) >= min_crashes) {
+      at_risk.insert(upstream);
+    }
+  }
+  return at_risk;
+}
+
+auto crash_history::expire(milliseconds now) -> std::vector<send_record> {
+  auto expired = std::vector<send_record>{};
+  for (const auto& [fingerprint, work] : works_) {
+    auto work_expired = now - work.changed_at_ > settings_.max_age_;
+    for (const auto& [upstream, send] : work.sends_) {
+      auto send_expired = send.state_ == send_state::open && now - send.changed_at_ > settings_.max_open_;
+      if (work_expired || send_expired) {
+        expired.push_back({fingerprint, upstream, send.state_});
+      }
+    }
+  }
+  for (const auto& record : expired) {
+    erase(record);
+  }
+  return expired;
+}
+
+auto crash_history::records() const -> std::vector<send_record> {
+  auto all = std::vector<send_record>{};
+  for (const auto& [fingerprint, work] : works_) {
+    for (const auto& [upstream, send] : work.sends_) {
+      all.push_back({fingerprint, upstream, send.state_});
+    }
+  }
+  return all;
+}
+
+}  // namespace birchlever
--- /dev/null
+++ b/birchlever/coordination/crash_history.h
@@ -0,0 +1,110 @@
+/// Memory of which upstreams ended while they ran a piece of work, over all its attempts and all daemons.
+///
+/// A request that makes its upstream end does so again on the next one. Attempts have ids of their own and
+/// reach any daemon, so their sends are recorded by a fingerprint of the work. A send counts once its
+/// upstream ended, and while it is open: its outcome may be unknown because the daemon that made it ended
+/// too. Records of daemons are merged as a set, so their order does not matter.
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "birchlever/core/clock.h"
+
+namespace birchlever {
+
+/// What is known about a send of suspected work.
+enum class send_state {
+  open,     ///< Sent, or about to be; no outcome known.
+  crashed,  ///< The upstream ended while it ran the work.
+  settled   ///< It did not end. Not kept.
+};
+
+/// Returns the name of a state in rows, messages and logs.
+[[nodiscard]] auto name_of(send_state state) -> std::string_view;
+
+/// A send of a piece of work to one incarnation of an upstream.
+struct send_record {
+  std::string fingerprint_;
+  std::string upstream_;  ///< Incarnation.
+  send_state state_ = send_state::open;
+};
+
+/// Settings of crash_history.
+struct crash_history_settings {
+  /// Upstreams that may end under a piece of work. More than two, so that work that ran beside a harmful
+  /// request, or on two upstreams that ended for reasons of their own, is still served.
+  int max_crashes_ = 3;
+  std::size_t max_works_ = 4096;    ///< The least recently changed work is evicted.
+  milliseconds max_age_ = 600'000;  ///< Work without change for this long is forgotten.
+  milliseconds max_open_ = 60'000;  ///< Open sends without change for this long are forgotten; longer than a
+                                    ///< request may take.
+};
+
+/// Has no I/O; the clock is passed in. Not thread safe.
+class crash_history {
+ public:
+  explicit crash_history(const crash_history_settings& settings = {}) : settings_{settings} {}
+
+  /// Merges a record. A crash is final: a later `open` of the same send does not replace it. Returns true if
+  /// this changed what is known.
+  auto record(const send_record& record, milliseconds now) -> bool;
+
+  /// Removes a record that is no longer stored. Does nothing if the send is known in another state.
+  auto erase(const send_record& record) -> void;
+
+  /// Removes all records of a piece of work that was served. Returns them.
+  auto clear(const std::string& fingerprint) -> std::vector<send_record>;
+
+  /// Returns the number of upstreams that ended, or may end, under a piece of work.
+  [[nodiscard]] auto crashes(const std::string& fingerprint) const -> int;
+
+  /// Returns true if the work must not be sent again.
+  [[nodiscard]] auto exhausted(const std::string& fingerprint) const -> bool {
+    return crashes(fingerprint) >= settings_.max_crashes_;
+  }
+
+  /// Returns the incarnations with an open send of other work that at least `min_crashes` upstreams ended
+  /// under or may end under, the send itself included.
+  [[nodiscard]] auto upstreams_at_risk(const std::string& fingerprint, int min_crashes) const
+      -> std::set<std::string>;
+
+  /// Removes and returns what is older than the settings allow.
+  auto expire(milliseconds now) -> std::vector<send_record>;
+
+  /// Returns all records.
+  [[nodiscard]] auto records() const -> std::vector<send_record>;
+
+  [[nodiscard]] auto settings() const -> const crash_history_settings& { return settings_; }
+
+  /// Returns the number of works in memory.
+  [[nodiscard]] auto size() const -> std::size_t { return works_.size(); }
+
+ private:
+  struct known_send {
+    send_state state_ = send_state::open;
+    milliseconds changed_at_ = 0;
+  };
+
+  struct known_work {
+    std::map<std::string, known_send> sends_;  ///< By incarnation.
+    milliseconds changed_at_ = 0;
+    std::list<std::string>::iterator order_;
+  };
+
+  auto work_of(const std::string& fingerprint) -> known_work&;
+  auto forget(const std::string& fingerprint) -> void;
+
+  crash_history_settings settings_;
+  std::unordered_map<std::string, known_work> works_;   ///< By fingerprint.
+  std::list<std::string> order_;                        ///< Fingerprints, least recently changed first.
+  std::set<std::pair<std::string, std::string>> open_;  ///< Incarnation and fingerprint of the open sends.
+};
+
+}  // namespace birchlever
--- a/birchlever/core/error.h
+++ b/birchlever/core/error.h
@@ -47,6 +47,7 @@
   upstream_refused,
   upstream_failed,
   upstream_timeout,
+  upstreams_crashed,
   stale_fence,
   outcome_unknown,
   answer_not_recorded,
--- a/birchlever/gateway/gateway_context.h
+++ b/birchlever/gateway/gateway_context.h
@@ -13,6 +13,7 @@
 class allotment_policy;
 class configuration_freshness;
 class connection_pool;
+class crash_guard;
 class metrics;
 class policy_registry;
 class pressure_measure;
@@ -63,6 +64,7 @@
   std::shared_ptr<allotment_policy> allotments_;  ///< Null if allotments are not enforced.
   std::shared_ptr<program_admission> admission_;  ///< Null if new programs are never limited.
   std::shared_ptr<pressure_measure> pressure_;    ///< Null likewise.
+  std::shared_ptr<crash_guard> crash_guard_;      ///< Null if crashes of upstreams are not tracked.
   std::int64_t daemon_count_ = 1;                 ///< Daemons in the fleet, including this one.
   bool program_affinity_ = true;  ///< Turns without stored history prefer one upstream per program.
   bool stopping_ = false;
--- a/birchlever/gateway/gateway_server.cpp
+++ b/birchlever/gateway/gateway_server.cpp
@@ -2,6 +2,7 @@
 
 #include "birchlever/gateway/account_filter.h"
 #include "birchlever/gateway/allotment_filter.h"
+#include "birchlever/gateway/crash_filter.h"
 #include "birchlever/gateway/program_admission_filter.h"
 #include "birchlever/gateway/route_filter.h"
 #include "birchlever/gateway/turn_filter.h"
@@ -32,6 +33,7 @@
 gateway_server::gateway_server(std::shared_ptr<gateway_context> context) : context_{std::move(context)} {
   filters_.push_back(std::make_unique<route_filter>(context_));
   filters_.push_back(std::make_unique<account_filter>(context_));
+  filters_.push_back(std::make_unique<crash_filter>(context_));
   filters_.push_back(std::make_unique<allotment_filter>(context_));
   filters_.push_back(std::make_unique<program_admission_filter>(context_));
   filters_.push_back(std::make_unique<turn_filter>(context_));
--- a/birchlever/gateway/request_fingerprint.cpp
+++ b/birchlever/gateway/request_fingerprint.cpp
@@ -29,7 +29,7 @@
   append_field(text, field_of(message, "Host"));
   append_field(text, std::string{message.target()});
   append_field(text, field_of(message, "Cookie"));
-  append_field(text, metadata.program_);
+  append_field(text, metadata.program_.empty() ? "id " + metadata.request_id_ : metadata.program_);
   append_field(text, metadata.session_);
   append_field(text, metadata.previous_turn_);
   append_field(text, metadata.model_);
--- a/birchlever/gateway/request_fingerprint.h
+++ b/birchlever/gateway/request_fingerprint.h
@@ -8,8 +8,9 @@
 struct gateway_request;
 
 /// Returns a digest in hexadecimal of what all attempts of one piece of work have in common: account, method,
-/// target, program, session, previous turn, prompt, cookies and body, but not the request id. Must be called before
-/// the stored history is prepended to the body.
+/// target, program, session, previous turn, prompt, cookies and body, but not the request id. Requests
+/// outside programs are told apart by their ids: equal ones may be the work of different callers. Must be
+/// called before the stored history is prepended to the body.
 [[nodiscard]] auto fingerprint_of(const gateway_request& request) -> std::string;
 
 }  // namespace birchlever
--- a/birchlever/gateway/turn_filter.cpp
+++ b/birchlever/gateway/turn_filter.cpp
@@ -2,7 +2,6 @@
 
 #include "birchlever/coordination/program_store.h"
 #include "birchlever/gateway/hold_limit.h"
-#include "birchlever/gateway/request_fingerprint.h"
 #include "birchlever/telemetry/log.h"
 #include "birchlever/telemetry/metrics.h"
 
@@ -49,7 +48,6 @@
 }  // namespace
 
 auto turn_filter::apply(gateway_request& request, next_filter next) -> task<> {
-  request.fingerprint_ = fingerprint_of(request);
   if (!request.route_->retains_turns_) {
     co_await run_without_history(request, std::move(next));
     co_return;
--- a/birchlever/gateway/upstream_attempt.cpp
+++ b/birchlever/gateway/upstream_attempt.cpp
@@ -44,8 +44,8 @@
 
 auto name_of(attempt_outcome outcome) -> std::string_view {
   constexpr auto names =
-      std::array<std::string_view, 8>{"relayed", "not_reached", "refused_full", "refused",
-                                      "unknown", "out_of_time", "broken_off",   "caller_gone"};
+      std::array<std::string_view, 9>{"relayed",     "not_reached", "refused_full", "refused", "unknown",
+                                      "out_of_time", "broken_off",  "caller_gone",  "withheld"};
   return names.at(static_cast<std::size_t>(outcome));
 }
 
--- a/birchlever/gateway/upstream_attempt.h
+++ b/birchlever/gateway/upstream_attempt.h
@@ -21,6 +21,7 @@
   out_of_time,   ///< The deadline passed; may have run.
   broken_off,    ///< The stream was interrupted after part of it was relayed.
   caller_gone,   ///< The caller disconnected.
+  withheld,      ///< Not sent: too many upstreams ended under the request.
 };
 
 /// Returns the name of an outcome in logs and metrics.
--- a/birchlever/gateway/upstream_dispatch.cpp
+++ b/birchlever/gateway/upstream_dispatch.cpp
@@ -1,6 +1,7 @@
 #include "birchlever/gateway/upstream_dispatch.h"
 
 #include "birchlever/core/hashing.h"
+#include "birchlever/gateway/crash_guard.h"
 #include "birchlever/policy/policy_registry.h"
 #include "birchlever/telemetry/log.h"
 #include "birchlever/telemetry/metrics.h"
@@ -11,9 +12,6 @@
 
 constexpr auto no_upstream_retry_ms = milliseconds{250};  // About the duration of a tool call or turn.
 
-// A process that ends closes its connections and its port in any order.
-constexpr auto port_probe_delay = milliseconds{20};
-constexpr auto port_probe_limit = milliseconds{200};
 constexpr auto first_error_status = 500;
 constexpr auto min_connection_share = std::int64_t{2};  // Of an upstream's connections, per daemon.
 
@@ -33,6 +31,7 @@
     case attempt_outcome::broken_off:
       return request.relayed_.interrupted_by_upstream_ ? upstream_outcome::failed : upstream_outcome::none;
     case attempt_outcome::caller_gone:
+    case attempt_outcome::withheld:
       return upstream_outcome::none;
     case attempt_outcome::relayed:
       break;
@@ -97,13 +96,40 @@
   return context_->upstreams_->track(*choice.chosen_, std::move(progress));
 }
 
+auto upstream_dispatch::choose_upstream(const gateway_request& request,
+                                        const upstream_criteria& criteria) const -> result<upstream_choice> {
+  auto avoided = std::vector<std::set<std::string>>{};
+  if (context_->crash_guard_) {
+    avoided = context_->crash_guard_->avoided_upstreams(request);
+  }
+  for (const auto& ids : avoided) {
+    if (ids.empty()) {
+      continue;
+    }
+    auto restricted = criteria;
+    restricted.excluded_.insert(ids.begin(), ids.end());
+    auto choice = context_->upstreams_->choose(*policy_for(request), restricted);
+    if (ok(choice)) {
+      return choice;
+    }
+  }
+  return context_->upstreams_->choose(*policy_for(request), criteria);
+}
+
 auto upstream_dispatch::attempt_once(gateway_request& request, upstream_criteria& criteria,
                                      attempt_counts& counts) -> task<attempt_outcome> {
-  auto choice = context_->upstreams_->choose(*policy_for(request), criteria);
+  auto choice = choose_upstream(request, criteria);
   if (!ok(choice)) {
     co_return attempt_outcome::refused_full;
   }
   auto target = value(choice).chosen_;
+  if (context_->crash_guard_) {
+    auto prepared = co_await context_->crash_guard_->prepare_send(request, *target);
+    if (!ok(prepared)) {
+      counts.withheld_ = failure(prepared);
+      co_return attempt_outcome::withheld;
+    }
+  }
   auto started_at = context_->clock_.now();
   auto sent_at = context_->upstreams_->record_sent(*target, criteria);
   auto progress = track(request, value(choice), criteria);
@@ -118,7 +144,10 @@
   auto duration = context_->clock_.now() - started_at;
   context_->metrics_->observe("upstream_ms{outcome=\"" + std::string{name_of(outcome)} + "\"}",
                               static_cast<double>(duration));
-  auto port = co_await probe_after_loss(request, *target, attempt, outcome);
+  auto port = std::optional<port_state>{};
+  if (context_->crash_guard_) {
+    port = co_await context_->crash_guard_->conclude_send(request, target, outcome, sent_at);
+  }
   log_event(log_level::info, "request_offered",
             {{"request", request.metadata_.request_id_},
              {"program", request.metadata_.program_},
@@ -141,26 +170,15 @@
   co_return outcome;
 }
 
-auto upstream_dispatch::probe_after_loss(const gateway_request& request, const upstream& target,
-                                         const upstream_attempt& attempt, attempt_outcome outcome)
-    -> task<std::optional<port_state>> {
-  auto lost = outcome == attempt_outcome::unknown ||
-              (outcome == attempt_outcome::broken_off && request.relayed_.interrupted_by_upstream_);
-  if (!lost || !attempt.fault()) {
-    co_return std::nullopt;
-  }
-  co_await pause_for(*context_->loop_, port_probe_delay);
-  auto state = co_await probe_port(*context_->loop_, target.entry().address_, port_probe_limit);
-  context_->metrics_->count("lost_responses_total{port=\"" + std::string{name_of(state)} + "\"}");
-  co_return state;
-}
-
 auto upstream_dispatch::may_retry(const gateway_request& request, attempt_outcome last,
                                   const attempt_counts& counts) const -> bool {
   auto time_left = request.deadline_ - context_->clock_.now() > context_->limits_.deadline_margin_ms_;
   if (!time_left || counts.attempts_ >= context_->limits_.max_attempts_ || request.connection_->gone()) {
     return false;
   }
+  if (context_->crash_guard_ && context_->crash_guard_->refusal(request)) {
+    return false;
+  }
   switch (last) {
     case attempt_outcome::not_reached:
     case attempt_outcome::refused_full:
@@ -174,12 +192,16 @@
     case attempt_outcome::relayed:
     case attempt_outcome::out_of_time:
     case attempt_outcome::caller_gone:
+    case attempt_outcome::withheld:
       break;
   }
   return false;
 }
 
 auto upstream_dispatch::final_error(attempt_outcome last, const attempt_counts& counts) -> error {
+  if (counts.withheld_ && counts.may_have_run_ == 0) {
+    return *counts.withheld_;
+  }
   if (counts.may_have_run_ == 0) {
     return error{error_code::no_upstream, "no upstream accepted the request", ran_state::not_run,
                  no_upstream_retry_ms};
--- a/birchlever/gateway/upstream_dispatch.h
+++ b/birchlever/gateway/upstream_dispatch.h
@@ -4,7 +4,6 @@
 #include "birchlever/gateway/gateway_context.h"
 #include "birchlever/gateway/gateway_filter.h"
 #include "birchlever/gateway/upstream_attempt.h"
-#include "birchlever/http/port_probe.h"
 #include "birchlever/upstream/upstream_directory.h"
 
 namespace birchlever {
@@ -21,6 +20,7 @@
   struct attempt_counts {
     int attempts_ = 0;      ///< Upstreams tried.
     int may_have_run_ = 0;  ///< Attempts that the upstream may have executed: their outcome is unknown.
+    std::optional<error> withheld_;  ///< Why the last attempt was not made.
   };
 
   auto make_criteria(const gateway_request& request) const -> upstream_criteria;
@@ -28,13 +28,12 @@
   auto run_attempts(gateway_request& request, attempt_counts& counts) -> task<attempt_outcome>;
   auto track(const gateway_request& request, const upstream_choice& choice,
              const upstream_criteria& criteria) const -> std::shared_ptr<request_progress>;
+  /// Selects an upstream, apart from those where a crash is to be expected if possible.
+  auto choose_upstream(const gateway_request& request, const upstream_criteria& criteria) const
+      -> result<upstream_choice>;
   auto abort_stream(gateway_request& request) -> void;
   auto attempt_once(gateway_request& request, upstream_criteria& criteria, attempt_counts& counts)
       -> task<attempt_outcome>;
-  /// Probes the port of an upstream whose response was lost. Yields nothing after other outcomes.
-  auto probe_after_loss(const gateway_request& request, const upstream& target,
-                        const upstream_attempt& attempt, attempt_outcome outcome)
-      -> task<std::optional<port_state>>;
   auto may_retry(const gateway_request& request, attempt_outcome last, const attempt_counts& counts) const
       -> bool;
   static auto final_error(attempt_outcome last, const attempt_counts& counts) -> error;
--- a/birchlever/upstream/upstream.h
+++ b/birchlever/upstream/upstream.h
@@ -25,6 +25,9 @@
 
   [[nodiscard]] auto entry() const -> const upstream_entry& { return entry_; }
   [[nodiscard]] auto running() const -> int { return running_; }
+
+  /// Returns when this daemon learned of it, on the local clock.
+  [[nodiscard]] auto known_since() const -> milliseconds { return known_since_; }
   [[nodiscard]] auto health() const -> const upstream_health& { return health_; }
 
   /// Returns false if it is leaving, is no longer listed, or its data hall is closed.
@@ -60,6 +63,7 @@
 
   upstream_entry entry_;
   std::string region_;
+  milliseconds known_since_ = 0;
   bool listed_ = true;
   bool hall_closed_ = false;
   milliseconds hall_opened_at_ = -1'000'000;  ///< Initially far in the past.
--- a/birchlever/upstream/upstream_directory.cpp
+++ b/birchlever/upstream/upstream_directory.cpp
@@ -46,6 +46,7 @@
   auto inserted =
       std::make_shared<upstream>(std::move(entry), upstream_health{settings_.health_, phase}, phase);
   const auto& details = inserted->entry_;
+  inserted->known_since_ = settings_.clock_->now();
   inserted->region_ = settings_.regions_.region_of(details.data_hall_);
   inserted->hall_closed_ = closed_halls_.count(details.data_hall_) != 0;
   update_cold_until(*inserted);
--- a/birchlever/upstream/upstream_health.h
+++ b/birchlever/upstream/upstream_health.h
@@ -72,6 +72,9 @@
   [[nodiscard]] auto avoided(milliseconds now) const -> bool { return avoid_until_ > now; }
   [[nodiscard]] auto avoid_until() const -> milliseconds { return avoid_until_; }
 
+  /// Returns when a response last started; 0 if none did.
+  [[nodiscard]] auto last_response_at() const -> milliseconds { return last_response_at_; }
+
   /// Total weight of consecutive failures.
   [[nodiscard]] auto weight() const -> int { return weight_; }
 
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -130,6 +130,7 @@
     return joined;
   }
   follow_store();
+  track_crashes();
   auto sweeping = sweep_programs();
   if (!ok(sweeping)) {
     return sweeping;
--- a/birchlever_daemon/gateway_daemon.h
+++ b/birchlever_daemon/gateway_daemon.h
@@ -17,6 +17,7 @@
 class allowance_ranges;
 class metrics;
 class central_grants;
+class crash_register;
 class budget_transfer;
 class peer_feed;
 class program_sweeper;
@@ -55,6 +56,7 @@
   auto sweep_programs() -> status;
   auto kept_after_change() const -> milliseconds;
   auto hold_allowances() -> status;
+  auto track_crashes() -> void;
   auto share_upstream_feed() -> void;
   auto incarnation_name() const -> std::string;
   auto describe_self() const -> peer_state;
@@ -96,6 +98,7 @@
   std::shared_ptr<central_grants> grants_;            ///< None without peers, or where they are switched off.
   milliseconds joined_at_ = 0;                        ///< When this daemon began to listen to peers.
   std::shared_ptr<program_sweeper> sweeper_;
+  std::shared_ptr<crash_register> crashes_;
   std::shared_ptr<gateway_server> server_;
   std::shared_ptr<http_listener> readiness_listener_;
   std::shared_ptr<http_listener> control_listener_;
--- a/birchlever_daemon/gateway_daemon_peers.cpp
+++ b/birchlever_daemon/gateway_daemon_peers.cpp
@@ -6,9 +6,11 @@
 #include "birchlever/admission/program_admission.h"
 #include "birchlever/controllers/budget_transfer.h"
 #include "birchlever/controllers/central_grants.h"
+#include "birchlever/controllers/crash_register.h"
 #include "birchlever/controllers/peer_feed.h"
 #include "birchlever/coordination/allowance_ranges.h"
 #include "birchlever/coordination/program_store.h"
+#include "birchlever/gateway/crash_guard.h"
 #include "birchlever/telemetry/log.h"
 #include "birchlever/telemetry/metrics.h"
 #include "birchlever_daemon/gateway_daemon.h"
@@ -149,6 +151,18 @@
   return success;
 }
 
+auto gateway_daemon::track_crashes() -> void {
+  auto owns = [this](const std::string& fingerprint) {
+    return !peers_ || peers_->views().preferred_for(fingerprint);
+  };
+  crashes_ = crash_register::create(loop_, store_, {}, owns);
+  context_->crash_guard_ = crash_guard::create(*context_, crashes_, {});
+  if (peers_) {
+    crashes_->on_publish([this](const send_record& record) { peers_->publish(record); });
+    peers_->on_send_record([this](const send_record& record) { crashes_->apply_peer_record(record); });
+  }
+}
+
 auto gateway_daemon::share_upstream_feed() -> void {
   if (settings_.share_feed_ == 0 || settings_.control_address_.empty()) {
     return;
--- /dev/null
+++ b/unit_tests/coordination/crash_history_test.cpp
@@ -0,0 +1,78 @@
+/// Memory of upstreams that ended under a piece of work.
+#include <catch2/catch.hpp>
+
+#include "birchlever/coordination/crash_history.h"
+
+namespace birchlever {
+namespace {
+
+auto crash(const std::string& work, const std::string& upstream) -> send_record {
+  return {work, upstream, send_state::crashed};
+}
+
+auto open_send(const std::string& work, const std::string& upstream) -> send_record {
+  return {work, upstream, send_state::open};
+}
+
+}  // namespace
+
+// Guards against counting one crash twice when the store and a peer both report it.
+TEST_CASE("a crash counts once for each upstream, whoever reports it") {
+  auto history = crash_history{};
+  REQUIRE(history.record(crash("a", "u1"), 0));
+  REQUIRE_FALSE(history.record(crash("a", "u1"), 1));
+  REQUIRE(history.record(crash("a", "u2"), 1));
+  REQUIRE(history.crashes("a") == 2);
+  REQUIRE(history.crashes("b") == 0);
+}
+
+// Guards against a late write or message about an open send that hides a crash.
+TEST_CASE("a crash is not replaced or settled by an older record of its send") {
+  auto history = crash_history{};
+  history.record(crash("a", "u1"), 0);
+  history.record(open_send("a", "u1"), 1);
+  history.record({"a", "u1", send_state::settled}, 2);
+  history.erase(open_send("a", "u1"));
+  REQUIRE(history.crashes("a") == 1);
+  REQUIRE(history.upstreams_at_risk("b", 1).empty());
+}
+
+// Guards against forgetting a send whose daemon ended before it could tell the outcome.
+TEST_CASE("open sends count until they are settled") {
+  auto history = crash_history{};
+  history.record(crash("a", "u1"), 0);
+  history.record(crash("a", "u2"), 0);
+  history.record(open_send("a", "u3"), 0);
+  REQUIRE(history.exhausted("a"));
+  history.record({"a", "u3", send_state::settled}, 1);
+  REQUIRE_FALSE(history.exhausted("a"));
+}
+
+// Guards against suspected work that shares an upstream with other suspected work.
+TEST_CASE("upstreams are at risk while suspected work of another kind runs there") {
+  auto history = crash_history{};
+  history.record(crash("a", "u1"), 0);
+  history.record(open_send("a", "u2"), 0);
+  REQUIRE(history.upstreams_at_risk("b", 2) == std::set<std::string>{"u2"});
+  REQUIRE(history.upstreams_at_risk("b", 3).empty());
+  REQUIRE(history.upstreams_at_risk("a", 2).empty());
+  history.record(crash("a", "u2"), 1);
+  REQUIRE(history.upstreams_at_risk("b", 2).empty());
+}
+
+// Guards against memory that grows with the number of requests.
+TEST_CASE("old records expire and the oldest work is evicted") {
+  auto settings = crash_history_settings{};
+  settings.max_works_ = 2;
+  auto history = crash_history{settings};
+  history.record(open_send("a", "u1"), 0);
+  history.record(crash("b", "u1"), 0);
+  history.record(crash("c", "u1"), 0);
+  REQUIRE(history.size() == 2);
+  REQUIRE(history.crashes("a") == 0);
+  REQUIRE(history.expire(settings.max_age_).empty());
+  REQUIRE(history.expire(settings.max_age_ + 1).size() == 2);
+  REQUIRE(history.size() == 0);
+}
+
+}  // namespace birchlever
--- a/unit_tests/gateway/crash_containment_test.cpp
+++ b/unit_tests/gateway/crash_containment_test.cpp
@@ -1,4 +1,6 @@
 /// Requests under which upstreams end: how far their repeats get through the daemons of a fleet.
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "unit_tests/gateway/gateway_fixture.h"
@@ -67,4 +69,100 @@
   REQUIRE(fixture.ended_upstreams() <= max_ended);
 }
 
+// Guards against answers that promise what is not known: the request was not sent this time, but it ran
+// before.
+TEST_CASE("a request that is not sent again gets a typed final error") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 2);
+  for (auto attempt = std::size_t{0}; attempt < 3; ++attempt) {
+    ask(fixture, attempt % 2, "/unsafe/a", headers_of("r" + std::to_string(attempt)), harmful);
+  }
+  auto sent = fixture.seen_.size();
+  auto response = ask(fixture, 1, "/unsafe/a", headers_of("r4"), harmful);
+  REQUIRE(response.status_ == 502);
+  REQUIRE(response.body_.find("upstreams_crashed") != std::string::npos);
+  REQUIRE(response.body_.find("not_run") != std::string::npos);
+  REQUIRE(response.headers_.count("Retry-After") == 0);
+  REQUIRE(fixture.seen_.size() == sent);
+}
+
+// Guards against repeats that slip through while the store is down: daemons tell each other.
+TEST_CASE("while the store is down a harmful request still reaches three upstreams at most") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 3);
+  fixture.rows_->faults().down_ = true;
+  for (auto attempt = std::size_t{0}; attempt < 6; ++attempt) {
+    ask(fixture, attempt % 3, "/safe/a", headers_of("r" + std::to_string(attempt)), harmful);
+  }
+  REQUIRE(fixture.ended_upstreams() <= max_ended);
+}
+
+// Guards against repeats that slip through while messages between daemons are lost: the store has the
+// records.
+TEST_CASE("without messages between daemons a harmful request reaches three upstreams at most") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 4);
+  fixture.peers_connected_ = false;
+  for (auto attempt = std::size_t{0}; attempt < 6; ++attempt) {
+    ask(fixture, attempt % 4, "/safe/a", headers_of("r" + std::to_string(attempt)), harmful);
+  }
+  REQUIRE(fixture.ended_upstreams() <= max_ended);
+}
+
+// Guards against a daemon that joins and knows nothing of what its peers saw.
+TEST_CASE("a daemon that starts later knows of the upstreams that ended before") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 1);
+  for (auto attempt = std::size_t{0}; attempt < 3; ++attempt) {
+    ask(fixture, 0, "/unsafe/a", headers_of("r" + std::to_string(attempt)), harmful);
+  }
+  auto joined = fixture.add_gateway();
+  fixture.run_for(100);
+  ask(fixture, joined, "/unsafe/a", headers_of("r4"), harmful);
+  REQUIRE(fixture.ended_upstreams() == max_ended);
+}
+
+// Guards against punishing the requests that ran beside the harmful one when it ended their upstream.
+TEST_CASE("requests that ran beside a harmful one are served") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 3);
+  fixture.answer_delay_ = 150;
+  fixture.ends_after_ = 100;
+  constexpr auto innocent = std::size_t{24};
+  constexpr auto starts = std::size_t{3};  // Of a turn, by its program.
+  auto served = std::vector<bool>(innocent);
+  for (auto start = std::size_t{0}; start < starts; ++start) {
+    auto pending = std::vector<std::shared_ptr<std::optional<received_response>>>(innocent);
+    auto harm = fixture.send_to(start, "/turn/x", turn_headers("h" + std::to_string(start), "harm"), harmful);
+    for (auto one = std::size_t{0}; one < innocent; ++one) {
+      if (!served[one]) {
+        auto name = std::to_string(one);
+        auto id = "t" + name + "-" + std::to_string(start);
+        pending[one] =
+            fixture.send_to((one + start) % starts, "/turn/x", turn_headers(id, "p" + name), "hello");
+      }
+    }
+    REQUIRE(fixture.run_until([&] {
+      auto answered = [](const auto& response) { return !response || response->has_value(); };
+      return harm->has_value() && std::all_of(pending.begin(), pending.end(), answered);
+    }));
+    for (auto one = std::size_t{0}; one < innocent; ++one) {
+      served[one] = served[one] || (*pending[one])->complete_;
+    }
+  }
+  REQUIRE(fixture.ended_upstreams() == max_ended);
+  REQUIRE(std::count(served.begin(), served.end(), true) == innocent);
+}
+
+// Guards against taking broken connections for crashes: the upstreams of this request run on.
+TEST_CASE("a request whose connections are reset is sent again") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 1);
+  for (auto attempt = 0; attempt < 4; ++attempt) {
+    fixture.scripts_.push_back({script::kind::reset});
+    ask(fixture, 0, "/unsafe/a", headers_of("r" + std::to_string(attempt)), "body");
+  }
+  REQUIRE(ask(fixture, 0, "/unsafe/a", headers_of("r5"), "body").status_ == 200);
+}
+
 }  // namespace birchlever::test
--- a/unit_tests/gateway/gateway_fixture.cpp
+++ b/unit_tests/gateway/gateway_fixture.cpp
@@ -1,5 +1,7 @@
 #include "unit_tests/gateway/gateway_fixture.h"
 
+#include "birchlever/gateway/crash_guard.h"
+
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
@@ -40,8 +42,7 @@
   return found == received.headers_.end() ? std::string{} : found->second;
 }
 
-gateway_fixture::gateway_fixture()
-    : rows_{std::make_shared<memory_row_store>(loop_)} {
+gateway_fixture::gateway_fixture() : rows_{std::make_shared<memory_row_store>(loop_)} {
   configuration_.version_ = 1;
   auto resumable = make_route("/resume/", route_kind::streaming, engine_service, false);
   resumable.resumable_ = true;
@@ -61,6 +62,7 @@
   }
   open_gateway();
   server_ = servers_.front();
+  REQUIRE(run_until([&] { return registers_.front()->primed(); }));
 }
 
 auto gateway_fixture::make_context() -> std::shared_ptr<gateway_context> {
@@ -86,6 +88,17 @@
   for (const auto& [name, upstream] : upstreams_) {
     context->upstreams_->put(upstream.entry_);
   }
+  auto owns = [](const std::string& /*fingerprint*/) { return true; };
+  auto crashes = crash_register::create(loop_, rows_, {}, owns);
+  crashes->on_publish([this, sender = crashes.get()](const send_record& record) {
+    for (const auto& receiver : registers_) {
+      if (peers_connected_ && receiver.get() != sender) {
+        receiver->apply_peer_record(record);
+      }
+    }
+  });
+  registers_.push_back(crashes);
+  context->crash_guard_ = crash_guard::create(*context, crashes, {});
   return context;
 }
 
@@ -245,6 +258,9 @@
       script_to_run = scripts_.front();
       scripts_.pop_front();
     }
+    if (!harmful) {
+      co_await pause_for(loop_, answer_delay_);
+    }
     keep_open = co_await run_script(name, script_to_run, *request, *connection);
   }
   upstreams_.at(name).connections_.erase(connection);
--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "birchlever/controllers/crash_register.h"
 #include "birchlever/coordination/program_store.h"
 #include "birchlever/gateway/configuration_freshness.h"
 #include "birchlever/gateway/gateway_server.h"
@@ -119,8 +120,10 @@
   std::shared_ptr<gateway_server> server_;    ///< Likewise.
   std::vector<std::shared_ptr<gateway_context>> contexts_;
   std::string harmful_text_;  ///< An upstream ends when it gets a body that contains this; empty: none does.
-  milliseconds ends_after_ = 0;  ///< ms for which an upstream runs such a request before it ends.
-  std::deque<script> scripts_;  ///< For the next requests; when empty, a normal response or stream.
+  milliseconds answer_delay_ = 0;  ///< ms for which an upstream runs any other request before it responds.
+  bool peers_connected_ = true;    ///< Daemons exchange records of the crash history directly, too.
+  milliseconds ends_after_ = 0;    ///< ms for which an upstream runs such a request before it ends.
+  std::deque<script> scripts_;     ///< For the next requests; when empty, a normal response or stream.
   std::vector<received_request> seen_;
   serving_configuration configuration_;
 
@@ -141,6 +144,7 @@
   };
 
   std::map<std::string, scripted_upstream> upstreams_;
+  std::vector<std::shared_ptr<crash_register>> registers_;
   std::vector<std::shared_ptr<gateway_server>> servers_;
   std::vector<std::string> addresses_;
   std::size_t ended_ = 0;
--- a/unit_tests/gateway/request_fingerprint_test.cpp
+++ b/unit_tests/gateway/request_fingerprint_test.cpp
@@ -36,6 +36,15 @@
   REQUIRE(fingerprint_of(first) == fingerprint_of(repeated));
 }
 
+// Guards against rejecting a popular request for everyone because upstreams ended while copies of it ran.
+TEST_CASE("equal requests outside programs have different fingerprints") {
+  auto first = example();
+  first.metadata_.program_.clear();
+  auto second = first;
+  second.metadata_.request_id_ = "r2";
+  REQUIRE(fingerprint_of(first) != fingerprint_of(second));
+}
+
 // Guards against blaming a request for what another one of the same program or with the same text did.
 TEST_CASE("requests that differ in content or position have different fingerprints") {
   auto changes = std::vector<std::function<void(gateway_request&)>>{
