Write crashes that the store misses from the memory of any daemon that knows them

Peers that know a crash now write it when the store misses it: the owner of its fingerprint after 1 s, any daemon after 4 s, idempotent since the row's key is the record. Work that was served is announced to peers, so that none writes its records again.

Test: crash_register_test; 'a crash known from a peer is written by another daemon when the store returns' failed without the change.

--- a/birchlever/controllers/crash_register.cpp
+++ b/birchlever/controllers/crash_register.cpp
@@ -162,9 +162,13 @@
 }
 
 auto crash_register::clear(const std::string& fingerprint) -> void {
-  for (const auto& record : history_.clear(fingerprint)) {
+  auto cleared = history_.clear(fingerprint);
+  for (const auto& record : cleared) {
     enqueue(record, true);
   }
+  if (!cleared.empty()) {
+    publish({fingerprint, "", send_state::served});
+  }
 }
 
 auto crash_register::transaction_of(std::size_t count) const -> row_transaction {
@@ -224,11 +228,37 @@
   auto self = shared_from_this();
   while (true) {
     co_await pause_for(*loop_, settings_.sweep_interval_);
-    for (const auto& record : history_.expire(clock_.now())) {
-      auto stored = stored_keys_.count(key_of(record)) != 0;
-      if (stored && owns_(record.fingerprint_)) {
-        enqueue(record, true);
-      }
+    remove_expired();
+    write_missing();
+  }
+}
+
+auto crash_register::remove_expired() -> void {
+  for (const auto& record : history_.expire(clock_.now())) {
+    auto stored = stored_keys_.count(key_of(record)) != 0;
+    if (stored && owns_(record.fingerprint_)) {
+      enqueue(record, true);
+    }
+  }
+}
+
+auto crash_register::write_missing() -> void {
+  if (!follower_->primed() || !pending_.empty()) {
+    return;
+  }
+  auto now = clock_.now();
+  auto anyone = history_.crashes_known_for(settings_.repair_by_any_after_, now);
+  auto overdue = std::set<std::string>{};
+  for (const auto& record : anyone) {
+    overdue.insert(key_of(record));
+  }
+  for (const auto& record : history_.crashes_known_for(settings_.repair_after_, now)) {
+    auto key = key_of(record);
+    auto responsible = overdue.count(key) != 0 || owns_(record.fingerprint_);
+    if (responsible && stored_keys_.count(key) == 0) {
+      log_event(log_level::info, "crash_record_repaired",
+                {{"fingerprint", record.fingerprint_}, {"upstream", record.upstream_}});
+      enqueue(record, false);
     }
   }
 }
--- a/birchlever/controllers/crash_register.h
+++ b/birchlever/controllers/crash_register.h
@@ -27,7 +27,11 @@
   milliseconds commit_limit_ = 1000;
   milliseconds retry_interval_ = 200;   ///< Interval between two writes while the store fails.
   milliseconds drop_after_ = 30'000;    ///< Records that could not be written for this long are not stored.
-  milliseconds sweep_interval_ = 5000;  ///< Interval between two removals of expired records.
+  milliseconds sweep_interval_ = 500;  ///< Interval between two searches for expired and missing rows.
+  /// Time after which a known crash that the store does not have is written by the owner of its fingerprint,
+  /// and by any daemon. The daemon that saw it may have ended before the store took its record.
+  milliseconds repair_after_ = 1000;
+  milliseconds repair_by_any_after_ = 4000;
   crash_history_settings history_;
 };
 
@@ -90,6 +94,8 @@
   [[nodiscard]] auto transaction_of(std::size_t count) const -> row_transaction;
   auto remove_pending(std::int64_t last) -> void;
   auto sweep() -> task<>;
+  auto remove_expired() -> void;
+  auto write_missing() -> void;
 
   event_loop* loop_;
   std::shared_ptr<row_store_interface> rows_;
--- a/birchlever/coordination/crash_history.cpp
+++ b/birchlever/coordination/crash_history.cpp
@@ -5,7 +5,7 @@
 namespace birchlever {
 
 auto name_of(send_state state) -> std::string_view {
-  constexpr auto names = std::array<std::string_view, 3>{"open", "crashed", "settled"};
+  constexpr auto names = std::array<std::string_view, 4>{"open", "crashed", "settled", "served"};
   return names.at(static_cast<std::size_t>(state));
 }
 
@@ -36,6 +36,9 @@
 }
 
 auto crash_history::record(const send_record& record, milliseconds now) -> bool {
+  if (record.state_ == send_state::served) {
+    return !clear(record.fingerprint_).empty();
+  }
   if (record.state_ == send_state::settled) {
     auto before = crashes(record.fingerprint_);
     erase({record.fingerprint_, record.upstream_, send_state::open});
@@ -120,14 +123,17 @@
   return expired;
 }
 
-auto crash_history::records() const -> std::vector<send_record> {
-  auto all = std::vector<send_record>{};
+auto crash_history::crashes_known_for(milliseconds min_age, milliseconds now) const
+    -> std::vector<send_record> {
+  auto known = std::vector<send_record>{};
   for (const auto& [fingerprint, work] : works_) {
     for (const auto& [upstream, send] : work.sends_) {
-      all.push_back({fingerprint, upstream, send.state_});
+      if (send.state_ == send_state::crashed && now - send.changed_at_ >= min_age) {
+        known.push_back({fingerprint, upstream, send.state_});
+      }
     }
   }
-  return all;
+  return known;
 }
 
 }  // namespace birchlever
--- a/birchlever/coordination/crash_history.h
+++ b/birchlever/coordination/crash_history.h
@@ -23,7 +23,8 @@
 enum class send_state {
   open,     ///< Sent, or about to be; no outcome known.
   crashed,  ///< The upstream ended while it ran the work.
-  settled   ///< It did not end. Not kept.
+  settled,  ///< It did not end. Not kept.
+  served    ///< The work was served: no record of it counts any more. Not kept.
 };
 
 /// Returns the name of a state in rows, messages and logs.
@@ -78,8 +79,9 @@
   /// Removes and returns what is older than the settings allow.
   auto expire(milliseconds now) -> std::vector<send_record>;
 
-  /// Returns all records.
-  [[nodiscard]] auto records() const -> std::vector<send_record>;
+  /// Returns the crashes that have been known for at least `min_age` ms.
+  [[nodiscard]] auto crashes_known_for(milliseconds min_age, milliseconds now) const
+      -> std::vector<send_record>;
 
   [[nodiscard]] auto settings() const -> const crash_history_settings& { return settings_; }
 
--- /dev/null
+++ b/unit_tests/controllers/crash_register_test.cpp
@@ -0,0 +1,85 @@
+/// The crash history that daemons share through the store and messages.
+#include <catch2/catch.hpp>
+
+#include "birchlever/controllers/crash_register.h"
+#include "birchlever/storage/memory_row_store.h"
+#include "unit_tests/http/loop_runner.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto work = "0123456789abcdef0123456789abcdef";
+
+/// Daemons that share a store. Messages between them are delivered on request.
+class register_fleet {
+ public:
+  register_fleet() : rows_{std::make_shared<memory_row_store>(loop_)} {}
+
+  auto add_daemon() -> std::shared_ptr<crash_register> {
+    auto settings = crash_register_settings{};
+    settings.sweep_interval_ = 20;
+    settings.repair_after_ = 50;
+    settings.repair_by_any_after_ = 100;
+    settings.retry_interval_ = 20;
+    auto nobody = [](const std::string& /*fingerprint*/) { return false; };
+    auto added = crash_register::create(loop_, rows_, settings, nobody);
+    REQUIRE(run_loop_until(loop_, [&] { return added->primed() || rows_->faults().down_; }));
+    return added;
+  }
+
+  auto record(crash_register& daemon, const send_record& record) -> bool {
+    return run_to_end(loop_, daemon.record(record));
+  }
+
+  event_loop loop_{1};
+  std::shared_ptr<memory_row_store> rows_;
+};
+
+}  // namespace
+
+// Guards against a daemon that learns of crashes only from those that saw them.
+TEST_CASE("a recorded crash is known to all daemons, also to later ones") {
+  auto fleet = register_fleet{};
+  auto first = fleet.add_daemon();
+  auto second = fleet.add_daemon();
+  REQUIRE(fleet.record(*first, {work, "u1", send_state::crashed}));
+  REQUIRE(second->history().crashes(work) == 1);
+  REQUIRE(fleet.add_daemon()->history().crashes(work) == 1);
+}
+
+// Guards against crashes that are forgotten when the daemon that saw them ends before the store has them.
+TEST_CASE("a crash known from a peer is written by another daemon when the store returns") {
+  auto fleet = register_fleet{};
+  auto peer = fleet.add_daemon();
+  fleet.rows_->faults().down_ = true;
+  peer->apply_peer_record({work, "u1", send_state::crashed});
+  run_loop_for(fleet.loop_, 200);
+  fleet.rows_->faults().down_ = false;
+  REQUIRE(run_loop_until(fleet.loop_, [&] { return fleet.rows_->size() == 1; }));
+  REQUIRE(fleet.add_daemon()->history().crashes(work) == 1);
+}
+
+// Guards against rows and memory of work that was served in the end.
+TEST_CASE("records of served work are removed everywhere") {
+  auto fleet = register_fleet{};
+  auto first = fleet.add_daemon();
+  auto second = fleet.add_daemon();
+  REQUIRE(fleet.record(*first, {work, "u1", send_state::crashed}));
+  REQUIRE(fleet.record(*first, {work, "u2", send_state::open}));
+  first->clear(work);
+  REQUIRE(run_loop_until(fleet.loop_, [&] { return second->history().size() == 0; }));
+  run_loop_for(fleet.loop_, 300);
+  REQUIRE(fleet.rows_->size() == 0);
+  REQUIRE(first->history().size() == 0);
+}
+
+// Guards against a record that is lost because the store's answer to its write is.
+TEST_CASE("a record is written again until the store acknowledges it") {
+  auto fleet = register_fleet{};
+  auto daemon = fleet.add_daemon();
+  fleet.rows_->faults().lose_calls_ = 2;
+  REQUIRE(fleet.record(*daemon, {work, "u1", send_state::crashed}));
+  REQUIRE(fleet.rows_->size() == 1);
+}
+
+}  // namespace birchlever
