Refuse work with unresolved sends for a while only, and ignore rows whose removal is on its way

Open sends count like crashes, since the daemon that made them may be gone, but they may also turn out harmless: a request with three of them got the final 502 although nothing was certain. It now gets 503 sends_unresolved with Retry-After 1 s (truthful: this attempt was not sent); 502 upstreams_crashed needs three certain ends. Rows whose removal waits or is on its way are no longer merged.

Test: 'a request with unresolved sends is refused for a while only'; on the code before it gets 502.

--- a/birchlever/controllers/crash_register.cpp
+++ b/birchlever/controllers/crash_register.cpp
@@ -82,6 +82,8 @@
     if (row.removed_) {
       stored_keys_.erase(row.key_.key_);
       history_.erase(*record);
+    } else if (removal_pending(row.key_.key_)) {
+      stored_keys_.insert(row.key_.key_);
     } else {
       stored_keys_.insert(row.key_.key_);
       merge(*record, "store");
@@ -89,6 +91,12 @@
   }
 }
 
+auto crash_register::removal_pending(const std::string& key) const -> bool {
+  return std::any_of(pending_.begin(), pending_.end(), [&](const pending_change& change) {
+    return change.removal_ && key_of(change.record_) == key;
+  });
+}
+
 auto crash_register::finish_scan() -> void {
   for (const auto& key : stored_keys_) {
     auto record = parse_key(key);
--- a/birchlever/controllers/crash_register.h
+++ b/birchlever/controllers/crash_register.h
@@ -25,8 +25,8 @@
   /// reach all daemons, before the caller learns of the failure and repeats the request.
   milliseconds spread_time_ = 60;
   milliseconds commit_limit_ = 1000;
-  milliseconds retry_interval_ = 200;   ///< Interval between two writes while the store fails.
-  milliseconds drop_after_ = 30'000;    ///< Records that could not be written for this long are not stored.
+  milliseconds retry_interval_ = 200;  ///< Interval between two writes while the store fails.
+  milliseconds drop_after_ = 30'000;   ///< Records that could not be written for this long are not stored.
   milliseconds sweep_interval_ = 500;  ///< Interval between two searches for expired and missing rows.
   /// Time after which a known crash that the store does not have is written by the owner of its fingerprint,
   /// and by any daemon. The daemon that saw it may have ended before the store took its record.
@@ -84,6 +84,8 @@
 
   auto follow() -> void;
   auto apply_rows(const std::vector<stored_row>& rows) -> void;
+  /// Returns true if this daemon has removed a row and the store did not acknowledge that yet.
+  [[nodiscard]] auto removal_pending(const std::string& key) const -> bool;
   auto finish_scan() -> void;
   auto merge(const send_record& record, const char* source) -> void;
   auto publish(const send_record& record) -> void;
--- a/birchlever/coordination/crash_history.cpp
+++ b/birchlever/coordination/crash_history.cpp
@@ -1,5 +1,6 @@
 #include "birchlever/coordination/crash_history.h"
 
+#include <algorithm>
 #include <array>
 
 namespace birchlever {
@@ -95,6 +96,16 @@
   return found == works_.end() ? 0 : static_cast<int>(found->second.sends_.size());
 }
 
+auto crash_history::confirmed_crashes(const std::string& fingerprint) const -> int {
+  auto found = works_.find(fingerprint);
+  if (found == works_.end()) {
+    return 0;
+  }
+  const auto& sends = found->second.sends_;
+  auto crashed = [](const auto& send) { return send.second.state_ == send_state::crashed; };
+  return static_cast<int>(std::count_if(sends.begin(), sends.end(), crashed));
+}
+
 auto crash_history::upstreams_at_risk(const std::string& fingerprint, int min_crashes) const
     -> std::set<std::string> {
   auto at_risk = std::set<std::string>{};
--- a/birchlever/coordination/crash_history.h
+++ b/birchlever/coordination/crash_history.h
@@ -66,10 +66,8 @@
   /// Returns the number of upstreams that ended, or may end, under a piece of work.
   [[nodiscard]] auto crashes(const std::string& fingerprint) const -> int;
 
-  /// Returns true if the work must not be sent again.
-  [[nodiscard]] auto exhausted(const std::string& fingerprint) const -> bool {
-    return crashes(fingerprint) >= settings_.max_crashes_;
-  }
+  /// Returns the number of upstreams that ended under a piece of work for certain.
+  [[nodiscard]] auto confirmed_crashes(const std::string& fingerprint) const -> int;
 
   /// Returns the incarnations with an open send of other work that at least `min_crashes` upstreams ended
   /// under or may end under, the send itself included.
--- a/birchlever/core/error.cpp
+++ b/birchlever/core/error.cpp
@@ -49,6 +49,7 @@
     error_row{error_code::upstream_failed, "upstream_failed", 502},
     error_row{error_code::upstream_timeout, "upstream_timeout", 504},
     error_row{error_code::upstreams_crashed, "upstreams_crashed", 502},
+    error_row{error_code::sends_unresolved, "sends_unresolved", 503},
     error_row{error_code::stale_fence, "stale_fence", 503},
     error_row{error_code::outcome_unknown, "outcome_unknown", 502},
     error_row{error_code::answer_not_recorded, "answer_not_recorded", 503},
--- a/birchlever/core/error.h
+++ b/birchlever/core/error.h
@@ -48,6 +48,7 @@
   upstream_failed,
   upstream_timeout,
   upstreams_crashed,
+  sends_unresolved,
   stale_fence,
   outcome_unknown,
   answer_not_recorded,
--- a/birchlever/gateway/crash_guard.cpp
+++ b/birchlever/gateway/crash_guard.cpp
@@ -61,13 +61,29 @@
 
 auto crash_guard::refusal(const gateway_request& request) const -> std::optional<error> {
   const auto& history = crashes_->history();
-  if (!history.exhausted(request.fingerprint_)) {
+  auto crashes = history.crashes(request.fingerprint_);
+  if (crashes < max_crashes()) {
     return std::nullopt;
   }
+  return make_refusal(request, crashes);
+}
+
+auto crash_guard::make_refusal(const gateway_request& request, int crashes) const -> error {
+  const auto& history = crashes_->history();
+  auto confirmed = history.confirmed_crashes(request.fingerprint_);
   auto ran = request.relayed_.reached_upstream_ ? ran_state::outcome_unknown : ran_state::not_run;
-  auto count = std::to_string(history.crashes(request.fingerprint_));
-  return error{error_code::upstreams_crashed,
-               "not sent: " + count + " upstreams ended while they ran this request", ran};
+  if (confirmed >= history.settings().max_crashes_) {
+    return {error_code::upstreams_crashed,
+            "not sent: " + std::to_string(confirmed) + " upstreams ended while they ran this request", ran};
+  }
+  return {error_code::sends_unresolved,
+          "not sent: " + std::to_string(confirmed) + " upstreams ended while they ran this request, " +
+              std::to_string(crashes) + " may have",
+          ran, settings_.unresolved_retry_};
+}
+
+auto crash_guard::max_crashes() const -> int {
+  return crashes_->history().settings().max_crashes_;
 }
 
 auto crash_guard::avoided_upstreams(const gateway_request& request) const
@@ -91,11 +107,11 @@
   auto open_send = send_record{fingerprint, incarnation, send_state::open};
   auto stored = co_await crashes_->record(std::move(open_send));
   auto crashes = history.crashes(fingerprint);  // With this send, and those of other daemons meanwhile.
-  if (crashes > history.settings().max_crashes_) {
+  if (crashes > max_crashes()) {
     crashes_->settle(fingerprint, incarnation);
-    co_return error{error_code::upstreams_crashed, "not sent: upstreams ended while they ran this request"};
+    co_return make_refusal(request, crashes - 1);
   }
-  if (!stored && crashes == history.settings().max_crashes_) {
+  if (!stored && crashes == max_crashes()) {
     crashes_->settle(fingerprint, incarnation);
     co_return error{error_code::store_unavailable,
                     "not sent: two upstreams ended while they ran this request, and another send can't be "
--- a/birchlever/gateway/crash_guard.h
+++ b/birchlever/gateway/crash_guard.h
@@ -36,7 +36,8 @@
   milliseconds watch_duration_ = 15'000;
   /// Time without any response after which an upstream may have ended when its callers give up.
   milliseconds silent_after_ = 1000;
-  std::size_t max_watched_ = 1024;   ///< Lost sends; the oldest is settled first.
+  std::size_t max_watched_ = 1024;        ///< Lost sends; the oldest is settled first.
+  milliseconds unresolved_retry_ = 1000;  ///< Retry-After while outcomes of earlier sends are unknown.
   milliseconds retry_after_ = 3000;  ///< Retry-After of suspected requests while the store is unavailable.
 };
 
@@ -55,7 +56,7 @@
       -> std::vector<std::set<std::string>>;
 
   /// Records a send before it is made. Yields an error if it must not be made. Requests that are not
-  /// suspected need no I/O. Failures: upstreams_crashed, store_unavailable.
+  /// suspected need no I/O. Failures: upstreams_crashed, sends_unresolved, store_unavailable.
   auto prepare_send(const gateway_request& request, const upstream& target) -> task<status>;
 
   /// Finds out whether the upstream of a send has ended, and records it before the caller learns of the
@@ -83,6 +84,9 @@
   crash_guard(gateway_context& context, std::shared_ptr<crash_register> crashes,
               const crash_guard_settings& settings);
 
+  /// Returns the number of upstreams that may end under a piece of work.
+  [[nodiscard]] auto max_crashes() const -> int;
+  [[nodiscard]] auto make_refusal(const gateway_request& request, int crashes) const -> error;
   auto record_crash(std::string fingerprint, upstream_pointer target, const char* evidence) -> task<>;
   auto watch(watched_send send) -> void;
   auto check_watched() -> task<>;
--- a/unit_tests/gateway/crash_containment_test.cpp
+++ b/unit_tests/gateway/crash_containment_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "birchlever/gateway/request_fingerprint.h"
 #include "unit_tests/gateway/gateway_fixture.h"
 
 namespace birchlever::test {
@@ -86,6 +87,28 @@
   REQUIRE(fixture.seen_.size() == sent);
 }
 
+// Guards against a final error for a request that may be served once earlier sends turn out harmless.
+TEST_CASE("a request with unresolved sends is refused for a while only") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 1);
+  auto request = gateway_request{};
+  request.message_ = http_request{http::verb::post, "/unsafe/a", 11};
+  request.message_.set(http::field::host, "h.example");
+  request.message_.body() = "body";
+  request.metadata_.program_ = "p1";
+  request.metadata_.session_ = "s1";
+  auto fingerprint = fingerprint_of(request);
+  for (const auto* upstream : {"u1", "u2", "u3"}) {
+    fixture.registers_.front()->apply_peer_record({fingerprint, upstream, send_state::open});
+  }
+  auto refused = ask(fixture, 0, "/unsafe/a", headers_of("r2"), "body");
+  REQUIRE(refused.status_ == 503);
+  REQUIRE(refused.body_.find("sends_unresolved") != std::string::npos);
+  REQUIRE(refused.headers_.count("Retry-After") == 1);
+  fixture.registers_.front()->apply_peer_record({fingerprint, "u3", send_state::settled});
+  REQUIRE(ask(fixture, 0, "/unsafe/a", headers_of("r3"), "body").status_ == 200);
+}
+
 // Guards against repeats that slip through while the store is down: daemons tell each other.
 TEST_CASE("while the store is down a harmful request still reaches three upstreams at most") {
   auto fixture = gateway_fixture{};
