Let one upstream fewer end under a request while a daemon may have been lost

Nothing can bring that count back, so it is allowed for: daemons report their uptime, and while one has started or fallen silent within the last 30 s (more in fleets where each hears of each other rarely), two ends or open sends refuse a request (503 sends_unresolved, since no third end is certain).

--- a/birchlever/controllers/peer_state.cpp
+++ b/birchlever/controllers/peer_state.cpp
@@ -19,7 +19,8 @@
   spent,
   pressure,
   speeds,
-  send_records
+  send_records,
+  uptime
 };
 
 /// Reads an optional field if the message has it.
@@ -138,7 +139,8 @@
                       spent,
                       state.pressure_ ? encode_pressure(*state.pressure_) : json::array(),
                       pack_speeds(state.speeds_),
-                      pack_send_records(state.send_records_)};
+                      pack_send_records(state.send_records_),
+                      state.uptime_ ? json(*state.uptime_) : json(nullptr)};
   json::to_cbor(message, bytes);
   return bytes;
 }
@@ -184,6 +186,11 @@
     auto send_records = json::array();
     read_added(message, added_field::send_records, send_records);
     state.send_records_ = unpack_send_records(send_records);
+    auto uptime = json(nullptr);
+    read_added(message, added_field::uptime, uptime);
+    if (!uptime.is_null()) {
+      state.uptime_ = uptime.get<milliseconds>();
+    }
     return state;
   } catch (const json::exception& fault) {
     return error{error_code::malformed_json, std::string{"malformed peer message: "} + fault.what()};
--- a/birchlever/gateway/crash_guard.cpp
+++ b/birchlever/gateway/crash_guard.cpp
@@ -83,7 +83,8 @@
 }
 
 auto crash_guard::max_crashes() const -> int {
-  return crashes_->history().settings().max_crashes_;
+  auto unseen = daemon_lost_ && daemon_lost_() ? 1 : 0;
+  return crashes_->history().settings().max_crashes_ - unseen;
 }
 
 auto crash_guard::avoided_upstreams(const gateway_request& request) const
--- a/birchlever/gateway/crash_guard.h
+++ b/birchlever/gateway/crash_guard.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -47,6 +48,12 @@
   static auto create(gateway_context& context, std::shared_ptr<crash_register> crashes,
                      const crash_guard_settings& settings) -> std::shared_ptr<crash_guard>;
 
+  using loss_check_function = std::function<bool()>;
+
+  /// Sets the function that returns true if a daemon may have ended a short time ago. What it saw end may
+  /// then be unknown, and one upstream fewer may end under a request.
+  auto set_loss_check(loss_check_function callback) -> void { daemon_lost_ = std::move(callback); }
+
   /// Returns the error with which a request must be rejected, or nothing if it may be sent.
   [[nodiscard]] auto refusal(const gateway_request& request) const -> std::optional<error>;
 
@@ -104,6 +111,7 @@
   crash_guard_settings settings_;
   std::map<std::string, port_check> checks_;  ///< By incarnation; only recent ones.
   std::deque<watched_send> watched_;
+  loss_check_function daemon_lost_;
   bool watching_ = false;
 };
 
--- a/birchlever_daemon/gateway_daemon.h
+++ b/birchlever_daemon/gateway_daemon.h
@@ -57,6 +57,7 @@
   auto kept_after_change() const -> milliseconds;
   auto hold_allowances() -> status;
   auto track_crashes() -> void;
+  [[nodiscard]] auto may_have_lost_daemon() const -> bool;
   auto share_upstream_feed() -> void;
   auto incarnation_name() const -> std::string;
   auto describe_self() const -> peer_state;
--- a/birchlever_daemon/gateway_daemon_peers.cpp
+++ b/birchlever_daemon/gateway_daemon_peers.cpp
@@ -32,6 +32,9 @@
 constexpr auto peer_address_age = milliseconds{10000};  // Addresses stay; of a thousand peers half are heard
                                                         // within it. One that was lost does not answer.
 constexpr auto peer_clock_margin = milliseconds{150};   // Calls that were under way when the store went away.
+// Time within which the attempts of one piece of work follow each other.
+constexpr auto crash_memory = milliseconds{30000};
+constexpr auto missed_messages = milliseconds{6};  // Of a peer, after which it may have ended.
 constexpr auto ms_per_second = 1000.0;
 // Time between two samples of the store's writes.
 constexpr auto pressure_gap = milliseconds{100};
@@ -157,12 +160,28 @@
   };
   crashes_ = crash_register::create(loop_, store_, {}, owns);
   context_->crash_guard_ = crash_guard::create(*context_, crashes_, {});
+  context_->crash_guard_->set_loss_check([this] { return may_have_lost_daemon(); });
   if (peers_) {
     crashes_->on_publish([this](const send_record& record) { peers_->publish(record); });
     peers_->on_send_record([this](const send_record& record) { crashes_->apply_peer_record(record); });
   }
 }
 
+auto gateway_daemon::may_have_lost_daemon() const -> bool {
+  auto uptime = context_->clock_.now() - joined_at_;
+  if (uptime < crash_memory) {
+    return true;  // An earlier process of this daemon may have ended.
+  }
+  if (!peers_) {
+    return false;
+  }
+  // A peer sends each message to a sample of the fleet, so the gaps between them grow with it.
+  const auto& settings = peers_->settings();
+  auto fleet_per_message = static_cast<milliseconds>(peers_->listed_peers()) / settings.max_receivers_ + 1;
+  auto silence = missed_messages * settings.send_interval_ * fleet_per_message;
+  return peers_->views().may_have_lost_peer(crash_memory + silence, silence);
+}
+
 auto gateway_daemon::share_upstream_feed() -> void {
   if (settings_.share_feed_ == 0 || settings_.control_address_.empty()) {
     return;
@@ -199,6 +218,7 @@
     state.pressure_ = context_->pressure_->report(context_->clock_.now());
   }
   state.speeds_ = context_->upstreams_->speed_reports();
+  state.uptime_ = context_->clock_.now() - joined_at_;
   return state;
 }
 
--- a/unit_tests/gateway/crash_containment_test.cpp
+++ b/unit_tests/gateway/crash_containment_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "birchlever/gateway/crash_guard.h"
 #include "birchlever/gateway/request_fingerprint.h"
 #include "unit_tests/gateway/gateway_fixture.h"
 
@@ -145,6 +146,19 @@
   REQUIRE(fixture.ended_upstreams() == max_ended);
 }
 
+// Guards against a crash that nobody remembers because the daemon that saw it ended.
+TEST_CASE("after a daemon was lost a request may end one upstream fewer") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 2);
+  for (const auto& context : fixture.contexts_) {
+    context->crash_guard_->set_loss_check([] { return true; });
+  }
+  for (auto attempt = std::size_t{0}; attempt < 6; ++attempt) {
+    ask(fixture, attempt % 2, "/safe/a", headers_of("r" + std::to_string(attempt)), harmful);
+  }
+  REQUIRE(fixture.ended_upstreams() == max_ended - 1);
+}
+
 // Guards against punishing the requests that ran beside the harmful one when it ended their upstream.
 TEST_CASE("requests that ran beside a harmful one are served") {
   auto fixture = gateway_fixture{};
