--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "soak/fault_schedule.h"
+#include "soak/harmful_programs.h"
 #include "soak/soak_accounts.h"
 
 DEFINE_string(binary, "out/release/birchlever", "the program under test");
@@ -19,6 +20,7 @@
 DEFINE_double(seconds, 6, "of faults in each round");
 DEFINE_string(faults, "usual", "kinds of faults: usual, silent or usual_changes");
 DEFINE_bool(accounts, true, "callers belong to client accounts");
+DEFINE_bool(harmful, false, "some requests end the upstreams that run them");
 DEFINE_int32(rounds, 1, "of faults, each followed by planned work in calm");
 
 namespace birchlever::soak {
@@ -46,6 +48,7 @@
   settings.callers_ = FLAGS_callers;
   settings.duration_ = static_cast<milliseconds>(FLAGS_seconds * ms_per_second);
   settings.accounts_ = FLAGS_accounts;
+  settings.harmful_ = FLAGS_harmful;
   settings.faults_ = fault_set_of(FLAGS_faults).value_or(fault_set::usual);
   return settings;
 }
@@ -64,14 +67,16 @@
     fleet_ = std::move(value(fleet));
     schedule_ = std::make_unique<fault_schedule>(loop_, settings_, *fleet_, ledger_);
     callers_ = std::make_unique<soak_callers>(loop_, settings_, *fleet_, ledger_, [this](milliseconds since) {
-      return schedule_->calm_since(since);
+      return schedule_->calm_since(since) && fleet_->last_end_at() + settings_.calm_ <= since;
     });
+    harmful_ = std::make_unique<harmful_programs>(loop_, settings_, *fleet_, ledger_);
     start(loop_, "look_at_all", fleet_->look_at_all());
     start(loop_, "drive", drive());
     loop_.run();
     std::cout << "seed " << settings_.seed_ << ": " << ledger_.runs() << " requests ran, "
               << ledger_.whole_answers() << " whole answers, " << ledger_.refusals() << " refusals, "
-              << callers_->kept().size() << " programs, " << ledger_.faults().size() << " broken promises\n";
+              << callers_->kept().size() << " programs, " << ledger_.ended_upstreams() << " upstreams ended, "
+              << ledger_.faults().size() << " broken promises\n";
     return ledger_.faults().empty() && ledger_.whole_answers() > 0 ? 0 : 1;
   }
 
@@ -115,13 +120,17 @@
       start(loop_, "run_spare_keys", callers_->run_spare_keys());
       start(loop_, "run_hot_account", callers_->run_hot_account());
     }
+    if (settings_.harmful_) {
+      start(loop_, "harmful_programs", harmful_->run());
+    }
     for (auto round = 0; round < FLAGS_rounds; ++round) {
       co_await schedule_->harm(settings_.duration_, *callers_);
       co_await schedule_->plan(*callers_);
     }
     co_await schedule_->kill_all();
     callers_->stop();
-    while (callers_->running() > 0) {
+    harmful_->stop();
+    while (callers_->running() > 0 || harmful_->running()) {
       co_await pause_for(loop_, look_ms);
     }
     co_await check_kept_turns();
@@ -136,6 +145,7 @@
   std::unique_ptr<soak_fleet> fleet_;
   std::unique_ptr<fault_schedule> schedule_;
   std::unique_ptr<soak_callers> callers_;
+  std::unique_ptr<harmful_programs> harmful_;
 };
 
 }  // namespace
--- a/soak/soak_fleet.cpp
+++ b/soak/soak_fleet.cpp
@@ -22,6 +22,8 @@
 using json = nlohmann::json;
 namespace names = platform::names;
 
+constexpr auto upstream_start_ms = milliseconds{300};   // From the end of an upstream to its successor.
+constexpr auto upstream_lapse_ms = milliseconds{2000};  // Until the entry of one that ended is removed.
 constexpr auto networks = 250;  // Of loopback addresses, one for each soak that runs at the same time.
 constexpr auto store_port = 9000;
 constexpr auto link_port = 9100;           // And upwards, one a gateway.
@@ -267,11 +269,24 @@
   if (!ok(made)) {
     return failure(made);
   }
+  value(made)->on_ended([this, identity] { start(*loop_, "replace_upstream", replace_upstream(identity)); });
   upstreams_.push_back(std::move(value(made)));
   list_upstream(identity, false);
   return success;
 }
 
+auto soak_fleet::replace_upstream(upstream_identity ended) -> task<> {
+  last_end_at_ = steady_clock{}.now();
+  co_await pause_for(*loop_, upstream_start_ms);
+  auto added = add_upstream(ended.engine_);
+  if (!ok(added)) {
+    ledger_->broken(promise::crashes_are_bounded,
+                    "the soak can't start an upstream: " + failure(added).detail_);
+  }
+  co_await pause_for(*loop_, upstream_lapse_ms);
+  unlist_upstream(ended.id_);
+}
+
 auto soak_fleet::add_link(int upstream, const std::string& target) -> result<std::string> {
   auto listed = address(stand_in_host, upstream_link_port + upstream);
   auto link = tcp_proxy::create(*loop_, listed, target);
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -67,6 +67,12 @@
   /// Starts and lists one more upstream. Failures: invalid_setting.
   auto add_upstream(bool engine) -> status;
 
+  /// Takes an upstream that ended off the list after a while, and starts another one in its place.
+  auto replace_upstream(upstream_identity ended) -> task<>;
+
+  /// Returns when an upstream last ended under a request, on the soak's clock; 0 if none did.
+  [[nodiscard]] auto last_end_at() const -> milliseconds { return last_end_at_; }
+
   /// Lists an upstream as leaving, or takes it off the list.
   auto list_upstream(const upstream_identity& identity, bool leaving) -> void;
   auto unlist_upstream(const std::string& id) -> void;
@@ -100,6 +106,7 @@
   std::vector<std::unique_ptr<upstream_stand_in>> upstreams_;
   std::vector<std::shared_ptr<tcp_proxy>> upstream_links_;
   int made_upstreams_ = 0;
+  milliseconds last_end_at_ = 0;
   int version_ = 0;
 };
 
--- a/soak/soak_ledger.cpp
+++ b/soak/soak_ledger.cpp
@@ -8,10 +8,11 @@
 
 auto name_of(promise broken) -> const char* {
   constexpr auto names =
-      std::array<const char*, 12>{"at_most_once",         "refusal_is_true",   "answer_is_whole",
+      std::array<const char*, 13>{"at_most_once",         "refusal_is_true",   "answer_is_whole",
                                   "chain_is_exact",       "budget_holds",      "turn_is_kept",
                                   "leaving_gets_nothing", "change_in_force",   "planned_stop_cuts_nothing",
-                                  "accounts_are_apart",   "revoked_key_stops", "allotment_holds"};
+                                  "accounts_are_apart",   "revoked_key_stops", "allotment_holds",
+                                  "crashes_are_bounded"};
   return names.at(static_cast<std::size_t>(broken));
 }
 
@@ -121,4 +122,20 @@
   }
 }
 
+auto soak_ledger::ended_under(const std::string& work) -> void {
+  constexpr auto most_ended = 3;
+  auto ended = ++ended_under_[work];
+  if (ended > most_ended) {
+    broken(promise::crashes_are_bounded, std::to_string(ended) + " upstreams ended under " + work);
+  }
+}
+
+auto soak_ledger::ended_upstreams() const -> int {
+  auto all = 0;
+  for (const auto& [work, ended] : ended_under_) {
+    all += ended;
+  }
+  return all;
+}
+
 }  // namespace birchlever::soak
--- a/soak/soak_ledger.h
+++ b/soak/soak_ledger.h
@@ -26,6 +26,7 @@
   accounts_are_apart,
   revoked_key_stops,
   allotment_holds,
+  crashes_are_bounded,
 };
 
 /// Who sends a request; empty where it does not matter.
@@ -57,6 +58,9 @@
   /// Checks that no span of `window` ms holds more requests of an account that were sent and ran in it.
   auto check_allotment(const std::string& account, milliseconds window, int most) -> void;
 
+  /// An upstream ended because it ran a piece of work; at most three may.
+  auto ended_under(const std::string& work) -> void;
+
   /// An upstream made an answer, or the part of one that it sent.
   auto answered(const std::string& request, const std::string& bytes, bool whole) -> void;
 
@@ -74,6 +78,7 @@
 
   [[nodiscard]] auto faults() const -> const std::vector<std::string>& { return faults_; }
   [[nodiscard]] auto runs() const -> std::size_t { return runs_.size(); }
+  [[nodiscard]] auto ended_upstreams() const -> int;
   [[nodiscard]] auto whole_answers() const -> int { return whole_answers_; }
   [[nodiscard]] auto refusals() const -> std::size_t { return refused_.size(); }
 
@@ -99,6 +104,7 @@
   std::map<std::string, milliseconds> stops_at_;  ///< By key that was taken away.
   std::map<std::string, request_state> sent_;
   std::map<std::string, int> runs_;
+  std::map<std::string, int> ended_under_;
   std::map<std::string, std::vector<made_answer>> answers_;
   std::set<std::string> refused_;
   std::vector<std::string> faults_;
--- a/soak/soak_settings.h
+++ b/soak/soak_settings.h
@@ -26,6 +26,7 @@
   int gateways_ = 4;
   int engines_ = 4;
   int services_ = 3;
+  bool harmful_ = false;           ///< Some requests end the upstreams that run them.
   int callers_ = 12;               ///< Programs under way at once.
   milliseconds duration_ = 12000;  ///< Of faults and load; healing and the last checks come after it.
   milliseconds heal_ = 4000;       ///< From the last fault's end until the last checks begin.
--- a/soak/upstream_stand_in.cpp
+++ b/soak/upstream_stand_in.cpp
@@ -1,5 +1,7 @@
 #include "soak/upstream_stand_in.h"
 
+#include <iostream>
+
 #include "platform/names.h"
 
 namespace birchlever::soak {
@@ -7,6 +9,7 @@
 
 namespace names = platform::names;
 
+constexpr auto longest_harmful_run_ms = 120;
 constexpr auto first_event_ms = milliseconds{10};  // A short prompt on an idle engine.
 constexpr auto event_gap_ms = milliseconds{8};
 constexpr auto work_ms = milliseconds{15};  // Of a plain service.
@@ -62,6 +65,7 @@
 auto upstream_stand_in::serve(std::shared_ptr<server_connection> connection) -> task<> {
   auto limits = request_limits{};
   auto keep = true;
+  connections_.insert(connection);
   while (keep && !dead_) {
     auto read = co_await connection->read_request(limits);
     auto* request = std::get_if<http_request>(&read);
@@ -70,6 +74,7 @@
     }
     keep = co_await handle(*request, *connection);
   }
+  connections_.erase(connection);
   connection->close();
 }
 
@@ -94,6 +99,11 @@
   if (request.count(names::account_key) != 0) {
     ledger_->broken(promise::accounts_are_apart, id + " shows its caller's key to " + identity_.id_);
   }
+  auto harmful = request.body().find(harmful_text);
+  if (harmful != std::string::npos) {
+    co_await end_under(request.body().substr(harmful));
+    co_return false;
+  }
   answer.set(names::response_signature, "proof-" + id);
   if (identity_.engine_) {
     auto events = std::uniform_int_distribution<int>{1, std::max(1, events_of(request))}(random_);
@@ -112,6 +122,22 @@
   co_return co_await connection.write(std::move(answer));
 }
 
+auto upstream_stand_in::end_under(const std::string& work) -> task<> {
+  co_await pause_for(*loop_, std::uniform_int_distribution<int>{0, longest_harmful_run_ms}(random_));
+  if (std::exchange(dead_, true)) {
+    co_return;
+  }
+  ledger_->ended_under(work);
+  std::cout << "upstream " << identity_.id_ << " ended under " << work << "\n";
+  listener_->stop();
+  for (const auto& connection : std::exchange(connections_, {})) {
+    connection->close();
+  }
+  if (on_ended_) {
+    on_ended_();
+  }
+}
+
 auto upstream_stand_in::stream(const std::string& id, int events, bool breaks, http_response head,
                                server_connection& connection) -> task<bool> {
   auto made = std::string{};
--- a/soak/upstream_stand_in.h
+++ b/soak/upstream_stand_in.h
@@ -1,10 +1,13 @@
 /// A stand-in of an upstream: a model engine that streams, or a plain service. It notes what it ran.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
+#include <string_view>
 
 #include "birchlever/http/http_listener.h"
 #include "soak/soak_ledger.h"
@@ -29,6 +32,9 @@
  public:
   static constexpr auto tokens_per_event = 4;
 
+  /// A request whose body contains this ends the upstream that runs it.
+  static constexpr std::string_view harmful_text = "harmful work ";
+
   /// Serves at its address. Failures: invalid_setting.
   static auto create(event_loop& loop, upstream_identity identity, soak_ledger& ledger, std::uint64_t seed)
       -> result<std::unique_ptr<upstream_stand_in>>;
@@ -39,6 +45,9 @@
   /// From this moment of the soak's clock on it is leaving, as the store has acknowledged.
   auto leave(milliseconds now) -> void { left_at_ = now; }
 
+  /// Called when a request ended it.
+  auto on_ended(std::function<void()> callback) -> void { on_ended_ = std::move(callback); }
+
   /// Takes no more connections and answers nothing.
   auto die() -> void;
 
@@ -56,6 +65,7 @@
   auto stream(const std::string& id, int events, bool breaks, http_response head,
               server_connection& connection) -> task<bool>;
   auto draw_fault() -> upstream_fault;
+  auto end_under(const std::string& work) -> task<>;
 
   event_loop* loop_;
   upstream_identity identity_;
@@ -68,6 +78,8 @@
   std::optional<milliseconds> left_at_;
   milliseconds reached_at_ = 0;
   bool dead_ = false;
+  std::set<std::shared_ptr<server_connection>> connections_;
+  std::function<void()> on_ended_;
 };
 
 }  // namespace birchlever::soak
