Remove expired rows of crashes that no daemon remembers, and log what is forgotten

Rows were removed only through the record in memory: a row whose work had been evicted, or whose removal was dropped, stayed in the table for ever, and every daemon kept its key. Rows now expire by the time since a daemon learned of them: after 10 min, open ones after 1 min, by the owner of the fingerprint, by any daemon after twice that. Settled, expired, removed and served records changed what a daemon believes without a log line: crash_record_removed (cause), crash_records_cleared, crash_row_unreadable.

Test: 'expired rows are removed although their work was evicted from memory'; the code before has no other way to such a row.

--- a/birchlever/controllers/crash_register.cpp
+++ b/birchlever/controllers/crash_register.cpp
@@ -75,17 +75,19 @@
 
 auto crash_register::apply_rows(const std::vector<stored_row>& rows) -> void {
   for (const auto& row : rows) {
-    auto record = parse_key(row.key_.key_);
+    const auto& key = row.key_.key_;
+    auto record = parse_key(key);
     if (!record) {
+      log_event(log_level::warning, "crash_row_unreadable", {{"key", key}});
       continue;
     }
     if (row.removed_) {
-      stored_keys_.erase(row.key_.key_);
-      history_.erase(*record);
-    } else if (removal_pending(row.key_.key_)) {
-      stored_keys_.insert(row.key_.key_);
-    } else {
-      stored_keys_.insert(row.key_.key_);
+      stored_rows_.erase(key);
+      remove(*record, "row_removed");
+      continue;
+    }
+    stored_rows_.try_emplace(key, clock_.now());
+    if (!removal_pending(key)) {
       merge(*record, "store");
     }
   }
@@ -98,13 +100,32 @@
 }
 
 auto crash_register::finish_scan() -> void {
-  for (const auto& key : stored_keys_) {
-    auto record = parse_key(key);
-    if (record && scanned_keys_.count(key) == 0) {
-      history_.erase(*record);
+  for (auto next = stored_rows_.begin(); next != stored_rows_.end();) {
+    if (scanned_keys_.count(next->first) != 0) {
+      ++next;
+      continue;
+    }
+    if (auto record = parse_key(next->first)) {
+      remove(*record, "row_removed");
     }
+    next = stored_rows_.erase(next);
   }
-  stored_keys_ = std::exchange(scanned_keys_, {});
+  scanned_keys_.clear();
+}
+
+auto crash_register::remove(const send_record& record, const char* cause) -> void {
+  if (history_.erase(record)) {
+    log_removed(record, cause);
+  }
+}
+
+auto crash_register::log_removed(const send_record& record, const char* cause) const -> void {
+  log_event(log_level::info, "crash_record_removed",
+            {{"fingerprint", record.fingerprint_},
+             {"upstream", record.upstream_},
+             {"state", std::string{name_of(record.state_)}},
+             {"cause", std::string{cause}},
+             {"crashes", std::int64_t{history_.crashes(record.fingerprint_)}}});
 }
 
 auto crash_register::merge(const send_record& record, const char* source) -> void {
@@ -161,22 +182,27 @@
 }
 
 auto crash_register::settle(const std::string& fingerprint, const std::string& upstream) -> void {
-  auto settled = send_record{fingerprint, upstream, send_state::settled};
-  if (!history_.record(settled, clock_.now())) {
+  auto open_send = send_record{fingerprint, upstream, send_state::open};
+  auto crashes = history_.crashes(fingerprint);
+  remove(open_send, "settled");
+  if (history_.crashes(fingerprint) == crashes) {
     return;
   }
-  publish(settled);
-  enqueue({fingerprint, upstream, send_state::open}, true);
+  publish({fingerprint, upstream, send_state::settled});
+  enqueue(open_send, true);
 }
 
 auto crash_register::clear(const std::string& fingerprint) -> void {
   auto cleared = history_.clear(fingerprint);
+  if (cleared.empty()) {
+    return;
+  }
+  log_event(log_level::info, "crash_records_cleared",
+            {{"fingerprint", fingerprint}, {"records", static_cast<std::int64_t>(cleared.size())}});
   for (const auto& record : cleared) {
     enqueue(record, true);
   }
-  if (!cleared.empty()) {
-    publish({fingerprint, "", send_state::served});
-  }
+  publish({fingerprint, "", send_state::served});
 }
 
 auto crash_register::transaction_of(std::size_t count) const -> row_transaction {
@@ -236,16 +262,34 @@
   auto self = shared_from_this();
   while (true) {
     co_await pause_for(*loop_, settings_.sweep_interval_);
-    remove_expired();
+    forget_expired();
+    remove_expired_rows();
     write_missing();
   }
 }
 
-auto crash_register::remove_expired() -> void {
+auto crash_register::forget_expired() -> void {
   for (const auto& record : history_.expire(clock_.now())) {
-    auto stored = stored_keys_.count(key_of(record)) != 0;
-    if (stored && owns_(record.fingerprint_)) {
-      enqueue(record, true);
+    log_removed(record, "expired");
+  }
+}
+
+auto crash_register::remove_expired_rows() -> void {
+  if (!pending_.empty()) {
+    return;  // They are found again by the next sweep.
+  }
+  auto now = clock_.now();
+  for (const auto& [key, since] : stored_rows_) {
+    auto record = parse_key(key);
+    if (!record) {
+      continue;
+    }
+    auto open = record->state_ == send_state::open;
+    auto lifetime = open ? settings_.history_.max_open_ : settings_.history_.max_age_;
+    auto age = now - since;
+    auto responsible = owns_(record->fingerprint_) || age > 2 * lifetime;  // The owner may be gone.
+    if (age > lifetime && responsible) {
+      enqueue(*record, true);
     }
   }
 }
@@ -263,7 +307,7 @@
   for (const auto& record : history_.crashes_known_for(settings_.repair_after_, now)) {
     auto key = key_of(record);
     auto responsible = overdue.count(key) != 0 || owns_(record.fingerprint_);
-    if (responsible && stored_keys_.count(key) == 0) {
+    if (responsible && stored_rows_.count(key) == 0) {
       log_event(log_level::info, "crash_record_repaired",
                 {{"fingerprint", record.fingerprint_}, {"upstream", record.upstream_}});
       enqueue(record, false);
--- a/birchlever/controllers/crash_register.h
+++ b/birchlever/controllers/crash_register.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -51,6 +52,9 @@
 
   [[nodiscard]] auto history() const -> const crash_history& { return history_; }
 
+  /// Returns the number of rows in the table, as far as known.
+  [[nodiscard]] auto stored_rows() const -> std::size_t { return stored_rows_.size(); }
+
   /// Returns true once the table was read.
   [[nodiscard]] auto primed() const -> bool { return follower_->primed(); }
 
@@ -88,6 +92,8 @@
   [[nodiscard]] auto removal_pending(const std::string& key) const -> bool;
   auto finish_scan() -> void;
   auto merge(const send_record& record, const char* source) -> void;
+  auto remove(const send_record& record, const char* cause) -> void;
+  auto log_removed(const send_record& record, const char* cause) const -> void;
   auto publish(const send_record& record) -> void;
   /// Appends a change to those to be written. Returns its number.
   auto enqueue(const send_record& record, bool removal) -> std::int64_t;
@@ -96,7 +102,9 @@
   [[nodiscard]] auto transaction_of(std::size_t count) const -> row_transaction;
   auto remove_pending(std::int64_t last) -> void;
   auto sweep() -> task<>;
-  auto remove_expired() -> void;
+  auto forget_expired() -> void;
+  /// Removes the rows that have expired, also those of which the history has no record any more.
+  auto remove_expired_rows() -> void;
   auto write_missing() -> void;
 
   event_loop* loop_;
@@ -107,7 +115,7 @@
   crash_history history_;
   steady_clock clock_;
   std::shared_ptr<table_follower> follower_;
-  std::set<std::string> stored_keys_;  ///< Keys of rows according to the store.
+  std::map<std::string, milliseconds> stored_rows_;  ///< When this daemon learned of each row, by its key.
   std::set<std::string> scanned_keys_;
   std::deque<pending_change> pending_;
   std::int64_t enqueued_ = 0;
--- a/birchlever/coordination/crash_history.cpp
+++ b/birchlever/coordination/crash_history.cpp
@@ -41,9 +41,7 @@
     return !clear(record.fingerprint_).empty();
   }
   if (record.state_ == send_state::settled) {
-    auto before = crashes(record.fingerprint_);
-    erase({record.fingerprint_, record.upstream_, send_state::open});
-    return crashes(record.fingerprint_) != before;
+    return erase({record.fingerprint_, record.upstream_, send_state::open});
   }
   auto& work = work_of(record.fingerprint_);
   auto [entry, added] = work.sends_.try_emplace(record.upstream_);
@@ -62,21 +60,22 @@
   return true;
 }
 
-auto crash_history::erase(const send_record& record) -> void {
+auto crash_history::erase(const send_record& record) -> bool {
   auto found = works_.find(record.fingerprint_);
   if (found == works_.end()) {
-    return;
+    return false;
   }
   auto& sends = found->second.sends_;
   auto send = sends.find(record.upstream_);
   if (send == sends.end() || send->second.state_ != record.state_) {
-    return;
+    return false;
   }
   open_.erase({record.upstream_, record.fingerprint_});
   sends.erase(send);
   if (sends.empty()) {
     forget(record.fingerprint_);
   }
+  return true;
 }
 
 auto crash_history::clear(const std::string& fingerprint) -> std::vector<send_record> {
--- a/birchlever/coordination/crash_history.h
+++ b/birchlever/coordination/crash_history.h
@@ -39,8 +39,8 @@
 
 /// Settings of crash_history.
 struct crash_history_settings {
-  /// Upstreams that may end under a piece of work. More than two, so that work that ran beside a harmful
-  /// request, or on two upstreams that ended for reasons of their own, is still served.
+  /// Upstreams that may end under a piece of work. Work that ran beside a harmful request, or on upstreams
+  /// that ended for other reasons, may see more than one.
   int max_crashes_ = 3;
   std::size_t max_works_ = 4096;    ///< The least recently changed work is evicted.
   milliseconds max_age_ = 600'000;  ///< Work without change for this long is forgotten.
@@ -57,8 +57,9 @@
   /// this changed what is known.
   auto record(const send_record& record, milliseconds now) -> bool;
 
-  /// Removes a record that is no longer stored. Does nothing if the send is known in another state.
-  auto erase(const send_record& record) -> void;
+  /// Removes a record that is no longer stored. Does nothing if the send is known in another state. Returns
+  /// true if it was removed.
+  auto erase(const send_record& record) -> bool;
 
   /// Removes all records of a piece of work that was served. Returns them.
   auto clear(const std::string& fingerprint) -> std::vector<send_record>;
--- a/unit_tests/controllers/crash_register_test.cpp
+++ b/unit_tests/controllers/crash_register_test.cpp
@@ -15,14 +15,16 @@
  public:
   register_fleet() : rows_{std::make_shared<memory_row_store>(loop_)} {}
 
-  auto add_daemon() -> std::shared_ptr<crash_register> {
+  auto add_daemon(const crash_history_settings& history = {}, bool owns = false)
+      -> std::shared_ptr<crash_register> {
     auto settings = crash_register_settings{};
+    settings.history_ = history;
     settings.sweep_interval_ = 20;
     settings.repair_after_ = 50;
     settings.repair_by_any_after_ = 100;
     settings.retry_interval_ = 20;
-    auto nobody = [](const std::string& /*fingerprint*/) { return false; };
-    auto added = crash_register::create(loop_, rows_, settings, nobody);
+    auto owner = [owns](const std::string& /*fingerprint*/) { return owns; };
+    auto added = crash_register::create(loop_, rows_, settings, owner);
     REQUIRE(run_loop_until(loop_, [&] { return added->primed() || rows_->faults().down_; }));
     return added;
   }
@@ -53,7 +55,8 @@
   auto peer = fleet.add_daemon();
   fleet.rows_->faults().down_ = true;
   peer->apply_peer_record({work, "u1", send_state::crashed});
-  run_loop_for(fleet.loop_, 200);
+  auto commits = fleet.rows_->commits();
+  REQUIRE(run_loop_until(fleet.loop_, [&] { return fleet.rows_->commits() > commits; }));
   fleet.rows_->faults().down_ = false;
   REQUIRE(run_loop_until(fleet.loop_, [&] { return fleet.rows_->size() == 1; }));
   REQUIRE(fleet.add_daemon()->history().crashes(work) == 1);
@@ -73,6 +76,20 @@
   REQUIRE(first->history().size() == 0);
 }
 
+// Guards against rows that stay for ever because no daemon remembers their work any more.
+TEST_CASE("expired rows are removed although their work was evicted from memory") {
+  auto fleet = register_fleet{};
+  auto history = crash_history_settings{};
+  history.max_works_ = 1;
+  history.max_age_ = 100;
+  auto daemon = fleet.add_daemon(history, true);
+  REQUIRE(fleet.record(*daemon, {work, "u1", send_state::crashed}));
+  REQUIRE(fleet.record(*daemon, {"another work", "u1", send_state::crashed}));
+  REQUIRE(daemon->history().crashes(work) == 0);
+  REQUIRE(run_loop_until(fleet.loop_, [&] { return fleet.rows_->size() == 0; }));
+  REQUIRE(run_loop_until(fleet.loop_, [&] { return daemon->stored_rows() == 0; }));
+}
+
 // Guards against a record that is lost because the store's answer to its write is.
 TEST_CASE("a record is written again until the store acknowledges it") {
   auto fleet = register_fleet{};
