Skip records of crashes with states of later versions

An unknown state in a message was taken for the last one known, 'served', which clears the history of the work: a fleet of two versions would have forgotten crashes. Such a record is skipped.

Test: 'records with unknown states are skipped'.

--- a/birchlever/controllers/peer_state.cpp
+++ b/birchlever/controllers/peer_state.cpp
@@ -101,8 +101,10 @@
 auto unpack_send_records(const json& packed) -> std::vector<send_record> {
   auto records = std::vector<send_record>{};
   for (const auto& fields : packed) {
-    auto state = std::min(fields.at(2).get<std::size_t>(), static_cast<std::size_t>(send_state::served));
-    records.push_back({fields.at(0), fields.at(1), static_cast<send_state>(state)});
+    auto state = fields.at(2).get<std::size_t>();
+    if (state <= static_cast<std::size_t>(send_state::served)) {  // Later versions may send others.
+      records.push_back({fields.at(0), fields.at(1), static_cast<send_state>(state)});
+    }
   }
   return records;
 }
--- a/unit_tests/controllers/crash_messages_test.cpp
+++ b/unit_tests/controllers/crash_messages_test.cpp
@@ -34,6 +34,18 @@
   REQUIRE(value(without).send_records_.empty());
 }
 
+// Guards against records of a later version that are taken for one that clears the history.
+TEST_CASE("records with unknown states are skipped") {
+  constexpr auto unknown_state = 9;
+  auto state = message_of("vm-1", 1234);
+  state.send_records_ = {{"f1", "u1", static_cast<send_state>(unknown_state)},
+                         {"f2", "u2", send_state::open}};
+  auto decoded = decode_peer_state(encode(state));
+  REQUIRE(ok(decoded));
+  REQUIRE(value(decoded).send_records_.size() == 1);
+  REQUIRE(value(decoded).send_records_[0].fingerprint_ == "f2");
+}
+
 // Guards against forgetting that a daemon ended, with what it alone knew, because it is back at once.
 TEST_CASE("peers that started or fell silent a short time ago may have been lost") {
   constexpr auto window = milliseconds{30'000};
