--- a/birchlever/controllers/peer_exchange.cpp
+++ b/birchlever/controllers/peer_exchange.cpp
@@ -10,8 +10,9 @@
 namespace birchlever {
 namespace {
 
-constexpr auto max_datagram_bytes = std::size_t{8192};  // About 20 bytes for each upstream in use.
-constexpr auto max_records = std::size_t{64};           // Per message; about 70 bytes each.
+constexpr auto max_datagram_bytes = std::size_t{8192};   // About 20 bytes for each upstream in use.
+constexpr auto max_records = std::size_t{64};            // Per message; about 70 bytes each.
+constexpr auto max_pending_records = std::size_t{1024};  // Sent within 1.3 s.
 constexpr auto first_list_interval =
     milliseconds{700};  // Daemons started at the same time register meanwhile.
 constexpr auto retry_interval = milliseconds{500};
@@ -86,6 +87,12 @@
 }
 
 auto peer_exchange::publish(const send_record& record) -> void {
+  if (pending_records_.size() >= max_pending_records) {
+    log_event(log_level::warning, "peer_record_dropped",
+              {{"fingerprint", pending_records_.front().record_.fingerprint_},
+               {"waiting", static_cast<std::int64_t>(pending_records_.size())}});
+    pending_records_.erase(pending_records_.begin());
+  }
   pending_records_.push_back({record});
   start_reports();
 }
