Find what replaced an upstream by its address, and probe each upstream once a round

For each lost send whose upstream was no longer listed, the whole directory was searched five times a second: with 1,024 lost sends and 10,000 upstreams, as when entries lapse, 50 million comparisons a second (worked out). And upstreams that had gone silent were probed for 200 ms for each send, one after the other, which held up all others. The directory has an index by address now, and each round probes an upstream once. The index also finds a server that starts again at its address while its old entry is still listed; before, that took until the entry lapsed.

Tests: crash_detection_test, the ways in which an end is recognized, and that suspected requests run apart.

--- a/birchlever/gateway/crash_guard.cpp
+++ b/birchlever/gateway/crash_guard.cpp
@@ -62,7 +62,7 @@
 auto crash_guard::refusal(const gateway_request& request) const -> std::optional<error> {
   const auto& history = crashes_->history();
   auto crashes = history.crashes(request.fingerprint_);
-  if (crashes < max_crashes()) {
+  if (crashes == 0 || crashes < max_crashes()) {
     return std::nullopt;
   }
   return make_refusal(request, crashes);
@@ -177,26 +177,39 @@
   }
   checks_[incarnation] = {};
   auto state = co_await probe_port(*context_->loop_, target->entry().address_, settings_.probe_limit_);
-  now = context_->clock_.now();
+  remove_old_checks();
+  checks_[incarnation] = {state, context_->clock_.now(), round_};
+  co_return state;
+}
+
+auto crash_guard::probe_in_round(upstream_pointer target) -> task<port_state> {
+  auto known = checks_.find(incarnation_of(target->entry()));
+  if (known != checks_.end() && known->second.state_ && known->second.round_ == round_) {
+    co_return *known->second.state_;
+  }
+  co_return co_await probe(std::move(target));
+}
+
+auto crash_guard::remove_old_checks() -> void {
+  auto now = context_->clock_.now();
   for (auto next = checks_.begin(); next != checks_.end();) {
-    auto old = next->second.state_ && now - next->second.finished_at_ >= settings_.probe_lifetime_;
+    const auto& check = next->second;
+    auto expired = now - check.finished_at_ >= settings_.probe_lifetime_;
+    auto old = check.state_ && expired && check.round_ != round_;
     next = old ? checks_.erase(next) : std::next(next);
   }
-  checks_[incarnation] = {state, now};
-  co_return state;
 }
 
 auto crash_guard::replaced(const watched_send& send) const -> bool {
   const auto& entry = send.target_->entry();
+  auto incarnation = incarnation_of(entry);
   auto listed = context_->upstreams_->find(entry.id_);
-  if (listed) {
-    return incarnation_of(listed->entry()) != incarnation_of(entry);
+  if (listed && incarnation_of(listed->entry()) != incarnation) {
+    return true;
   }
-  auto found = false;
-  context_->upstreams_->each([&](const upstream& other) {
-    found = found || (other.entry().address_ == entry.address_ && other.known_since() >= send.since_);
-  });
-  return found;
+  auto at_address = context_->upstreams_->find_at(entry.address_);
+  return at_address && incarnation_of(at_address->entry()) != incarnation &&
+         at_address->known_since() >= send.since_;
 }
 
 auto crash_guard::record_crash(std::string fingerprint, upstream_pointer target, const char* evidence)
@@ -239,6 +252,7 @@
   auto self = shared_from_this();
   while (!watched_.empty()) {
     co_await pause_for(*context_->loop_, settings_.watch_interval_);
+    ++round_;
     for (auto left = watched_.size(); left > 0 && !watched_.empty(); --left) {
       auto send = std::move(watched_.front());
       watched_.pop_front();
@@ -268,7 +282,7 @@
     co_return false;
   }
   if (!in_place_of_it) {
-    auto state = co_await probe(send.target_);
+    auto state = co_await probe_in_round(send.target_);
     if (state != port_state::closed) {
       co_return false;
     }
--- a/birchlever/gateway/crash_guard.h
+++ b/birchlever/gateway/crash_guard.h
@@ -6,6 +6,7 @@
 /// that the send counts even if this daemon ends with the upstream.
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -54,6 +55,9 @@
   /// then be unknown, and one upstream fewer may end under a request.
   auto set_loss_check(loss_check_function callback) -> void { daemon_lost_ = std::move(callback); }
 
+  /// Returns the number of upstreams that may end under a piece of work now.
+  [[nodiscard]] auto max_crashes() const -> int;
+
   /// Returns the error with which a request must be rejected, or nothing if it may be sent.
   [[nodiscard]] auto refusal(const gateway_request& request) const -> std::optional<error>;
 
@@ -86,13 +90,12 @@
   struct port_check {
     std::optional<port_state> state_;  ///< Empty while the probe is in progress.
     milliseconds finished_at_ = 0;
+    std::int64_t round_ = 0;  ///< The round of checks of watched sends in which it finished.
   };
 
   crash_guard(gateway_context& context, std::shared_ptr<crash_register> crashes,
               const crash_guard_settings& settings);
 
-  /// Returns the number of upstreams that may end under a piece of work.
-  [[nodiscard]] auto max_crashes() const -> int;
   [[nodiscard]] auto make_refusal(const gateway_request& request, int crashes) const -> error;
   auto record_crash(std::string fingerprint, upstream_pointer target, const char* evidence) -> task<>;
   auto watch(watched_send send) -> void;
@@ -105,12 +108,16 @@
   [[nodiscard]] auto replaced(const watched_send& send) const -> bool;
   /// Probes the port of an upstream. Calls at about the same time share one probe.
   auto probe(upstream_pointer target) -> task<port_state>;
+  /// Likewise, with one probe for each upstream and round of checks: silent ports hold up the others.
+  auto probe_in_round(upstream_pointer target) -> task<port_state>;
+  auto remove_old_checks() -> void;
 
   gateway_context* context_;
   std::shared_ptr<crash_register> crashes_;
   crash_guard_settings settings_;
   std::map<std::string, port_check> checks_;  ///< By incarnation; only recent ones.
   std::deque<watched_send> watched_;
+  std::int64_t round_ = 0;  ///< Number of the round of checks of watched sends.
   loss_check_function daemon_lost_;
   bool watching_ = false;
 };
--- a/birchlever/upstream/upstream_directory.cpp
+++ b/birchlever/upstream/upstream_directory.cpp
@@ -62,6 +62,7 @@
     speeds_->add(inserted);
   }
   pools_.try_emplace(details.service_, settings_.pools_).first->second.add(inserted);
+  by_address_[details.address_] = inserted;
   upstreams_[details.id_] = std::move(inserted);
 }
 
@@ -84,7 +85,14 @@
   if (speeds_) {
     speeds_->remove(*existing);
   }
+  auto address_changed = existing->entry_.address_ != entry.address_;
+  if (address_changed) {
+    forget_address(existing);
+  }
   existing->entry_ = std::move(entry);
+  if (address_changed) {
+    by_address_[existing->entry_.address_] = existing;
+  }
   if (speeds_) {
     speeds_->add(existing);
   }
@@ -97,9 +105,17 @@
     speeds_->remove(*target);
   }
   pools_.at(target->entry_.service_).remove(target);
+  forget_address(target);
   upstreams_.erase(target->entry_.id_);
 }
 
+auto upstream_directory::forget_address(const upstream_pointer& target) -> void {
+  auto known = by_address_.find(target->entry_.address_);
+  if (known != by_address_.end() && known->second == target) {
+    by_address_.erase(known);
+  }
+}
+
 auto upstream_directory::remove(const std::string& id) -> void {
   auto existing = find(id);
   if (!existing) {
@@ -132,6 +148,11 @@
   return found == upstreams_.end() ? nullptr : found->second;
 }
 
+auto upstream_directory::find_at(const boost::asio::ip::tcp::endpoint& address) const -> upstream_pointer {
+  auto found = by_address_.find(address);
+  return found == by_address_.end() ? nullptr : found->second;
+}
+
 auto upstream_directory::record_sent(upstream& target, const upstream_criteria& criteria) -> milliseconds {
   auto now = settings_.clock_->now();
   if (++target.running_ == 1) {
--- a/birchlever/upstream/upstream_directory.h
+++ b/birchlever/upstream/upstream_directory.h
@@ -49,6 +49,7 @@
 struct upstream_choice {
   upstream_pointer chosen_;
   std::size_t candidates_ = 0;
+  std::size_t avoided_ = 0;  ///< Upstreams left out because a crash is to be expected there.
   std::int64_t cached_tokens_ = 0;
 };
 
@@ -96,6 +97,10 @@
   /// Returns the upstream with an id, or null.
   [[nodiscard]] auto find(const std::string& id) const -> upstream_pointer;
 
+  /// Returns the listed upstream at an address, or null. While entries of several are listed, as after a
+  /// restart under another id, it is the one added last.
+  [[nodiscard]] auto find_at(const boost::asio::ip::tcp::endpoint& address) const -> upstream_pointer;
+
   /// Selects an upstream with the policy. Failures: no_upstream.
   auto choose(const policy_interface& policy, const upstream_criteria& criteria) -> result<upstream_choice>;
 
@@ -181,6 +186,7 @@
   auto insert(upstream_entry entry, bool announced) -> void;
   auto change(const upstream_pointer& existing, upstream_entry entry) -> void;
   auto drop(const upstream_pointer& target) -> void;
+  auto forget_address(const upstream_pointer& target) -> void;
   auto update_cold_until(upstream& target) const -> void;
   auto candidates(const upstream_criteria& criteria) -> candidate_list;
   auto usable(const upstream& target, const upstream_criteria& criteria, milliseconds now) const -> bool;
@@ -208,8 +214,9 @@
   bool link_faulty_ = false;  ///< The link is considered faulty until an upstream responds.
   std::map<std::string, shared_prefixes> shared_prefixes_;       ///< By service.
   std::unordered_map<std::string, upstream_pointer> upstreams_;  ///< By id.
-  std::map<std::string, upstream_pool> pools_;                   ///< By service.
-  std::vector<upstream_pointer> busy_;                           ///< With requests of this daemon in flight.
+  std::map<boost::asio::ip::tcp::endpoint, upstream_pointer> by_address_;
+  std::map<std::string, upstream_pool> pools_;    ///< By service.
+  std::vector<upstream_pointer> busy_;            ///< With requests of this daemon in flight.
   std::vector<upstream_pointer> busy_elsewhere_;  ///< With requests of other daemons in flight.
   std::map<std::string, service_load> counters_;  ///< By service; only its counters are set.
   std::set<std::string> closed_halls_;
--- /dev/null
+++ b/unit_tests/gateway/crash_detection_test.cpp
@@ -0,0 +1,104 @@
+/// How the end of an upstream under a request is recognized, and where suspected requests are sent.
+#include <catch2/catch.hpp>
+
+#include "birchlever/gateway/crash_guard.h"
+#include "birchlever/gateway/request_fingerprint.h"
+#include "unit_tests/gateway/gateway_fixture.h"
+
+namespace birchlever::test {
+namespace {
+
+auto headers_of(const std::string& id) -> std::map<std::string, std::string> {
+  return {{"X-Request-Id", id}, {"X-Program-Id", "p1"}, {"X-Session-Id", "s1"}, {"X-Deadline-Ms", "1200"}};
+}
+
+/// Returns the fingerprint of the requests that `ask` sends.
+auto fingerprint() -> std::string {
+  auto request = gateway_request{};
+  request.message_ = http_request{http::verb::post, "/unsafe/a", 11};
+  request.message_.set(http::field::host, "h.example");
+  request.message_.body() = "body";
+  request.metadata_.program_ = "p1";
+  request.metadata_.session_ = "s1";
+  return fingerprint_of(request);
+}
+
+auto ask(gateway_fixture& fixture, const std::string& id) -> received_response {
+  return fixture.send("/unsafe/a", headers_of(id), "body");
+}
+
+/// Sends a request that meets a script, and returns the name of the upstream that got it.
+auto lose(gateway_fixture& fixture, script::kind kind) -> std::string {
+  fixture.scripts_ = {{kind}};
+  ask(fixture, "r1");
+  return fixture.seen_.back().upstream_;
+}
+
+auto crashes_of(const gateway_fixture& fixture) -> int {
+  return fixture.registers_.front()->history().confirmed_crashes(fingerprint());
+}
+
+}  // namespace
+
+// Guards against missing the end of a server whose port was still open when its connections closed.
+TEST_CASE("a port that closes shortly after its connections shows the end of the upstream") {
+  auto fixture = gateway_fixture{};
+  auto upstream = lose(fixture, script::kind::reset);
+  REQUIRE(crashes_of(fixture) == 0);
+  fixture.stop_listening(upstream);
+  REQUIRE(fixture.run_until([&] { return crashes_of(fixture) == 1; }));
+}
+
+// Guards against missing the end of a server that starts again at its address, where the port is open at
+// once.
+TEST_CASE("an upstream that is listed at the address of another one has replaced it") {
+  auto fixture = gateway_fixture{};
+  auto upstream = lose(fixture, script::kind::reset);
+  REQUIRE(crashes_of(fixture) == 0);
+  fixture.add_upstream("tool-9", "tool", fixture.port_of(upstream));
+  REQUIRE(fixture.run_until([&] { return crashes_of(fixture) == 1; }));
+}
+
+// Guards against missing the end of a server under requests that ran out of time.
+TEST_CASE("an upstream that is listed with a later start has ended under a request without response") {
+  auto fixture = gateway_fixture{};
+  fixture.set_born("tool-1", 1);
+  fixture.set_born("tool-2", 1);
+  auto upstream = lose(fixture, script::kind::no_response);
+  REQUIRE(crashes_of(fixture) == 0);
+  fixture.set_born(upstream, 2);
+  REQUIRE(fixture.run_until([&] { return crashes_of(fixture) == 1; }));
+}
+
+// Guards against sending a request to a third server while it is open whether two silent ones have ended.
+TEST_CASE("a send without any sign of the upstream counts until the upstream responds") {
+  auto fixture = gateway_fixture{};
+  auto upstream = lose(fixture, script::kind::no_response);
+  const auto& history = fixture.registers_.front()->history();
+  REQUIRE(fixture.run_until([&] { return history.crashes(fingerprint()) == 1; }));
+  REQUIRE(crashes_of(fixture) == 0);
+  auto other = std::string{upstream == "tool-1" ? "tool-2" : "tool-1"};
+  fixture.add_upstream(other, "tool", fixture.port_of(other), true);
+  fixture.answer_delay_ = 50;  // Longer than what may still arrive from a process that ended.
+  REQUIRE(fixture.send("/safe/b", headers_of("r2"), "").status_ == 200);
+  REQUIRE(fixture.run_until([&] { return history.crashes(fingerprint()) == 0; }));
+}
+
+// Guards against suspected requests that end the same upstream together, so that the harmless one is blamed
+// again.
+TEST_CASE("suspected requests run apart while there is room") {
+  auto fixture = gateway_fixture{};
+  auto& crashes = *fixture.registers_.front();
+  crashes.apply_peer_record({"another work", "u1", send_state::crashed});
+  crashes.apply_peer_record({"another work", "tool-1", send_state::open});
+  for (auto number = 0; number < 4; ++number) {
+    crashes.apply_peer_record({fingerprint(), "u2", send_state::crashed});
+    REQUIRE(ask(fixture, "r" + std::to_string(number)).status_ == 200);
+    REQUIRE(fixture.seen_.back().upstream_ == "tool-2");
+  }
+  crashes.apply_peer_record({"another work", "tool-2", send_state::open});
+  crashes.apply_peer_record({fingerprint(), "u2", send_state::crashed});
+  REQUIRE(ask(fixture, "r9").status_ == 200);
+}
+
+}  // namespace birchlever::test
--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -88,6 +88,16 @@
   /// Adds a scripted upstream that listens on a free port.
   auto start_upstream(const std::string& name, const std::string& service) -> void;
 
+  /// Closes the port of an upstream; its connections stay open.
+  auto stop_listening(const std::string& name) -> void { upstreams_.at(name).listener_->stop(); }
+
+  [[nodiscard]] auto port_of(const std::string& name) const -> unsigned short {
+    return upstreams_.at(name).entry_.address_.port();
+  }
+
+  /// Lists an upstream with another start time.
+  auto set_born(const std::string& name, std::int64_t born) -> void;
+
   /// Returns the number of upstreams that ended.
   [[nodiscard]] auto ended_upstreams() const -> std::size_t { return ended_; }
 
--- a/unit_tests/gateway/gateway_fixture_fleet.cpp
+++ b/unit_tests/gateway/gateway_fixture_fleet.cpp
@@ -67,6 +67,14 @@
   upstreams_[name].listener_ = value(listening);
 }
 
+auto gateway_fixture::set_born(const std::string& name, std::int64_t born) -> void {
+  auto& entry = upstreams_.at(name).entry_;
+  entry.born_ = born;
+  for (const auto& context : contexts_) {
+    context->upstreams_->put(entry);
+  }
+}
+
 auto gateway_fixture::end_upstream(const std::string& name) -> void {
   auto& ended = upstreams_.at(name);
   ended.listener_->stop();
