Send work with one crash while the store is down after a restart

While a daemon may have been lost, the second send of suspected work was the last allowed one, and was refused when the store could not record it: after any restart, with the store away, every request that had run beside a harmful one got 503, with a detail that named two ends where one was known. The record is required for the third send only; peers have heard of the second before it is made. The detail names the counts.

Test: 'while the store is down and a daemon may be lost work with one crash is still sent'.

--- a/birchlever/gateway/crash_guard.cpp
+++ b/birchlever/gateway/crash_guard.cpp
@@ -112,11 +112,12 @@
     crashes_->settle(fingerprint, incarnation);
     co_return make_refusal(request, crashes - 1);
   }
-  if (!stored && crashes == max_crashes()) {
+  if (!stored && crashes == history.settings().max_crashes_) {
     crashes_->settle(fingerprint, incarnation);
     co_return error{error_code::store_unavailable,
-                    "not sent: two upstreams ended while they ran this request, and another send can't be "
-                    "recorded now",
+                    "not sent: " + std::to_string(crashes - 1) +
+                        " upstreams ended or may have ended while they ran this request, and this send can't "
+                        "be recorded now",
                     ran_state::not_run, settings_.retry_after_};
   }
   co_return success;
--- a/unit_tests/gateway/crash_detection_test.cpp
+++ b/unit_tests/gateway/crash_detection_test.cpp
@@ -101,4 +101,13 @@
   REQUIRE(ask(fixture, "r9").status_ == 200);
 }
 
+// Guards against rejecting what ran beside a harmful request because the store is away after a restart.
+TEST_CASE("while the store is down and a daemon may be lost work with one crash is still sent") {
+  auto fixture = gateway_fixture{};
+  fixture.context_->crash_guard_->set_loss_check([] { return true; });
+  fixture.registers_.front()->apply_peer_record({fingerprint(), "u1", send_state::crashed});
+  fixture.rows_->faults().down_ = true;
+  REQUIRE(ask(fixture, "r1").status_ == 200);
+}
+
 }  // namespace birchlever::test
