Log and count sends withheld for crashes, and changes of their limit

A retry that was not made because of crashes, upstreams left out of a choice, and the limit that falls while a daemon may have been lost left no trace: send_withheld, crash_limit_changed, avoided in request_offered, fingerprint in request_refused, sends_withheld_total{reason}, gauges suspected_works, crash_rows, crash_limit. The limit is found out four times a second and no longer, over all peers, for each request.

--- a/birchlever/gateway/gateway_context.cpp
+++ b/birchlever/gateway/gateway_context.cpp
@@ -36,6 +36,7 @@
   log_event(log_level::info, "request_refused",
             {{"request", request.metadata_.request_id_},
              {"program", request.metadata_.program_},
+             {"fingerprint", request.fingerprint_},
              {"account", request.account_name()},
              {"route", request.route_ == nullptr ? std::string{} : request.route_->name_},
              {"status", std::int64_t{status}},
--- a/birchlever/gateway/upstream_dispatch.cpp
+++ b/birchlever/gateway/upstream_dispatch.cpp
@@ -110,6 +110,7 @@
     restricted.excluded_.insert(ids.begin(), ids.end());
     auto choice = context_->upstreams_->choose(*policy_for(request), restricted);
     if (ok(choice)) {
+      value(choice).avoided_ = ids.size();
       return choice;
     }
   }
@@ -127,6 +128,7 @@
     auto prepared = co_await context_->crash_guard_->prepare_send(request, *target);
     if (!ok(prepared)) {
       counts.withheld_ = failure(prepared);
+      log_withheld(request, failure(prepared));
       co_return attempt_outcome::withheld;
     }
   }
@@ -157,6 +159,7 @@
              {"session", request.metadata_.session_},
              {"upstream", incarnation_of(target->entry())},
              {"candidates", static_cast<std::int64_t>(value(choice).candidates_)},
+             {"avoided", static_cast<std::int64_t>(value(choice).avoided_)},
              {"held_tokens", value(choice).cached_tokens_},
              {"prompt_tokens", request.metadata_.prompt_tokens_},
              {"running_there", std::int64_t{target->running()}},
@@ -176,9 +179,28 @@
   if (!time_left || counts.attempts_ >= context_->limits_.max_attempts_ || request.connection_->gone()) {
     return false;
   }
-  if (context_->crash_guard_ && context_->crash_guard_->refusal(request)) {
+  if (!is_retriable(request, last, counts)) {
     return false;
   }
+  auto refusal = context_->crash_guard_ ? context_->crash_guard_->refusal(request) : std::nullopt;
+  if (refusal) {
+    log_withheld(request, *refusal);
+  }
+  return !refusal;
+}
+
+auto upstream_dispatch::log_withheld(const gateway_request& request, const error& reason) const -> void {
+  context_->metrics_->count("sends_withheld_total{reason=\"" + std::string{name_of(reason.code_)} + "\"}");
+  log_event(log_level::warning, "send_withheld",
+            {{"request", request.metadata_.request_id_},
+             {"program", request.metadata_.program_},
+             {"fingerprint", request.fingerprint_},
+             {"reason", std::string{name_of(reason.code_)}},
+             {"detail", reason.detail_}});
+}
+
+auto upstream_dispatch::is_retriable(const gateway_request& request, attempt_outcome last,
+                                     const attempt_counts& counts) -> bool {
   switch (last) {
     case attempt_outcome::not_reached:
     case attempt_outcome::refused_full:
--- a/birchlever/gateway/upstream_dispatch.h
+++ b/birchlever/gateway/upstream_dispatch.h
@@ -36,6 +36,10 @@
       -> task<attempt_outcome>;
   auto may_retry(const gateway_request& request, attempt_outcome last, const attempt_counts& counts) const
       -> bool;
+  /// Returns true if the outcome permits another attempt.
+  static auto is_retriable(const gateway_request& request, attempt_outcome last, const attempt_counts& counts)
+      -> bool;
+  auto log_withheld(const gateway_request& request, const error& reason) const -> void;
   static auto final_error(attempt_outcome last, const attempt_counts& counts) -> error;
 
   std::shared_ptr<gateway_context> context_;
--- a/birchlever_daemon/gateway_daemon.h
+++ b/birchlever_daemon/gateway_daemon.h
@@ -57,6 +57,7 @@
   auto kept_after_change() const -> milliseconds;
   auto hold_allowances() -> status;
   auto track_crashes() -> void;
+  auto watch_daemon_loss() -> task<>;
   [[nodiscard]] auto may_have_lost_daemon() const -> bool;
   auto share_upstream_feed() -> void;
   auto incarnation_name() const -> std::string;
@@ -106,6 +107,7 @@
   hall_regions regions_;
   std::set<std::string> closed_halls_;  ///< Operators want no request there.
   std::int64_t logged_calls_ = 0;
+  bool daemon_loss_possible_ = true;  ///< A daemon may have ended with crashes that only it knew.
   bool announced_ready_ = false;
   bool finished_all_ = true;
 };
--- a/birchlever_daemon/gateway_daemon_pages.cpp
+++ b/birchlever_daemon/gateway_daemon_pages.cpp
@@ -2,10 +2,12 @@
 /// store.
 #include "birchlever/controllers/budget_transfer.h"
 #include "birchlever/controllers/central_grants.h"
+#include "birchlever/controllers/crash_register.h"
 #include "birchlever/controllers/peer_feed.h"
 #include "birchlever/coordination/program_store.h"
 #include "birchlever/coordination/program_sweeper.h"
 #include "birchlever/gateway/configuration_freshness.h"
+#include "birchlever/gateway/crash_guard.h"
 #include "birchlever/http/connection_pool.h"
 #include "birchlever/telemetry/log.h"
 #include "birchlever/telemetry/metrics.h"
@@ -74,6 +76,9 @@
 auto gateway_daemon::metrics_page() -> http_response {
   auto& counters = *context_->metrics_;
   counters.gauge("requests_under_way", context_->in_flight_);
+  counters.gauge("suspected_works", static_cast<double>(crashes_->history().size()));
+  counters.gauge("crash_rows", static_cast<double>(crashes_->stored_rows()));
+  counters.gauge("crash_limit", context_->crash_guard_->max_crashes());
   counters.gauge("caller_connections", static_cast<double>(server_->connections()));
   const auto& usage = store_->usage();
   counters.gauge("store_calls", static_cast<double>(usage.calls()));
--- a/birchlever_daemon/gateway_daemon_peers.cpp
+++ b/birchlever_daemon/gateway_daemon_peers.cpp
@@ -32,9 +32,10 @@
 constexpr auto peer_address_age = milliseconds{10000};  // Addresses stay; of a thousand peers half are heard
                                                         // within it. One that was lost does not answer.
 constexpr auto peer_clock_margin = milliseconds{150};   // Calls that were under way when the store went away.
+constexpr auto loss_check_interval = milliseconds{250};
 // Time within which the attempts of one piece of work follow each other.
 constexpr auto crash_memory = milliseconds{30000};
-constexpr auto missed_messages = milliseconds{6};  // Of a peer, after which it may have ended.
+constexpr auto missed_messages = std::int64_t{6};  // Of a peer, after which it may have ended.
 constexpr auto ms_per_second = 1000.0;
 // Time between two samples of the store's writes.
 constexpr auto pressure_gap = milliseconds{100};
@@ -160,13 +161,27 @@
   };
   crashes_ = crash_register::create(loop_, store_, {}, owns);
   context_->crash_guard_ = crash_guard::create(*context_, crashes_, {});
-  context_->crash_guard_->set_loss_check([this] { return may_have_lost_daemon(); });
+  context_->crash_guard_->set_loss_check([this] { return daemon_loss_possible_; });
+  start(loop_, "watch_daemon_loss", watch_daemon_loss());
   if (peers_) {
     crashes_->on_publish([this](const send_record& record) { peers_->publish(record); });
     peers_->on_send_record([this](const send_record& record) { crashes_->apply_peer_record(record); });
   }
 }
 
+auto gateway_daemon::watch_daemon_loss() -> task<> {
+  while (true) {
+    auto possible = may_have_lost_daemon();
+    if (std::exchange(daemon_loss_possible_, possible) != possible) {
+      log_event(log_level::info, "crash_limit_changed",
+                {{"daemon_loss_possible", possible},
+                 {"limit", std::int64_t{context_->crash_guard_->max_crashes()}},
+                 {"uptime_ms", context_->clock_.now() - joined_at_}});
+    }
+    co_await pause_for(loop_, loss_check_interval);
+  }
+}
+
 auto gateway_daemon::may_have_lost_daemon() const -> bool {
   auto uptime = context_->clock_.now() - joined_at_;
   if (uptime < crash_memory) {
