--- a/soak/harmful_programs.cpp
+++ b/soak/harmful_programs.cpp
@@ -11,7 +11,7 @@
 
 namespace names = platform::names;
 
-constexpr auto sends = 12;  // Two client attempts at three starts, and twice as many for good measure.
+constexpr auto sends = 12;  // Twice the client attempts of a program's turn.
 constexpr auto longest_start_gap_ms = 400;
 constexpr auto time_limit_ms = milliseconds{3000};
 constexpr auto most_body = std::size_t{1U << 16U};
--- a/unit_tests/gateway/crash_containment_test.cpp
+++ b/unit_tests/gateway/crash_containment_test.cpp
@@ -49,15 +49,22 @@
   return **received;
 }
 
+/// Repeats a harmful request under new ids through the daemons in turn.
+auto repeat(gateway_fixture& fixture, const std::string& target, std::size_t attempts) -> void {
+  for (auto attempt = std::size_t{0}; attempt < attempts; ++attempt) {
+    auto id = "r" + std::to_string(attempt);
+    auto headers = target == "/turn/x" ? turn_headers(id) : headers_of(id);
+    ask(fixture, attempt % fixture.contexts_.size(), target, headers, harmful);
+  }
+}
+
 }  // namespace
 
 // Guards against counting the upstreams that end under a request anew for each client attempt and daemon.
 TEST_CASE("a repeatable request that ends its upstreams reaches three of them at most") {
   auto fixture = gateway_fixture{};
   start_fleet(fixture, 3);
-  for (auto attempt = std::size_t{0}; attempt < 6; ++attempt) {
-    ask(fixture, attempt % 3, "/safe/a", headers_of("r" + std::to_string(attempt)), harmful);
-  }
+  repeat(fixture, "/safe/a", 6);
   REQUIRE(fixture.ended_upstreams() <= max_ended);
 }
 
@@ -65,9 +72,7 @@
 TEST_CASE("a turn that ends its engines reaches three of them at most") {
   auto fixture = gateway_fixture{};
   start_fleet(fixture, 3);
-  for (auto attempt = std::size_t{0}; attempt < 6; ++attempt) {
-    ask(fixture, attempt % 3, "/turn/x", turn_headers("t" + std::to_string(attempt)), harmful);
-  }
+  repeat(fixture, "/turn/x", 6);
   REQUIRE(fixture.ended_upstreams() <= max_ended);
 }
 
@@ -76,9 +81,7 @@
 TEST_CASE("a request that is not sent again gets a typed final error") {
   auto fixture = gateway_fixture{};
   start_fleet(fixture, 2);
-  for (auto attempt = std::size_t{0}; attempt < 3; ++attempt) {
-    ask(fixture, attempt % 2, "/unsafe/a", headers_of("r" + std::to_string(attempt)), harmful);
-  }
+  repeat(fixture, "/unsafe/a", 3);
   auto sent = fixture.seen_.size();
   auto response = ask(fixture, 1, "/unsafe/a", headers_of("r4"), harmful);
   REQUIRE(response.status_ == 502);
@@ -115,9 +118,7 @@
   auto fixture = gateway_fixture{};
   start_fleet(fixture, 3);
   fixture.rows_->faults().down_ = true;
-  for (auto attempt = std::size_t{0}; attempt < 6; ++attempt) {
-    ask(fixture, attempt % 3, "/safe/a", headers_of("r" + std::to_string(attempt)), harmful);
-  }
+  repeat(fixture, "/safe/a", 6);
   REQUIRE(fixture.ended_upstreams() <= max_ended);
 }
 
@@ -127,9 +128,7 @@
   auto fixture = gateway_fixture{};
   start_fleet(fixture, 4);
   fixture.peers_connected_ = false;
-  for (auto attempt = std::size_t{0}; attempt < 6; ++attempt) {
-    ask(fixture, attempt % 4, "/safe/a", headers_of("r" + std::to_string(attempt)), harmful);
-  }
+  repeat(fixture, "/safe/a", 6);
   REQUIRE(fixture.ended_upstreams() <= max_ended);
 }
 
@@ -137,11 +136,9 @@
 TEST_CASE("a daemon that starts later knows of the upstreams that ended before") {
   auto fixture = gateway_fixture{};
   start_fleet(fixture, 1);
-  for (auto attempt = std::size_t{0}; attempt < 3; ++attempt) {
-    ask(fixture, 0, "/unsafe/a", headers_of("r" + std::to_string(attempt)), harmful);
-  }
+  repeat(fixture, "/unsafe/a", 3);
   auto joined = fixture.add_gateway();
-  fixture.run_for(100);
+  REQUIRE(fixture.run_until([&] { return fixture.registers_[joined]->primed(); }));
   ask(fixture, joined, "/unsafe/a", headers_of("r4"), harmful);
   REQUIRE(fixture.ended_upstreams() == max_ended);
 }
@@ -153,9 +150,7 @@
   for (const auto& context : fixture.contexts_) {
     context->crash_guard_->set_loss_check([] { return true; });
   }
-  for (auto attempt = std::size_t{0}; attempt < 6; ++attempt) {
-    ask(fixture, attempt % 2, "/safe/a", headers_of("r" + std::to_string(attempt)), harmful);
-  }
+  repeat(fixture, "/safe/a", 6);
   REQUIRE(fixture.ended_upstreams() == max_ended - 1);
 }
 
