Bring the known crashes of a piece of work with each record of it

The repair of missing records takes 1 to 4 s. Whoever records a send or a crash now tells peers and the store of all crashes it knows of that work, in the same transaction, so that nobody learns of a send without those before it.

Test: 'the record of a send brings the crashes of its work that the store misses' fails without the change.

--- a/birchlever/controllers/crash_register.cpp
+++ b/birchlever/controllers/crash_register.cpp
@@ -166,6 +166,7 @@
 auto crash_register::record(send_record record) -> task<bool> {
   auto self = shared_from_this();
   auto started_at = clock_.now();
+  share_crashes(record.fingerprint_);
   merge(record, "self");
   publish(record);
   auto number = enqueue(record, false);
@@ -181,6 +182,15 @@
   co_return stored;
 }
 
+auto crash_register::share_crashes(const std::string& fingerprint) -> void {
+  for (const auto& crash : history_.crash_records(fingerprint)) {
+    publish(crash);
+    if (stored_rows_.count(key_of(crash)) == 0) {
+      enqueue(crash, false);
+    }
+  }
+}
+
 auto crash_register::settle(const std::string& fingerprint, const std::string& upstream) -> void {
   auto open_send = send_record{fingerprint, upstream, send_state::open};
   auto crashes = history_.crashes(fingerprint);
--- a/birchlever/controllers/crash_register.h
+++ b/birchlever/controllers/crash_register.h
@@ -95,6 +95,9 @@
   auto remove(const send_record& record, const char* cause) -> void;
   auto log_removed(const send_record& record, const char* cause) const -> void;
   auto publish(const send_record& record) -> void;
+  /// Tells peers and the store of all known crashes of a piece of work. Those that learn of its next send may
+  /// have missed the earlier ones, as after a restart.
+  auto share_crashes(const std::string& fingerprint) -> void;
   /// Appends a change to those to be written. Returns its number.
   auto enqueue(const send_record& record, bool removal) -> std::int64_t;
   auto write_pending() -> task<>;
--- a/birchlever/coordination/crash_history.cpp
+++ b/birchlever/coordination/crash_history.cpp
@@ -1,6 +1,5 @@
 #include "birchlever/coordination/crash_history.h"
 
-#include <algorithm>
 #include <array>
 
 namespace birchlever {
@@ -96,13 +95,21 @@
 }
 
 auto crash_history::confirmed_crashes(const std::string& fingerprint) const -> int {
+  return static_cast<int>(crash_records(fingerprint).size());
+}
+
+auto crash_history::crash_records(const std::string& fingerprint) const -> std::vector<send_record> {
+  auto records = std::vector<send_record>{};
   auto found = works_.find(fingerprint);
   if (found == works_.end()) {
-    return 0;
+    return records;
+  }
+  for (const auto& [upstream, send] : found->second.sends_) {
+    if (send.state_ == send_state::crashed) {
+      records.push_back({fingerprint, upstream, send.state_});
+    }
   }
-  const auto& sends = found->second.sends_;
-  auto crashed = [](const auto& send) { return send.second.state_ == send_state::crashed; };
-  return static_cast<int>(std::count_if(sends.begin(), sends.end(), crashed));
+  return records;
 }
 
 auto crash_history::upstreams_at_risk(const std::string& fingerprint, int min_crashes) const
--- a/birchlever/coordination/crash_history.h
+++ b/birchlever/coordination/crash_history.h
@@ -70,6 +70,9 @@
   /// Returns the number of upstreams that ended under a piece of work for certain.
   [[nodiscard]] auto confirmed_crashes(const std::string& fingerprint) const -> int;
 
+  /// Returns the crashes of a piece of work.
+  [[nodiscard]] auto crash_records(const std::string& fingerprint) const -> std::vector<send_record>;
+
   /// Returns the incarnations with an open send of other work that at least `min_crashes` upstreams ended
   /// under or may end under, the send itself included.
   [[nodiscard]] auto upstreams_at_risk(const std::string& fingerprint, int min_crashes) const
--- a/unit_tests/controllers/crash_register_test.cpp
+++ b/unit_tests/controllers/crash_register_test.cpp
@@ -20,8 +20,8 @@
     auto settings = crash_register_settings{};
     settings.history_ = history;
     settings.sweep_interval_ = 20;
-    settings.repair_after_ = 50;
-    settings.repair_by_any_after_ = 100;
+    settings.repair_after_ = repair_after_;
+    settings.repair_by_any_after_ = 2 * repair_after_;
     settings.retry_interval_ = 20;
     auto owner = [owns](const std::string& /*fingerprint*/) { return owns; };
     auto added = crash_register::create(loop_, rows_, settings, owner);
@@ -35,6 +35,7 @@
 
   event_loop loop_{1};
   std::shared_ptr<memory_row_store> rows_;
+  milliseconds repair_after_ = 50;
 };
 
 }  // namespace
@@ -62,6 +63,17 @@
   REQUIRE(fleet.add_daemon()->history().crashes(work) == 1);
 }
 
+// Guards against a daemon that starts between two sends and learns of the second one only.
+TEST_CASE("the record of a send brings the crashes of its work that the store misses") {
+  auto fleet = register_fleet{};
+  fleet.repair_after_ = 60'000;
+  auto daemon = fleet.add_daemon();
+  daemon->apply_peer_record({work, "u1", send_state::crashed});
+  REQUIRE(fleet.record(*daemon, {work, "u2", send_state::open}));
+  REQUIRE(fleet.rows_->size() == 2);
+  REQUIRE(fleet.add_daemon()->history().crashes(work) == 2);
+}
+
 // Guards against rows and memory of work that was served in the end.
 TEST_CASE("records of served work are removed everywhere") {
   auto fleet = register_fleet{};
