--- a/unit_tests/gateway/crash_containment_test.cpp
+++ b/unit_tests/gateway/crash_containment_test.cpp
@@ -183,6 +183,8 @@
     }
   }
   REQUIRE(fixture.ended_upstreams() == max_ended);
+  ask(fixture, 0, "/turn/x", turn_headers("h-last", "harm"), harmful);
+  REQUIRE(fixture.ended_upstreams() == max_ended);
   REQUIRE(std::count(served.begin(), served.end(), true) == innocent);
 }
 
