Bound the rows of the table of crashes

While upstreams end all the time, each request that is cut leaves rows until it is served, else for 10 minutes: at 2,300 requests/s more than a million (worked out). From 8,192 rows on daemons add none and say so (crash_table_full); they go on telling each other, and a third send that can't be recorded gets 503 as while the store is down.

Test: 'no rows are added to a full table' fails without the check.

--- a/birchlever/controllers/crash_register.cpp
+++ b/birchlever/controllers/crash_register.cpp
@@ -169,12 +169,11 @@
   share_crashes(record.fingerprint_);
   merge(record, "self");
   publish(record);
-  auto number = enqueue(record, false);
-  auto give_up_at = started_at + settings_.record_limit_;
-  while (written_ < number && clock_.now() < give_up_at) {
-    co_await written_signal_.wait_for(give_up_at - clock_.now());
+  auto stored = false;
+  if (!table_full()) {
+    auto number = enqueue(record, false);
+    stored = co_await wait_until_written(number, started_at + settings_.record_limit_);
   }
-  auto stored = written_ >= number && dropped_ < number;
   auto spread_left = started_at + settings_.spread_time_ - clock_.now();
   if (record.state_ == send_state::crashed && spread_left > 0) {
     co_await pause_for(*loop_, spread_left);
@@ -182,10 +181,27 @@
   co_return stored;
 }
 
+auto crash_register::wait_until_written(std::int64_t number, milliseconds give_up_at) -> task<bool> {
+  while (written_ < number && clock_.now() < give_up_at) {
+    co_await written_signal_.wait_for(give_up_at - clock_.now());
+  }
+  co_return written_ >= number&& dropped_ < number;
+}
+
+auto crash_register::table_full() -> bool {
+  auto full = stored_rows_.size() >= settings_.max_rows_;
+  if (std::exchange(full_logged_, full) != full) {
+    log_event(log_level::warning, "crash_table_full",
+              {{"full", full}, {"rows", static_cast<std::int64_t>(stored_rows_.size())}});
+  }
+  return full;
+}
+
 auto crash_register::share_crashes(const std::string& fingerprint) -> void {
   for (const auto& crash : history_.crash_records(fingerprint)) {
     publish(crash);
-    if (stored_rows_.count(key_of(crash)) == 0) {
+    auto missing = stored_rows_.count(key_of(crash)) == 0;
+    if (missing && !table_full()) {
       enqueue(crash, false);
     }
   }
@@ -305,7 +321,7 @@
 }
 
 auto crash_register::write_missing() -> void {
-  if (!follower_->primed() || !pending_.empty()) {
+  if (!follower_->primed() || !pending_.empty() || table_full()) {
     return;
   }
   auto now = clock_.now();
--- a/birchlever/controllers/crash_register.h
+++ b/birchlever/controllers/crash_register.h
@@ -33,6 +33,8 @@
   /// and by any daemon. The daemon that saw it may have ended before the store took its record.
   milliseconds repair_after_ = 1000;
   milliseconds repair_by_any_after_ = 4000;
+  /// Rows from which on daemons add no more: while upstreams end all the time, each request leaves some.
+  std::size_t max_rows_ = 8192;
   crash_history_settings history_;
 };
 
@@ -98,8 +100,12 @@
   /// Tells peers and the store of all known crashes of a piece of work. Those that learn of its next send may
   /// have missed the earlier ones, as after a restart.
   auto share_crashes(const std::string& fingerprint) -> void;
+  /// Returns true if no more rows may be added.
+  auto table_full() -> bool;
   /// Appends a change to those to be written. Returns its number.
   auto enqueue(const send_record& record, bool removal) -> std::int64_t;
+  /// Waits for the store until a time of the local clock. Returns true if the change was written.
+  auto wait_until_written(std::int64_t number, milliseconds give_up_at) -> task<bool>;
   auto write_pending() -> task<>;
   /// Returns the transaction of the first `count` pending changes.
   [[nodiscard]] auto transaction_of(std::size_t count) const -> row_transaction;
@@ -125,6 +131,7 @@
   std::int64_t written_ = 0;  ///< All changes up to this number were written or dropped.
   std::int64_t dropped_ = 0;  ///< The last change that was dropped; 0 if none.
   bool writing_ = false;
+  bool full_logged_ = false;
   loop_signal written_signal_;
 };
 
--- a/unit_tests/controllers/crash_register_test.cpp
+++ b/unit_tests/controllers/crash_register_test.cpp
@@ -23,6 +23,7 @@
     settings.repair_after_ = repair_after_;
     settings.repair_by_any_after_ = 2 * repair_after_;
     settings.retry_interval_ = 20;
+    settings.max_rows_ = max_rows_;
     auto owner = [owns](const std::string& /*fingerprint*/) { return owns; };
     auto added = crash_register::create(loop_, rows_, settings, owner);
     REQUIRE(run_loop_until(loop_, [&] { return added->primed() || rows_->faults().down_; }));
@@ -36,6 +37,7 @@
   event_loop loop_{1};
   std::shared_ptr<memory_row_store> rows_;
   milliseconds repair_after_ = 50;
+  std::size_t max_rows_ = 1000;
 };
 
 }  // namespace
@@ -102,6 +104,20 @@
   REQUIRE(run_loop_until(fleet.loop_, [&] { return daemon->stored_rows() == 0; }));
 }
 
+// Guards against a table that grows with the traffic while upstreams end all the time.
+TEST_CASE("no rows are added to a full table") {
+  auto fleet = register_fleet{};
+  fleet.max_rows_ = 2;
+  auto daemon = fleet.add_daemon();
+  for (const auto* other : {"a", "b", "c", "d"}) {
+    auto room = fleet.rows_->size() < 2;
+    REQUIRE(fleet.record(*daemon, {other, "u1", send_state::crashed}) == room);
+    REQUIRE(run_loop_until(fleet.loop_, [&] { return daemon->stored_rows() == fleet.rows_->size(); }));
+    REQUIRE(daemon->history().crashes(other) == 1);
+  }
+  REQUIRE(fleet.rows_->size() == 2);
+}
+
 // Guards against a record that is lost because the store's answer to its write is.
 TEST_CASE("a record is written again until the store acknowledges it") {
   auto fleet = register_fleet{};
