Log refusals of upstreams with the request that they name

A request_offered line says refused_full or refused, not whether the refusal was the request's own. To tell a late copy of another request's refusal from one of its own, upstream_refused has the id that the answer bears, its status, and whether the connection had carried an exchange before.

--- a/birchlever/gateway/upstream_attempt.cpp
+++ b/birchlever/gateway/upstream_attempt.cpp
@@ -146,6 +146,12 @@
   auto& head = std::get<http_response>(read);
   auto metadata = context_->dialect_->read_response(head);
   if (metadata.not_executed_) {
+    log_event(log_level::info, "upstream_refused",
+              {{"request", request_->metadata_.request_id_},
+               {"upstream", target_->entry().id_},
+               {"status", std::int64_t{head.result_int()}},
+               {"answers", metadata.request_id_},
+               {"reused_connection", connection_->reused()}});
     auto rest = co_await connection_->read_rest(max_refusal_bytes);
     if (std::holds_alternative<exchange_fault>(rest)) {
       connection_->abort();
