Match responses of upstreams by request id before acting on them

What callers saw: requests of an unsafe route ran at two servers, others ran although their callers got 503; after other late copies a request that ran ended in 502 although its response was on its way.

Cause: an upstream may send a second copy of a response where the next one should come. relay() decided on X-Not-Executed and 421 before it compared the response's id with the request's, and gave the connection back while the request's own response was still to come.

Change: the id is compared first. On a connection that carried exchanges before, a response to another request is read to its end and skipped, and the request's own is awaited. A response without an id leaves the outcome unknown.

Why it works: nothing is decided from a response before it is known to be the request's own; the number of skipped responses is bounded by the earlier exchanges, the time by the request's deadline.

--- a/birchlever/gateway/upstream_attempt.cpp
+++ b/birchlever/gateway/upstream_attempt.cpp
@@ -133,45 +133,88 @@
              {"idle_closed", static_cast<std::int64_t>(closed)}});
 }
 
+auto upstream_attempt::log_skipped(unsigned status, const response_metadata& metadata) const -> void {
+  context_->metrics_->count("upstream_responses_skipped_total");
+  log_event(log_level::info, "response_skipped",
+            {{"request", request_->metadata_.request_id_},
+             {"upstream", target_->entry().id_},
+             {"status", std::int64_t{status}},
+             {"answers", metadata.request_id_},
+             {"not_executed", metadata.not_executed_}});
+}
+
+auto upstream_attempt::read_own_head() -> task<exchanged<http_response>> {
+  while (true) {
+    auto read = co_await connection_->read_head();
+    if (std::holds_alternative<exchange_fault>(read)) {
+      co_return read;
+    }
+    const auto& head = std::get<http_response>(read);
+    auto metadata = context_->dialect_->read_response(head);
+    auto answers_another =
+        !metadata.request_id_.empty() && metadata.request_id_ != request_->metadata_.request_id_;
+    if (!answers_another || !connection_->may_skip_response()) {
+      co_return read;
+    }
+    log_skipped(head.result_int(), metadata);
+    auto fault = co_await connection_->skip_response(context_->limits_.max_response_bytes_);
+    if (fault) {
+      co_return *fault;
+    }
+  }
+}
+
+auto upstream_attempt::reject_response(unsigned status, const response_metadata& metadata)
+    -> attempt_outcome {
+  log_event(log_level::warning, "response_not_authentic",
+            {{"request", request_->metadata_.request_id_},
+             {"upstream", target_->entry().id_},
+             {"status", std::int64_t{status}},
+             {"answers", metadata.request_id_},
+             {"not_executed", metadata.not_executed_},
+             {"proven", metadata.has_signature_}});
+  connection_->abort();
+  return attempt_outcome::unknown;
+}
+
+auto upstream_attempt::finish_refusal(unsigned status) -> task<attempt_outcome> {
+  log_event(log_level::info, "upstream_refused",
+            {{"request", request_->metadata_.request_id_},
+             {"upstream", target_->entry().id_},
+             {"status", std::int64_t{status}},
+             {"reused_connection", connection_->reused()}});
+  auto rest = co_await connection_->read_rest(max_refusal_bytes);
+  if (std::holds_alternative<exchange_fault>(rest)) {
+    connection_->abort();
+  } else {
+    context_->upstream_connections_->give_back(target_->entry().address_, connection_);
+  }
+  auto full = status == 503 || status == 429;
+  co_return full ? attempt_outcome::refused_full : attempt_outcome::refused;
+}
+
 auto upstream_attempt::relay() -> task<attempt_outcome> {
   auto address = target_->entry().address_;
   auto started_at = context_->clock_.now();
-  auto read = co_await connection_->read_head();
+  auto read = co_await read_own_head();
   if (auto* fault = std::get_if<exchange_fault>(&read)) {
     close_unused_connections(*fault, context_->clock_.now() - started_at);
     connection_->abort();
     co_return classify(*fault);
   }
-  context_->upstreams_->record_response_started(*target_, sent_at_);
   auto& head = std::get<http_response>(read);
   auto metadata = context_->dialect_->read_response(head);
+  // The id comes first: a refusal of another request says nothing about this one.
+  if (metadata.request_id_ != request_->metadata_.request_id_) {
+    co_return reject_response(head.result_int(), metadata);
+  }
+  context_->upstreams_->record_response_started(*target_, sent_at_);
   if (metadata.not_executed_) {
-    log_event(log_level::info, "upstream_refused",
-              {{"request", request_->metadata_.request_id_},
-               {"upstream", target_->entry().id_},
-               {"status", std::int64_t{head.result_int()}},
-               {"answers", metadata.request_id_},
-               {"reused_connection", connection_->reused()}});
-    auto rest = co_await connection_->read_rest(max_refusal_bytes);
-    if (std::holds_alternative<exchange_fault>(rest)) {
-      connection_->abort();
-    } else {
-      context_->upstream_connections_->give_back(address, connection_);
-    }
-    auto full = head.result_int() == 503 || head.result_int() == 429;
-    co_return full ? attempt_outcome::refused_full : attempt_outcome::refused;
+    co_return co_await finish_refusal(head.result_int());
   }
-  auto id_matches = metadata.request_id_ == request_->metadata_.request_id_;
   auto authentic = is_success(head) ? metadata.has_signature_ : !implies_not_run(head.result_int());
-  if (!id_matches || !authentic) {
-    log_event(log_level::warning, "response_not_authentic",
-              {{"request", request_->metadata_.request_id_},
-               {"upstream", target_->entry().id_},
-               {"status", std::int64_t{head.result_int()}},
-               {"answers", metadata.request_id_},
-               {"proven", metadata.has_signature_}});
-    connection_->abort();
-    co_return attempt_outcome::unknown;
+  if (!authentic) {
+    co_return reject_response(head.result_int(), metadata);
   }
   auto used_connection = connection_;
   auto outcome = attempt_outcome::relayed;
--- a/birchlever/gateway/upstream_attempt.h
+++ b/birchlever/gateway/upstream_attempt.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "birchlever/gateway/gateway_context.h"
+#include "birchlever/gateway/request_dialect.h"
 #include "birchlever/http/event_stream.h"
 #include "birchlever/http/outgoing_connection.h"
 #include "birchlever/upstream/upstream_directory.h"
@@ -52,6 +53,15 @@
   auto send() -> task<std::optional<attempt_outcome>>;
   auto relay() -> task<attempt_outcome>;
 
+  /// Reads the head of the response to this request. Skips late copies of responses to earlier requests on the
+  /// connection, which are told apart by their request id.
+  auto read_own_head() -> task<exchanged<http_response>>;
+  auto log_skipped(unsigned status, const response_metadata& metadata) const -> void;
+  auto reject_response(unsigned status, const response_metadata& metadata) -> attempt_outcome;
+
+  /// Reads the rest of a response that says that the request did not run.
+  auto finish_refusal(unsigned status) -> task<attempt_outcome>;
+
   /// Closes the idle connections to the upstream that were not used while this attempt got no response for
   /// `waited` ms: its connection may have gone silent, and these with it, while new ones work.
   auto close_unused_connections(exchange_fault fault, milliseconds waited) -> void;
--- a/birchlever/http/outgoing_connection.cpp
+++ b/birchlever/http/outgoing_connection.cpp
@@ -89,6 +89,7 @@
   whole_ = false;
   answer_begun_ = false;
   head_request_ = request->method() == http::verb::head;
+  had_head_request_ = had_head_request_ || head_request_;
   renew_parser();
   arm(time_left);
   start(*loop_, "write_request", write_request(std::move(request)));
@@ -166,6 +167,27 @@
   }
 }
 
+auto outgoing_connection::may_skip_response() const -> bool {
+  auto earlier_exchanges = exchanges_ - 1;
+  return skipped_ < earlier_exchanges && !had_head_request_;
+}
+
+auto outgoing_connection::skip_response(std::size_t most) -> task<std::optional<exchange_fault>> {
+  auto expiry = deadline_.expiry();
+  auto rest = co_await read_rest(most);
+  if (auto* fault = std::get_if<exchange_fault>(&rest)) {
+    co_return *fault;
+  }
+  ++skipped_;
+  whole_ = false;
+  answer_begun_ = false;
+  renew_parser();
+  auto time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      expiry - std::chrono::steady_clock::now());
+  arm(time_left.count());
+  co_return std::nullopt;
+}
+
 auto outgoing_connection::reusable() const -> bool {
   return whole_ && written_ && !aborted_ && !write_failed_ && parser_->get().keep_alive() &&
          !parser_->get().need_eof() && buffer_.size() == 0;
--- a/birchlever/http/outgoing_connection.h
+++ b/birchlever/http/outgoing_connection.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "birchlever/core/result.h"
@@ -56,6 +57,15 @@
   /// Reads what is left of the body, up to `most` bytes (malformed beyond that).
   auto read_rest(std::size_t most) -> task<exchanged<std::string>>;
 
+  /// True when the response whose head was read last may answer an earlier request on this connection, and its
+  /// end can be found, so that the response to the present request can be read after it. The end cannot be
+  /// found once a HEAD request was sent: its responses announce a body that does not follow.
+  [[nodiscard]] auto may_skip_response() const -> bool;
+
+  /// Reads and discards what is left of a response to an earlier request, up to `most` bytes. The head of the
+  /// next response can be read then; the deadline of the exchange stays.
+  auto skip_response(std::size_t most) -> task<std::optional<exchange_fault>>;
+
   /// True when the exchange is over and another may follow on this connection.
   [[nodiscard]] auto reusable() const -> bool;
 
@@ -86,6 +96,7 @@
   std::unique_ptr<http::response_parser<http::string_body>> parser_;
   milliseconds keep_alive_;
   int exchanges_ = 0;
+  int skipped_ = 0;  ///< Responses skipped so far.
   bool written_ = false;
   bool write_failed_ = false;
   bool whole_ = false;
@@ -93,6 +104,7 @@
   bool aborted_ = false;
   bool answer_begun_ = false;
   bool head_request_ = false;
+  bool had_head_request_ = false;
 };
 
 }  // namespace birchlever
--- a/unit_tests/gateway/gateway_fixture.cpp
+++ b/unit_tests/gateway/gateway_fixture.cpp
@@ -101,18 +101,45 @@
   loop_.run_for(std::chrono::milliseconds{duration});
 }
 
+auto gateway_fixture::write_stream(script script_to_run, const http_request& request, http_response head,
+                                   server_connection& connection) -> task<bool> {
+  head.set(http::field::content_type, "text/event-stream");
+  co_await connection.write_head(std::move(head));
+  auto last = parse_count(field_of(request, "Last-Event-Id")).value_or(0);
+  for (auto number = static_cast<int>(last) + 1; number <= script_to_run.events_; ++number) {
+    auto skipped = script_to_run.kind_ == script::kind::skip_event && number == 2;
+    if (!skipped) {
+      co_await connection.write_piece(event_text(number));
+    }
+    auto late = late_copies_.find(&connection);
+    if (late != late_copies_.end() && late->second.script_.copy_ == script::copy::in_stream) {
+      auto copy = std::move(late_copies_.extract(late).mapped());
+      co_await run_script("", copy.script_, copy.request_, connection);
+    }
+  }
+  if (script_to_run.kind_ == script::kind::cut_stream) {
+    co_await connection.write_piece("id: 9\ndata: ha");
+    co_return false;
+  }
+  co_return co_await connection.write_end();
+}
+
 auto gateway_fixture::run_script(const std::string& name, script script_to_run, const http_request& request,
                                  server_connection& connection) -> task<bool> {
   auto id = std::string{field_of(request, "X-Request-Id")};
   auto answer = http_response{static_cast<http::status>(script_to_run.status_), 11};
-  answer.set("X-Request-Id", script_to_run.kind_ == script::kind::wrong_id ? "another" : id);
+  if (script_to_run.kind_ != script::kind::no_id) {
+    answer.set("X-Request-Id", script_to_run.kind_ == script::kind::wrong_id ? "another" : id);
+  }
   if (script_to_run.kind_ != script::kind::no_proof) {
     answer.set("X-Response-Signature", "proof-of-" + id);
   }
   answer.keep_alive(true);
   switch (script_to_run.kind_) {
     case script::kind::refuse:
-      answer.result(http::status::service_unavailable);
+      if (script_to_run.status_ == 200) {
+        answer.result(http::status::service_unavailable);
+      }
       answer.set("X-Not-Executed", "1");
       answer.erase("X-Response-Signature");
       break;
@@ -134,22 +161,13 @@
       co_return false;
     case script::kind::stream:
     case script::kind::cut_stream:
-    case script::kind::skip_event: {
-      answer.set(http::field::content_type, "text/event-stream");
-      co_await connection.write_head(std::move(answer));
-      auto last = parse_count(field_of(request, "Last-Event-Id")).value_or(0);
-      for (auto number = static_cast<int>(last) + 1; number <= script_to_run.events_; ++number) {
-        auto skipped = script_to_run.kind_ == script::kind::skip_event && number == 2;
-        if (!skipped) {
-          co_await connection.write_piece(event_text(number));
-        }
+    case script::kind::skip_event:
+      co_return co_await write_stream(script_to_run, request, std::move(answer), connection);
+    case script::kind::no_id:
+      if (answer.result() == http::status::service_unavailable) {
+        answer.set("X-Not-Executed", "1");
       }
-      if (script_to_run.kind_ == script::kind::cut_stream) {
-        co_await connection.write_piece("id: 9\ndata: ha");
-        co_return false;
-      }
-      co_return co_await connection.write_end();
-    }
+      break;
     case script::kind::answer:
     case script::kind::no_proof:
     case script::kind::wrong_id:
@@ -160,6 +178,22 @@
   co_return co_await connection.write(std::move(answer));
 }
 
+auto gateway_fixture::respond(const std::string& name, script script_to_run, const http_request& request,
+                              server_connection& connection) -> task<bool> {
+  auto late = late_copies_.find(&connection);
+  if (late != late_copies_.end() && late->second.script_.copy_ == script::copy::before_next) {
+    auto copy = std::move(late_copies_.extract(late).mapped());
+    co_await run_script(name, copy.script_, copy.request_, connection);
+  }
+  auto keep_open = co_await run_script(name, script_to_run, request, connection);
+  if (script_to_run.copy_ == script::copy::at_once) {
+    co_await run_script(name, script_to_run, request, connection);
+  } else if (script_to_run.copy_ != script::copy::none) {
+    late_copies_[&connection] = {script_to_run, request};
+  }
+  co_return keep_open;
+}
+
 auto gateway_fixture::serve_upstream(std::string name, std::shared_ptr<server_connection> connection)
     -> task<> {
   auto limits = request_limits{};
@@ -188,8 +222,9 @@
     if (!harmful) {
       co_await pause_for(loop_, answer_delay_);
     }
-    keep_open = co_await run_script(name, script_to_run, *request, *connection);
+    keep_open = co_await respond(name, script_to_run, *request, *connection);
   }
+  late_copies_.erase(connection.get());
   upstreams_.at(name).connections_.erase(connection);
   connection->close();
 }
--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -38,11 +38,20 @@
     skip_event,
     no_proof,
     wrong_id,
+    no_id,
     end_process  ///< The upstream closes its port and all its connections.
   };
+  /// When a second copy of the response is sent on the connection.
+  enum class copy {
+    none,
+    before_next,  ///< Where the response to the next request should begin.
+    at_once,      ///< Right behind the response.
+    in_stream     ///< Amid the next stream, after its first event.
+  };
   kind kind_ = kind::answer;
   int events_ = 3;
   int status_ = 200;
+  copy copy_ = copy::none;
 };
 
 /// A request as received by an upstream.
@@ -142,6 +151,18 @@
   auto serve_upstream(std::string name, std::shared_ptr<server_connection> connection) -> task<>;
   auto run_script(const std::string& name, script script_to_run, const http_request& request,
                   server_connection& connection) -> task<bool>;
+
+  /// Runs the script, and sends the second copies of responses that are due.
+  auto respond(const std::string& name, script script_to_run, const http_request& request,
+               server_connection& connection) -> task<bool>;
+  auto write_stream(script script_to_run, const http_request& request, http_response head,
+                    server_connection& connection) -> task<bool>;
+
+  /// A response of which a second copy is still to be sent.
+  struct late_copy {
+    script script_;
+    http_request request_;
+  };
   auto exchange(std::string address, http_request request) -> task<received_response>;
   auto make_context() -> std::shared_ptr<gateway_context>;
   auto open_gateway() -> void;
@@ -155,6 +176,7 @@
   };
 
   std::map<std::string, scripted_upstream> upstreams_;
+  std::map<server_connection*, late_copy> late_copies_;
   std::vector<std::shared_ptr<gateway_server>> servers_;
   std::vector<std::string> addresses_;
   std::size_t ended_ = 0;
