--- a/birchlever/controllers/budget_transfer.cpp
+++ b/birchlever/controllers/budget_transfer.cpp
@@ -1,6 +1,7 @@
 #include "birchlever/controllers/budget_transfer.h"
 
 #include <algorithm>
+#include <array>
 #include <sstream>
 
 #include "birchlever/coordination/allowance_ranges.h"
@@ -19,9 +20,17 @@
 constexpr auto incarnation_separator = '@';
 // /allowance/PROGRAM/TOKENS. Same response format.
 constexpr auto allowance_path = std::string_view{"/allowance/"};
-// /lease/PROGRAM/RESERVATION/HOLDER. Response: 200 if the reservation was transferred, else 410.
+// /lease/PROGRAM/RESERVATION/HOLDER/REQUESTER. Response: 200 if the reservation was transferred, else 410.
+// Earlier versions send no requester.
 constexpr auto lease_path = std::string_view{"/lease/"};
+// /lease_use/RESERVATION/KEEP_MS/WITNESS. Response: 200 if the use was recorded, 409 if the lease is revoked.
+constexpr auto lease_use_path = std::string_view{"/lease_use/"};
+// /lease_revocation/RESERVATION/KEEP_MS/WITNESS. Response: the state of the lease.
+constexpr auto lease_revocation_path = std::string_view{"/lease_revocation/"};
+// /lease_inquiry/RESERVATION/KEEP_MS/DAEMON/PROGRAM. Response: the state of the lease.
+constexpr auto lease_inquiry_path = std::string_view{"/lease_inquiry/"};
 constexpr auto max_response_bytes = std::size_t{8192};
+constexpr auto max_keep = milliseconds{3'600'000};  // For which the use of a lease is remembered.
 
 /// Returns the segments of a path after its prefix.
 auto parts_of(std::string_view target, std::string_view prefix) -> std::vector<std::string> {
@@ -127,28 +136,74 @@
   holder_of_ = std::move(holder_of);
 }
 
-auto budget_transfer::request_lease(std::string program_key, std::string reservation, std::string holder)
-    -> task<bool> {
+auto budget_transfer::ask_about_lease(std::string daemon, std::string target)
+    -> task<std::optional<whole_answer>> {
   auto self = shared_from_this();
-  auto vm = holder.substr(0, holder.find(incarnation_separator));
+  auto vm = daemon.substr(0, daemon.find(incarnation_separator));
   auto addresses = addresses_();
   auto found = addresses.find(vm);
   auto unresponsive = unresponsive_until_.find(vm);
   if (found == addresses.end() ||
       (unresponsive != unresponsive_until_.end() && unresponsive->second > clock_.now())) {
-    co_return false;
+    co_return std::nullopt;
   }
-  auto target = std::string{lease_path} + program_key + "/" + reservation + "/" + holder;
   auto response = co_await exchange(found->second, std::move(target), settings_.lease_timeout_);
   if (!response) {
     unresponsive_until_[vm] = clock_.now() + settings_.unresponsive_backoff_;
   }
+  co_return response;
+}
+
+auto budget_transfer::request_lease(std::string program_key, std::string reservation, std::string holder)
+    -> task<bool> {
+  auto target = std::string{lease_path} + program_key + "/" + reservation + "/" + holder + "/" +
+                settings_.daemon_;
+  auto response = co_await ask_about_lease(holder, std::move(target));
   auto granted = response && response->status_ == static_cast<unsigned>(http::status::ok);
   log_event(log_level::info, "reservation_requested_from_peer",
-            {{"program", program_key}, {"peer", vm}, {"reservation", reservation}, {"given", granted}});
+            {{"program", program_key}, {"peer", holder}, {"reservation", reservation}, {"given", granted}});
   co_return granted;
 }
 
+auto budget_transfer::choose_witness() -> std::optional<std::string> {
+  constexpr auto max_choices = 4;
+  for (auto choices = 0; witnesses_ && choices < max_choices; ++choices) {
+    auto chosen = witnesses_();
+    if (!chosen) {
+      return std::nullopt;
+    }
+    auto unresponsive = unresponsive_until_.find(chosen->substr(0, chosen->find(incarnation_separator)));
+    if (unresponsive == unresponsive_until_.end() || unresponsive->second <= clock_.now()) {
+      return chosen;
+    }
+  }
+  return std::nullopt;
+}
+
+auto budget_transfer::record_lease_use(std::string lease, std::string witness, milliseconds keep_for)
+    -> task<bool> {
+  auto target = std::string{lease_use_path} + lease + "/" + std::to_string(keep_for) + "/" + witness;
+  auto response = co_await ask_about_lease(std::move(witness), std::move(target));
+  co_return response && response->status_ == static_cast<unsigned>(http::status::ok);
+}
+
+auto budget_transfer::inquire_lease(std::string program_key, std::string lease, std::string daemon,
+                                    milliseconds keep_for) -> task<lease_answer> {
+  auto target = std::string{lease_inquiry_path} + lease + "/" + std::to_string(keep_for) + "/" + daemon +
+                "/" + program_key;
+  auto response = co_await ask_about_lease(std::move(daemon), std::move(target));
+  auto answered = response && response->status_ == static_cast<unsigned>(http::status::ok);
+  co_return answered ? decode_lease_answer(response->body_) : lease_answer{};
+}
+
+auto budget_transfer::revoke_lease(std::string lease, std::string witness, milliseconds keep_for)
+    -> task<lease_answer> {
+  auto target = std::string{lease_revocation_path} + lease + "/" + std::to_string(keep_for) + "/" + witness;
+  auto response = co_await ask_about_lease(std::move(witness), std::move(target));
+  auto answered = response && response->status_ == static_cast<unsigned>(http::status::ok);
+  co_return answered ? decode_lease_answer(response->body_) : lease_answer{};
+}
+
 auto budget_transfer::request_allowance(std::string program_key, std::int64_t tokens) -> task<std::int64_t> {
   if (!allowances_) {
     co_return 0;
@@ -204,28 +259,60 @@
 }
 
 auto budget_transfer::is_request(const http_request& request) -> bool {
-  return request.target().starts_with(to_beast(path)) || request.target().starts_with(to_beast(lease_path)) ||
-         request.target().starts_with(to_beast(allowance_path));
+  constexpr auto prefixes = std::array{path,           lease_path,            allowance_path,
+                                       lease_use_path, lease_revocation_path, lease_inquiry_path};
+  return std::any_of(prefixes.begin(), prefixes.end(), [&](std::string_view prefix) {
+    return request.target().starts_with(to_beast(prefix));
+  });
 }
 
 auto budget_transfer::answer_lease(program_store& programs, const std::vector<std::string>& parts) const
     -> http_response {
-  constexpr auto expected = std::size_t{3};
-  if (parts.size() != expected) {
+  constexpr auto without_requester = std::size_t{3};
+  if (parts.size() != without_requester && parts.size() != without_requester + 1) {
     return http_response{http::status::bad_request, 11};
   }
-  auto granted = parts[2] == settings_.daemon_ && programs.transfer_lease(parts[0], parts[1]);
+  auto requester = parts.size() > without_requester ? parts.back() : std::string{};
+  auto granted = parts[2] == settings_.daemon_ && programs.transfer_lease(parts[0], parts[1], requester);
   if (granted) {
     log_event(log_level::info, "reservation_transferred", {{"program", parts[0]}, {"reservation", parts[1]}});
   }
   return http_response{granted ? http::status::ok : http::status::gone, 11};
 }
 
+auto budget_transfer::answer_lease_use(program_store& programs, std::string_view target) const
+    -> http_response {
+  constexpr auto expected = std::size_t{3};
+  auto is_inquiry = target.starts_with(lease_inquiry_path);
+  auto is_use = target.starts_with(lease_use_path);
+  auto prefix = is_inquiry ? lease_inquiry_path : is_use ? lease_use_path : lease_revocation_path;
+  auto parts = parts_of(target, prefix);
+  auto keep_for = parts.size() == expected + (is_inquiry ? 1 : 0) ? parse_count(parts[1]) : std::nullopt;
+  if (!keep_for || *keep_for > max_keep) {
+    return http_response{http::status::bad_request, 11};
+  }
+  if (parts[2] != settings_.daemon_) {
+    return http_response{http::status::gone, 11};
+  }
+  if (is_use) {
+    auto recorded = programs.witness_use(parts[0], *keep_for);
+    return http_response{recorded ? http::status::ok : http::status::conflict, 11};
+  }
+  auto answer = http_response{http::status::ok, 11};
+  answer.body() = encode(is_inquiry ? programs.answer_inquiry(parts[3], parts[0], *keep_for)
+                                    : programs.revoke(parts[0], *keep_for));
+  return answer;
+}
+
 auto budget_transfer::answer(program_store& programs, const http_request& request) const -> http_response {
   auto target = std::string_view{request.target().data(), request.target().size()};
   if (target.starts_with(lease_path)) {
     return answer_lease(programs, parts_of(target, lease_path));
   }
+  if (target.starts_with(lease_use_path) || target.starts_with(lease_revocation_path) ||
+      target.starts_with(lease_inquiry_path)) {
+    return answer_lease_use(programs, target);
+  }
   auto is_allowance = request.target().starts_with(to_beast(allowance_path));
   auto parts = parts_of(target, is_allowance ? allowance_path : path);
   auto expected = is_allowance ? std::size_t{2} : std::size_t{4};
--- a/birchlever/controllers/peer_state.cpp
+++ b/birchlever/controllers/peer_state.cpp
@@ -20,7 +20,8 @@
   pressure,
   speeds,
   send_records,
-  uptime
+  uptime,
+  incarnation
 };
 
 /// Reads an optional field if the message has it.
@@ -142,7 +143,8 @@
                       state.pressure_ ? encode_pressure(*state.pressure_) : json::array(),
                       pack_speeds(state.speeds_),
                       pack_send_records(state.send_records_),
-                      state.uptime_ ? json(*state.uptime_) : json(nullptr)};
+                      state.uptime_ ? json(*state.uptime_) : json(nullptr),
+                      state.incarnation_ ? json(*state.incarnation_) : json(nullptr)};
   json::to_cbor(message, bytes);
   return bytes;
 }
@@ -193,6 +195,11 @@
     if (!uptime.is_null()) {
       state.uptime_ = uptime.get<milliseconds>();
     }
+    auto incarnation = json(nullptr);
+    read_added(message, added_field::incarnation, incarnation);
+    if (!incarnation.is_null()) {
+      state.incarnation_ = incarnation.get<std::uint32_t>();
+    }
     return state;
   } catch (const json::exception& fault) {
     return error{error_code::malformed_json, std::string{"malformed peer message: "} + fault.what()};
--- a/birchlever/controllers/peer_views.cpp
+++ b/birchlever/controllers/peer_views.cpp
@@ -131,6 +131,25 @@
   return addresses;
 }
 
+auto peer_views::find_process(std::size_t index, milliseconds window, const std::string& region) const
+    -> const peer_state* {
+  auto now = clock_->now();
+  auto matches = [&](const auto& entry) {
+    const auto& state = entry.second.state_;
+    auto in_region = region.empty() || state.region_ == region;
+    return now - entry.second.received_at_ <= window && state.incarnation_ && in_region;
+  };
+  auto count = static_cast<std::size_t>(std::count_if(states_.begin(), states_.end(), matches));
+  if (count == 0) {
+    return nullptr;
+  }
+  auto found = std::find_if(states_.begin(), states_.end(), matches);
+  for (auto left = index % count; left > 0; --left) {
+    found = std::find_if(std::next(found), states_.end(), matches);
+  }
+  return &found->second.state_;
+}
+
 auto peer_views::followers_within(milliseconds window) const -> std::vector<reported_follower> {
   auto recent = std::vector<reported_follower>{};
   auto now = clock_->now();
--- a/birchlever/controllers/peer_views.h
+++ b/birchlever/controllers/peer_views.h
@@ -54,6 +54,11 @@
   /// Returns the control addresses of the peers seen within `window` ms, by VM.
   [[nodiscard]] auto addresses_within(milliseconds window) const -> std::map<std::string, std::string>;
 
+  /// Returns the state of the peer at an index, in order and repeated, among the peers of a region that were
+  /// seen within `window` ms and name their incarnation; null if there is none. An empty region includes all.
+  [[nodiscard]] auto find_process(std::size_t index, milliseconds window, const std::string& region) const
+      -> const peer_state*;
+
   /// Returns the followers that reported themselves within `window` ms, directly or through another peer.
   [[nodiscard]] auto followers_within(milliseconds window) const -> std::vector<reported_follower>;
 
--- a/birchlever/coordination/program_record.cpp
+++ b/birchlever/coordination/program_record.cpp
@@ -32,6 +32,15 @@
   return std::string{bytes.begin(), bytes.end()};
 }
 
+auto decode_reservation(const json& held) -> reservation {
+  constexpr auto witness_field = std::size_t{2};  // Absent in rows of earlier releases.
+  if (!held.is_array()) {
+    return {held.get<std::int64_t>(), 0, {}};  // The first release wrote a plain number.
+  }
+  auto witness = held.size() > witness_field ? held.at(witness_field).get<std::string>() : std::string{};
+  return {held.at(0).get<std::int64_t>(), held.at(1).get<milliseconds>(), std::move(witness)};
+}
+
 /// Parses CBOR, which allows arbitrary bytes in bodies. A malformed row is an error, never an empty record.
 template <class Convert>
 auto parse_cbor(std::string_view value, Convert convert) -> result<decltype(convert(json{}))> {
@@ -52,13 +61,6 @@
   return total;
 }
 
-auto program_record::drop_expired(milliseconds store_now) -> void {
-  for (auto next = reserved_.begin(); next != reserved_.end();) {
-    auto expired = next->second.expires_at_ > 0 && next->second.expires_at_ <= store_now;
-    next = expired ? reserved_.erase(next) : std::next(next);
-  }
-}
-
 auto program_record::has_leased() const -> bool {
   return std::any_of(reserved_.begin(), reserved_.end(),
                      [](const auto& entry) { return entry.second.expires_at_ > 0; });
@@ -78,6 +80,9 @@
   auto reserved = json::object();
   for (const auto& [name, held] : record.reserved_) {
     reserved[name] = json::array({held.tokens_, held.expires_at_});
+    if (!held.witness_.empty()) {
+      reserved[name].push_back(held.witness_);
+    }
   }
   auto row = json{
       {spent_key, record.spent_}, {reserved_key, std::move(reserved)}, {updated_key, record.updated_at_}};
@@ -92,10 +97,7 @@
     auto record = program_record{};
     row.at(spent_key).get_to(record.spent_);
     for (const auto& [name, held] : row.at(reserved_key).items()) {
-      auto leased = held.is_array();  // The first release wrote a plain number.
-      record.reserved_[name] =
-          leased ? reservation{held.at(0).get<std::int64_t>(), held.at(1).get<milliseconds>()}
-                 : reservation{held.get<std::int64_t>(), 0};
+      record.reserved_[name] = decode_reservation(held);
     }
     row.at(updated_key).get_to(record.updated_at_);
     auto all_drawn = row.value(drawn_key, json::object());  // Absent in rows of releases without draws.
--- a/birchlever/coordination/program_record.h
+++ b/birchlever/coordination/program_record.h
@@ -16,7 +16,9 @@
 struct reservation {
   std::int64_t tokens_ = 0;  ///< Token limit of the turn.
   milliseconds expires_at_ =
-      0;  ///< On the store's clock; 0 for a turn in progress, which holds it until it ends.
+      0;  ///< On the store's clock; 0 for a turn in progress, which holds it until it ends. A turn that
+          ///< started under a lease must have ended by then.
+  std::string witness_;  ///< Daemon that knows whether a lease is in use; empty if there is none.
 };
 
 /// Tokens that one daemon drew from a budget in advance, for turns whose history is not stored. They count as
@@ -38,9 +40,6 @@
   /// Returns the sum of spent and reserved tokens.
   [[nodiscard]] auto committed() const -> std::int64_t;
 
-  /// Removes expired leased reservations.
-  auto drop_expired(milliseconds store_now) -> void;
-
   /// Returns true if there are leased reservations, which a daemon may still use.
   [[nodiscard]] auto has_leased() const -> bool;
 
--- a/birchlever/coordination/program_store.cpp
+++ b/birchlever/coordination/program_store.cpp
@@ -186,38 +186,6 @@
   }
 }
 
-auto program_store::acquire_local_lease(entry& program, const turn_request& order)
-    -> std::optional<std::string> {
-  auto now = clock_.now();
-  auto& leased = program.leased_;
-  leased.erase(std::remove_if(leased.begin(), leased.end(),
-                              [&](const leased_reservation& entry) { return entry.usable_until_ <= now; }),
-               leased.end());
-  auto fits = [&](const leased_reservation& entry) { return entry.tokens_ >= order.max_tokens_; };
-  auto found = std::find_if(leased.begin(), leased.end(), fits);
-  if (found == leased.end()) {
-    return std::nullopt;
-  }
-  auto name = std::move(found->name_);
-  leased.erase(found);
-  return name;
-}
-
-auto program_store::transfer_lease(const std::string& program_key, const std::string& reservation) -> bool {
-  auto known = entries_.find(program_key);
-  if (known == entries_.end()) {
-    return false;
-  }
-  auto& leased = known->second->leased_;
-  auto matches = [&](const leased_reservation& entry) { return entry.name_ == reservation; };
-  auto found = std::find_if(leased.begin(), leased.end(), matches);
-  auto usable = found != leased.end() && found->usable_until_ > clock_.now() + settings_.lease_margin_;
-  if (usable) {
-    leased.erase(found);
-  }
-  return usable;
-}
-
 auto program_store::wait_for_reserve(change_pointer pending, milliseconds time_left, milliseconds caller_due)
     -> task<status> {
   auto due = clock_.now() + time_left;
--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "birchlever/coordination/budget_peers.h"
+#include "birchlever/coordination/lease_book.h"
 #include "birchlever/coordination/program_keys.h"
 #include "birchlever/coordination/program_record.h"
 #include "birchlever/coordination/spent_programs.h"
@@ -33,6 +34,8 @@
 
 namespace birchlever {
 
+struct leased_reservation;
+
 /// Settings of the program store. Times in ms.
 struct program_store_settings {
   std::string daemon_ = "daemon";  ///< Identifies this incarnation in the rows of budgets that it draws.
@@ -60,8 +63,12 @@
   milliseconds lease_max_age_ = 100;  ///< Maximum age of a record used to find the holder of a reservation.
   milliseconds lease_margin_ = 50;    ///< Minimum remaining lease of a reservation that is transferred.
   milliseconds max_turn_duration_ =
-      8000;  ///< Minimum time after a lease until another daemon may remove the reservation; longer if turns
-             ///< may take longer. A turn that started under the lease must have ended by then.
+      8000;  ///< Minimum time after a lease until its reservation counts as spent unless it is known to be
+             ///< unused; longer if turns may take longer. A turn that started under it must have ended by then.
+  bool witnessed_leases_ = false;  ///< Leases only with a witness among the peers, so that an unused lease of
+                                   ///< a lost daemon is released. Without one it counts as spent.
+  milliseconds lease_memory_ = 60000;     ///< Time after its expiry for which the use of a lease is remembered.
+  milliseconds inquiry_max_age_ = 1000;   ///< Daemons are asked about a lease again after this time.
   milliseconds budget_max_age_ =
       400;  ///< Maximum age of a record that a refusal may be based on. Must be less than half of the second
             ///< after which the platform accounts for the tokens that a turn spent.
@@ -75,7 +82,8 @@
                                               ///< quarter of the 2 s for which callers wait for events.
 };
 
-/// Counts decisions on budgets since the start of the daemon; all are 0 unless spent_memory_ is set.
+/// Counts decisions on budgets since the start of the daemon. Those before the leases are 0 unless spent_memory_
+/// is set.
 struct budget_statistics {
   std::int64_t refused_from_memory_ = 0;  ///< Turns refused without a store call.
   std::int64_t reports_confirmed_ = 0;    ///< Store reads that confirmed a spent program.
@@ -83,6 +91,9 @@
   std::int64_t shared_leases_ = 0;        ///< Leases taken over by turns for which no budget was left.
   std::int64_t waits_ = 0;                ///< Turns that waited for a running turn of their program.
   std::int64_t waits_served_ = 0;         ///< Of these, turns that got a reservation.
+  std::int64_t leases_not_witnessed_ = 0;  ///< Leases not used since their witness did not record the use.
+  std::int64_t leases_found_unused_ = 0;   ///< Leases of other daemons that were found to be unused.
+  std::int64_t leases_unresolved_ = 0;     ///< Inquiries about leases that may be in use.
 };
 
 /// A request to start a turn.
@@ -159,7 +170,22 @@
   /// Transfers a leased reservation to the daemon at which the program's next turn arrived. Returns false if
   /// it is not held here or about to expire. The reservation is gone from this daemon even if the response is
   /// lost.
-  auto transfer_lease(const std::string& program_key, const std::string& reservation) -> bool;
+  auto transfer_lease(const std::string& program_key, const std::string& reservation,
+                      const std::string& recipient = {}) -> bool;
+
+  /// Tells another daemon whether a turn runs here under a lease that this daemon holds or received. If not,
+  /// none will; remembered for `keep_for` ms.
+  auto answer_inquiry(const std::string& program_key, const std::string& lease, milliseconds keep_for)
+      -> lease_answer;
+
+  /// As witness, records the use of a lease. Returns false if it was revoked.
+  auto witness_use(const std::string& lease, milliseconds keep_for) -> bool;
+
+  /// As witness, revokes a lease unless its use is recorded.
+  auto revoke(const std::string& lease, milliseconds keep_for) -> lease_answer;
+
+  /// Releases the reservations leased for next turns and leases no more, before the daemon stops.
+  auto release_leases() -> void;
 
   /// Sets the peers from which tokens and leases are requested. Without peers only the store is used.
   auto set_budget_peers(std::shared_ptr<budget_peers> peers) -> void { budget_peers_ = std::move(peers); }
@@ -173,6 +199,9 @@
   /// Returns the counts of decisions on budgets.
   [[nodiscard]] auto statistics() const -> const budget_statistics& { return statistics_; }
 
+  /// Returns the number of leases whose use is remembered.
+  [[nodiscard]] auto remembered_leases() const -> std::size_t { return leases_.size(); }
+
   /// Returns the size of the cached histories in bytes.
   [[nodiscard]] auto cached_bytes() const -> std::size_t { return cached_bytes_; }
 
@@ -212,7 +241,6 @@
   /// Waits for the store until `wait_until`, or until it is not expected to be reachable by then.
   auto wait_for_store(milliseconds wait_until, milliseconds caller_due) -> task<status>;
   auto outage_error(milliseconds expected_left, milliseconds caller_due) -> error;
-  auto acquire_local_lease(entry& program, const turn_request& order) -> std::optional<std::string>;
   auto reserve(entry_pointer program, const turn_request& order, const turn_limits& limits,
                milliseconds max_wait) -> task<reserve_outcome>;
   /// Waits for a reservation for up to `time_left` ms, or until the store is not expected back in time for
@@ -224,6 +252,38 @@
   auto evict() -> void;
   [[nodiscard]] auto unavailable_error(const std::string& detail) const -> error;
 
+  // program_store_lease.cpp: uses of leased reservations, and what became of those of other daemons.
+  /// Takes a lease of this daemon that is large enough, if there is one.
+  auto acquire_local_lease(entry& program, const turn_request& order) -> std::optional<leased_reservation>;
+  auto start_under_local_lease(entry_pointer program, const turn_request& order)
+      -> task<std::optional<std::string>>;
+  /// Records the start of a turn with the lease's witness. Returns false if no turn may start under the lease,
+  /// now or later.
+  auto start_under_lease(entry_pointer program, std::string lease, reservation held) -> task<bool>;
+  /// Asks about leases of other daemons, and only about expired ones if `only_expired`. Returns true if any of
+  /// them was found to be unused, or counts as spent.
+  auto inquire_leases(entry_pointer program, bool only_expired) -> task<bool>;
+  auto inquire_lease(entry_pointer program, std::string lease, reservation held) -> task<lease_state>;
+  /// Asks the daemons that may use the lease.
+  auto ask_users(std::string program, std::string lease, milliseconds keep) -> task<lease_state>;
+  /// Asks about expired leases in the background, while their use is still remembered.
+  auto start_inquiry(const entry_pointer& program) -> void;
+  [[nodiscard]] auto needs_inquiry(const entry& program, const std::string& lease, const reservation& held,
+                                   bool only_expired) const -> bool;
+  [[nodiscard]] auto is_expired(const reservation& held) const -> bool;
+  /// Returns for how many ms the use of a lease must be remembered.
+  [[nodiscard]] auto keep_for(milliseconds expires_at) const -> milliseconds;
+  [[nodiscard]] auto longest_next_turn(const change& settled) const -> milliseconds;
+  /// Returns true if a lease counts as spent: it expired, and a turn may have run under it.
+  [[nodiscard]] auto is_lost(const entry& program, const std::string& lease, const reservation& held) const
+      -> bool;
+  [[nodiscard]] auto lost_tokens(const entry& program, const program_record& record) const -> std::int64_t;
+  [[nodiscard]] auto has_open_leases(const entry& program, const program_record& record) const -> bool;
+  /// Removes the leases under which no turn starts, now or later.
+  auto drop_unused_leases(const entry& program, program_record& record) const -> void;
+  /// Takes over the lease of a settlement whose response was lost.
+  auto adopt_lease(const entry& program, const change& settled, batch_plan& planned) const -> void;
+
   // program_store_share.cpp: budgets that concurrent turns share, and programs known to be spent.
   auto acquire_reservation(entry_pointer program, const turn_request& order, const turn_limits& limits)
       -> task<result<std::string>>;
@@ -233,7 +293,7 @@
                             std::size_t max_requests, std::set<std::string>& requested)
       -> task<std::optional<std::string>>;
   [[nodiscard]] auto find_remote_leases(const entry& program, std::int64_t tokens) const
-      -> std::vector<std::string>;
+      -> std::vector<std::pair<std::string, reservation>>;
   /// Waits for a running turn of the program to release its reservation.
   auto share_budget(entry_pointer program, const turn_request& order, const turn_limits& limits,
                     std::set<std::string>& requested) -> task<result<std::string>>;
@@ -289,6 +349,7 @@
   auto record_store_clock(milliseconds store_now, milliseconds requested_at) -> void;
   auto plan(entry& program, bool is_current) -> batch_plan;
   auto complete_batch(entry& program, const batch_plan& planned) -> void;
+  auto log_exhausted(const entry& program, const change& pending) const -> void;
   auto add_turn_rows(const entry& program, const change& pending, row_transaction& transaction) const -> void;
   auto expire_changes(entry& program, const error& reason) -> void;
   /// Waits until the store is reachable or no changes are left. Sends nothing.
@@ -308,6 +369,8 @@
   std::minstd_rand random_;  ///< For jitter.
   std::size_t cached_bytes_ = 0;
   spent_programs spent_;
+  lease_book leases_;
+  bool leasing_ = true;  ///< False once the daemon stops.
   budget_statistics statistics_;
   std::optional<double> smoothed_turn_ms_;  ///< Smoothed duration of the turns on this daemon.
   milliseconds store_clock_offset_ = 0;     ///< Lower bound of the store's clock minus the local clock.
--- a/birchlever/coordination/program_store_draw.cpp
+++ b/birchlever/coordination/program_store_draw.cpp
@@ -175,9 +175,6 @@
   if (before != record.drawn_.end() && before->second.last_draw_ == pending.reservation_) {
     return change_result::done_before;
   }
-  if (check_budget(program, pending, record) && store_clock_known_) {
-    record.drop_expired(store_now());
-  }
   auto drawn = pending.tokens_;
   if (auto refused = check_budget(program, pending, record)) {
     return *refused;
--- /dev/null
+++ b/birchlever/coordination/program_store_lease.cpp
@@ -0,0 +1,303 @@
+/// The part of program_store that starts turns under leased reservations, and finds out what became of the
+/// leases of other daemons.
+///
+/// A reservation is removed only when it is certain that no turn uses it: its holder says so, or its witness,
+/// which then refuses each later use. Any other expired lease counts as spent.
+#include <algorithm>
+
+#include "birchlever/coordination/program_store_state.h"
+#include "birchlever/telemetry/log.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto max_inquiries = std::size_t{4};       // Leases of one program asked about at a time.
+constexpr auto keep_margin = milliseconds{10'000};   // Covers errors of the store's clock and slow calls.
+
+}  // namespace
+
+auto program_store::is_expired(const reservation& held) const -> bool {
+  return held.expires_at_ > 0 && store_clock_known_ && held.expires_at_ <= store_now();
+}
+
+auto program_store::keep_for(milliseconds expires_at) const -> milliseconds {
+  auto left = store_clock_known_ ? expires_at - store_now() : milliseconds{0};
+  return std::max<milliseconds>(left, 0) + settings_.lease_memory_ + keep_margin;
+}
+
+auto program_store::acquire_local_lease(entry& program, const turn_request& order)
+    -> std::optional<leased_reservation> {
+  auto now = clock_.now();
+  auto& leased = program.leased_;
+  std::erase_if(leased, [&](const leased_reservation& entry) { return entry.usable_until_ <= now; });
+  auto fits = [&](const leased_reservation& entry) { return entry.tokens_ >= order.max_tokens_; };
+  auto found = std::find_if(leased.begin(), leased.end(), fits);
+  if (found == leased.end()) {
+    return std::nullopt;
+  }
+  auto lease = std::move(*found);
+  leased.erase(found);
+  return lease;
+}
+
+auto program_store::start_under_local_lease(entry_pointer program, const turn_request& order)
+    -> task<std::optional<std::string>> {
+  auto local = acquire_local_lease(*program, order);
+  while (local) {
+    auto held = reservation{local->tokens_, local->expires_at_, local->witness_};
+    auto started = co_await start_under_lease(program, local->name_, held);
+    if (started) {
+      co_return std::move(local->name_);
+    }
+    local = acquire_local_lease(*program, order);
+  }
+  co_return std::nullopt;
+}
+
+auto program_store::start_under_lease(entry_pointer program, std::string lease, reservation held)
+    -> task<bool> {
+  if (!leases_.begin_use(lease)) {
+    co_return false;
+  }
+  auto keep = keep_for(held.expires_at_);
+  auto recorded = held.witness_.empty();
+  if (held.witness_ == settings_.daemon_) {
+    recorded = witness_use(lease, keep);
+  } else if (!recorded && budget_peers_) {
+    recorded = co_await budget_peers_->record_lease_use(lease, held.witness_, keep);
+  }
+  if (recorded) {
+    co_return true;
+  }
+  leases_.abandon_use(lease, clock_.now() + keep, clock_.now());
+  ++statistics_.leases_not_witnessed_;
+  log_event(log_level::info, "lease_not_witnessed",
+            {{"program", program->name_}, {"reservation", lease}, {"witness", held.witness_}});
+  co_return false;
+}
+
+auto program_store::transfer_lease(const std::string& program_key, const std::string& reservation,
+                                   const std::string& recipient) -> bool {
+  auto known = entries_.find(program_key);
+  if (known == entries_.end()) {
+    return false;
+  }
+  auto& leased = known->second->leased_;
+  auto matches = [&](const leased_reservation& entry) { return entry.name_ == reservation; };
+  auto found = std::find_if(leased.begin(), leased.end(), matches);
+  auto usable = found != leased.end() && found->usable_until_ > clock_.now() + settings_.lease_margin_;
+  if (usable) {
+    auto now = clock_.now();
+    leases_.transfer(reservation, recipient, now + keep_for(found->expires_at_), now);
+    leased.erase(found);
+  }
+  return usable;
+}
+
+auto program_store::answer_inquiry(const std::string& program_key, const std::string& lease,
+                                   milliseconds keep_for) -> lease_answer {
+  auto known = entries_.find(program_key);
+  if (known != entries_.end()) {
+    std::erase_if(known->second->leased_,
+                  [&](const leased_reservation& entry) { return entry.name_ == lease; });
+  }
+  auto now = clock_.now();
+  if (leases_.retire(lease, now + keep_for, now)) {
+    return {lease_state::unused, {}};
+  }
+  auto recipient = leases_.recipient_of(lease);
+  return {recipient.empty() ? lease_state::in_use : lease_state::transferred, recipient};
+}
+
+auto program_store::witness_use(const std::string& lease, milliseconds keep_for) -> bool {
+  auto now = clock_.now();
+  return leases_.witness_use(lease, now + keep_for, now);
+}
+
+auto program_store::revoke(const std::string& lease, milliseconds keep_for) -> lease_answer {
+  auto now = clock_.now();
+  auto revoked = leases_.revoke(lease, now + keep_for, now);
+  return {revoked ? lease_state::unused : lease_state::in_use, {}};
+}
+
+auto program_store::release_leases() -> void {
+  leasing_ = false;
+  auto now = clock_.now();
+  for (const auto& [name, program] : entries_) {
+    for (const auto& lease : std::exchange(program->leased_, {})) {
+      leases_.retire(lease.name_, now + keep_for(lease.expires_at_), now);
+      auto pending = std::make_shared<change>(*loop_);
+      pending->kind_ = change::kind::release;
+      pending->reservation_ = lease.name_;
+      pending->times_out_at_ = now + settings_.cleanup_timeout_;
+      queue(program, std::move(pending));
+    }
+  }
+}
+
+auto program_store::needs_inquiry(const entry& program, const std::string& lease, const reservation& held,
+                                  bool only_expired) const -> bool {
+  auto use = leases_.use_of(lease);
+  auto elsewhere = use == lease_use::transferred ||
+                   (use == lease_use::unknown && holder_of_lease(lease) != settings_.daemon_);
+  if (held.expires_at_ == 0 || !elsewhere || (only_expired && !is_expired(held))) {
+    return false;
+  }
+  auto asked = program.inquired_.find(lease);
+  auto recent =
+      asked != program.inquired_.end() && clock_.now() - asked->second < settings_.inquiry_max_age_;
+  auto remembered =
+      !store_clock_known_ || store_now() + store_clock_error_ <= held.expires_at_ + settings_.lease_memory_;
+  return budget_peers_ && !recent && remembered;
+}
+
+auto program_store::is_lost(const entry& program, const std::string& lease, const reservation& held) const
+    -> bool {
+  return is_expired(held) && leases_.use_of(lease) != lease_use::in_use &&
+         !needs_inquiry(program, lease, held, true);
+}
+
+auto program_store::lost_tokens(const entry& program, const program_record& record) const -> std::int64_t {
+  auto total = std::int64_t{0};
+  for (const auto& [name, held] : record.reserved_) {
+    total += is_lost(program, name, held) ? held.tokens_ : 0;
+  }
+  return total;
+}
+
+auto program_store::has_open_leases(const entry& program, const program_record& record) const -> bool {
+  return std::any_of(record.reserved_.begin(), record.reserved_.end(), [&](const auto& entry) {
+    return entry.second.expires_at_ > 0 && !is_lost(program, entry.first, entry.second);
+  });
+}
+
+auto program_store::drop_unused_leases(const entry& program, program_record& record) const -> void {
+  auto now = clock_.now();
+  std::erase_if(record.reserved_, [&](const auto& entry) {
+    const auto& [name, held] = entry;
+    auto use = leases_.use_of(name);
+    auto own = held.expires_at_ > 0 && holder_of_lease(name) == settings_.daemon_;
+    if (use != lease_use::unknown || !own) {
+      return use == lease_use::retired;
+    }
+    auto matches = [&name = name](const leased_reservation& lease) { return lease.name_ == name; };
+    auto kept = std::find_if(program.leased_.begin(), program.leased_.end(), matches);
+    if (kept != program.leased_.end()) {
+      return kept->usable_until_ <= now;
+    }
+    // The write that leased it got no response, or the program was evicted: no turn starts under it.
+    return is_expired(held) && store_now() <= held.expires_at_ + settings_.lease_memory_;
+  });
+}
+
+auto program_store::adopt_lease(const entry& program, const change& settled, batch_plan& planned) const
+    -> void {
+  auto name = lease_name(settled.turn_key_, settings_.daemon_);
+  auto found = planned.record_.reserved_.find(name);
+  auto is_held = std::any_of(program.leased_.begin(), program.leased_.end(),
+                             [&](const leased_reservation& lease) { return lease.name_ == name; });
+  auto adopted = found != planned.record_.reserved_.end() && !is_held && leasing_ &&
+                 leases_.use_of(name) == lease_use::unknown;
+  if (adopted) {
+    const auto& held = found->second;
+    auto usable_until = held.expires_at_ - store_clock_offset_ - longest_next_turn(settled);
+    planned.leased_.push_back(
+        {name, held.tokens_, usable_until - store_clock_error_, held.expires_at_, held.witness_});
+  }
+}
+
+auto program_store::longest_next_turn(const change& settled) const -> milliseconds {
+  return std::max(settings_.max_turn_duration_, settled.max_next_duration_);
+}
+
+auto program_store::ask_users(std::string program, std::string lease, milliseconds keep)
+    -> task<lease_state> {
+  auto asked = holder_of_lease(lease);
+  auto known = leases_.recipient_of(lease);
+  if (!known.empty()) {
+    asked = std::move(known);
+  }
+  auto answer = co_await budget_peers_->inquire_lease(program, lease, asked, keep);
+  if (answer.state_ == lease_state::transferred && answer.recipient_ == settings_.daemon_) {
+    co_return lease_state::unused;  // The response to this daemon's request was lost.
+  }
+  if (answer.state_ == lease_state::transferred) {
+    answer = co_await budget_peers_->inquire_lease(program, lease, answer.recipient_, keep);
+  }
+  co_return answer.state_;
+}
+
+auto program_store::inquire_lease(entry_pointer program, std::string lease, reservation held)
+    -> task<lease_state> {
+  auto keep = keep_for(held.expires_at_);
+  auto by_users = co_await ask_users(program->name_, lease, keep);
+  auto state = by_users;
+  auto resolved = state == lease_state::unused || state == lease_state::in_use;
+  if (!resolved && held.witness_ == settings_.daemon_) {
+    state = revoke(lease, keep).state_;
+  } else if (!resolved && !held.witness_.empty()) {
+    auto answer = co_await budget_peers_->revoke_lease(lease, held.witness_, keep);
+    state = answer.state_;
+  }
+  log_event(log_level::info, "lease_inquired",
+            {{"program", program->name_},
+             {"reservation", lease},
+             {"witness", held.witness_},
+             {"users", std::string{name_of(by_users)}},
+             {"state", std::string{name_of(state)}},
+             {"expired", is_expired(held)},
+             {"tokens", held.tokens_}});
+  co_return state;
+}
+
+auto program_store::inquire_leases(entry_pointer program, bool only_expired) -> task<bool> {
+  if (!budget_peers_) {
+    co_return false;
+  }
+  auto self = shared_from_this();
+  auto asked = std::vector<std::pair<std::string, reservation>>{};
+  for (const auto& [name, held] : program->record_.reserved_) {
+    if (asked.size() < max_inquiries && needs_inquiry(*program, name, held, only_expired)) {
+      asked.emplace_back(name, held);
+    }
+  }
+  auto changed = false;
+  ++program->users_;
+  for (const auto& [name, held] : asked) {
+    auto state = co_await inquire_lease(program, name, held);
+    auto now = clock_.now();
+    auto unused =
+        state == lease_state::unused && leases_.retire(name, now + keep_for(held.expires_at_), now);
+    if (unused) {
+      ++statistics_.leases_found_unused_;
+      changed = true;
+    } else {
+      program->inquired_[name] = now;
+      ++statistics_.leases_unresolved_;
+      changed = changed || is_expired(held);
+    }
+  }
+  --program->users_;
+  const auto& reserved = program->record_.reserved_;
+  std::erase_if(program->inquired_, [&](const auto& entry) { return reserved.count(entry.first) == 0; });
+  co_return changed;
+}
+
+auto program_store::start_inquiry(const entry_pointer& program) -> void {
+  const auto& reserved = program->record_.reserved_;
+  auto needed = std::any_of(reserved.begin(), reserved.end(), [&](const auto& entry) {
+    return needs_inquiry(*program, entry.first, entry.second, true);
+  });
+  if (!needed || program->inquiring_ || !budget_peers_) {
+    return;
+  }
+  program->inquiring_ = true;
+  auto inquire = [](std::shared_ptr<program_store> store, entry_pointer about) -> task<> {
+    co_await store->inquire_leases(about, true);
+    about->inquiring_ = false;
+    store->evict();
+  };
+  start(*loop_, "inquire_leases", inquire(shared_from_this(), program));
+}
+
+}  // namespace birchlever
--- a/birchlever/coordination/program_store_share.cpp
+++ b/birchlever/coordination/program_store_share.cpp
@@ -32,8 +32,9 @@
 
 auto program_store::acquire_reservation(entry_pointer program, const turn_request& order,
                                         const turn_limits& limits) -> task<result<std::string>> {
-  if (auto local = acquire_local_lease(*program, order)) {
-    co_return std::move(*local);
+  auto held = co_await start_under_local_lease(program, order);
+  if (held) {
+    co_return std::move(*held);
   }
   auto requested = std::set<std::string>{};
   auto remote = co_await acquire_remote_lease(program, order.max_tokens_, settings_.lease_max_age_,
@@ -43,6 +44,12 @@
   }
   auto max_wait = order.max_wait_.value_or(settings_.max_start_wait_);
   auto reserved = co_await reserve(program, order, limits, max_wait);
+  if (reserved.budget_leased_ && !settings_.spent_memory_) {  // Otherwise share_budget asks.
+    auto released = co_await inquire_leases(program, false);
+    if (released) {
+      reserved = co_await reserve(program, order, limits, max_wait);
+    }
+  }
   if (ok(reserved.status_)) {
     co_return order.turn_;
   }
@@ -54,16 +61,16 @@
 }
 
 auto program_store::find_remote_leases(const entry& program, std::int64_t tokens) const
-    -> std::vector<std::string> {
-  auto names = std::vector<std::string>{};
+    -> std::vector<std::pair<std::string, reservation>> {
+  auto found = std::vector<std::pair<std::string, reservation>>{};
   for (const auto& [name, held] : program.record_.reserved_) {
     auto holder = holder_of_lease(name);
-    auto usable = held.expires_at_ > 0 && held.tokens_ >= tokens && !holder.empty();
-    if (usable && holder != settings_.daemon_ && program.started_.count(name) == 0) {
-      names.push_back(name);
+    auto usable = held.expires_at_ > 0 && !is_expired(held) && held.tokens_ >= tokens && !holder.empty();
+    if (usable && holder != settings_.daemon_ && leases_.use_of(name) == lease_use::unknown) {
+      found.emplace_back(name, held);
     }
   }
-  return names;
+  return found;
 }
 
 auto program_store::acquire_remote_lease(entry_pointer program, std::int64_t tokens, milliseconds max_age,
@@ -74,17 +81,20 @@
     co_return std::nullopt;
   }
   auto leases = find_remote_leases(*program, tokens);
-  for (const auto& reservation : leases) {
+  for (const auto& [name, held] : leases) {
     if (requested.size() >= max_requests) {
       co_return std::nullopt;
     }
-    if (!requested.insert(reservation).second) {
+    if (!requested.insert(name).second) {
+      continue;
+    }
+    auto given = co_await budget_peers_->request_lease(program->name_, name, holder_of_lease(name));
+    if (!given) {
       continue;
     }
-    auto given =
-        co_await budget_peers_->request_lease(program->name_, reservation, holder_of_lease(reservation));
-    if (given) {
-      co_return reservation;
+    auto started = co_await start_under_lease(program, name, held);
+    if (started) {
+      co_return name;
     }
   }
   co_return std::nullopt;
@@ -119,20 +129,23 @@
       log_outcome("lease_transferred", *lease);
       co_return std::move(*lease);
     }
-    if (clock_.now() >= give_up_at) {
+    auto released = co_await inquire_leases(program, false);
+    if (!released && clock_.now() >= give_up_at) {
       log_outcome("refused", "");
       co_return budget_reserved_error();
     }
-    statistics_.waits_ += std::exchange(waited, true) ? 0 : 1;
-    auto changed_here = co_await program->changed_.wait_for(give_up_at - clock_.now());
-    if (!changed_here) {
-      program->record_at_.reset();  // Turns of other daemons may have ended; a refusal requires a new read.
-    }
-    auto local = acquire_local_lease(*program, order);
-    if (local) {
-      ++statistics_.waits_served_;
-      log_outcome("lease_held", *local);
-      co_return std::move(*local);
+    if (!released) {
+      statistics_.waits_ += std::exchange(waited, true) ? 0 : 1;
+      auto changed_here = co_await program->changed_.wait_for(give_up_at - clock_.now());
+      if (!changed_here) {
+        program->record_at_.reset();  // Turns of other daemons may have ended; a refusal requires a new read.
+      }
+      auto local = co_await start_under_local_lease(program, order);
+      if (local) {
+        ++statistics_.waits_served_;
+        log_outcome("lease_held", *local);
+        co_return std::move(*local);
+      }
     }
     auto wait_left = std::max<milliseconds>(limits.wait_until_ - clock_.now(), 0);
     auto reserved = co_await reserve(program, order, limits, wait_left);
--- a/birchlever/coordination/program_store_state.h
+++ b/birchlever/coordination/program_store_state.h
@@ -72,6 +72,11 @@
 /// Separates turn and daemon in the name of a leased reservation.
 inline constexpr auto lease_separator = '+';
 
+/// Returns the name of the reservation that a daemon leases when a turn ends.
+[[nodiscard]] inline auto lease_name(const std::string& turn_key, const std::string& daemon) -> std::string {
+  return turn_key + lease_separator + daemon;
+}
+
 /// Returns the daemon that holds a leased reservation, given the reservation's name; empty for other
 /// reservations.
 [[nodiscard]] inline auto holder_of_lease(const std::string& reservation) -> std::string {
@@ -84,6 +89,8 @@
   std::string name_;
   std::int64_t tokens_ = 0;
   milliseconds usable_until_ = 0;  ///< On the local clock.
+  milliseconds expires_at_ = 0;    ///< On the store's clock.
+  std::string witness_;
 };
 
 /// Cached state of a program.
@@ -97,6 +104,9 @@
   std::optional<milliseconds> record_at_;  ///< Time at which the record was the newest, on the local clock.
   std::unordered_map<std::string, std::shared_ptr<const turn_record>> turns_;
   std::vector<leased_reservation> leased_;
+  std::map<std::string, milliseconds> inquired_;  ///< Leases of other daemons that may be in use, and when
+                                                  ///< these were last asked.
+  bool inquiring_ = false;  ///< Daemons are being asked about expired leases.
   std::map<std::string, milliseconds>
       started_;             ///< Reservations of turns in progress on this daemon, and their starts.
   std::int64_t drawn_ = 0;  ///< Tokens drawn by this daemon and not used by a turn.
--- a/birchlever/coordination/program_store_write.cpp
+++ b/birchlever/coordination/program_store_write.cpp
@@ -61,6 +61,7 @@
     auto written = co_await write_batch(program);
     if (ok(written)) {
       delay = min_retry_delay;
+      start_inquiry(program);
       continue;
     }
     expire_changes(*program, failure(written));
@@ -90,7 +91,8 @@
   if (!pending.budget_ || record.committed() + pending.tokens_ <= *pending.budget_) {
     return std::nullopt;
   }
-  auto spent_alone = record.spent_ + pending.tokens_ > *pending.budget_;
+  auto spent = record.spent_ + lost_tokens(program, record);
+  auto spent_alone = spent + pending.tokens_ > *pending.budget_;
   if (settings_.spent_memory_ && pending.kind_ == change::kind::reserve) {
     // Turns seldom use their whole reservation, so only spent tokens prove that the budget is exhausted.
     return spent_alone ? change_result::over_budget : change_result::budget_leased;
@@ -100,7 +102,7 @@
   // parallel.
   auto started = record.started_turns();
   auto may_be_abandoned = started.size() == 1 && program.started_.count(started.front()) == 0;
-  auto is_held = record.has_leased() || may_be_abandoned;
+  auto is_held = has_open_leases(program, record) || may_be_abandoned;
   return is_held && !spent_alone ? change_result::budget_leased : change_result::over_budget;
 }
 
@@ -109,13 +111,10 @@
   if (record.reserved_.count(pending.reservation_) != 0) {
     return change_result::done_before;
   }
-  if (check_budget(program, pending, record) && store_clock_known_) {
-    record.drop_expired(store_now());
-  }
   if (auto refused = check_budget(program, pending, record)) {
     return *refused;
   }
-  record.reserved_[pending.reservation_] = {pending.tokens_, 0};
+  record.reserved_[pending.reservation_] = {pending.tokens_, 0, {}};
   return change_result::applied;
 }
 
@@ -163,15 +162,22 @@
   auto& record = planned.record_;
   // Leaves budget for one turn through another daemon, so that a lease rarely makes that turn wait.
   auto fits = settled.budget_ && record.committed() + 2 * settled.max_tokens_ <= *settled.budget_;
-  if (!settled.record_ || !fits || !store_clock_known_ || leased_count >= settings_.max_leased_) {
+  if (!leasing_ || !settled.record_ || !fits || !store_clock_known_ ||
+      leased_count >= settings_.max_leased_) {
+    return;
+  }
+  auto witness = std::optional<std::string>{std::string{}};
+  if (settings_.witnessed_leases_) {
+    witness = budget_peers_ ? budget_peers_->choose_witness() : std::nullopt;
+  }
+  if (!witness) {
     return;
   }
   auto usable_until = clock_.now() + settings_.reservation_lease_;
-  auto next = leased_reservation{settled.turn_key_ + lease_separator + settings_.daemon_, settled.max_tokens_,
-                                 usable_until - store_clock_error_};
-  auto longest_turn = std::max(settings_.max_turn_duration_, settled.max_next_duration_);
-  auto expires_at = usable_until + store_clock_offset_ + longest_turn;
-  record.reserved_[next.name_] = {next.tokens_, expires_at};
+  auto expires_at = usable_until + store_clock_offset_ + longest_next_turn(settled);
+  auto next = leased_reservation{lease_name(settled.turn_key_, settings_.daemon_), settled.max_tokens_,
+                                 usable_until - store_clock_error_, expires_at, *witness};
+  record.reserved_[next.name_] = {next.tokens_, expires_at, next.witness_};
   planned.leased_.push_back(std::move(next));
 }
 
@@ -191,6 +197,7 @@
 auto program_store::plan(entry& program, bool is_current) -> batch_plan {
   auto planned = batch_plan{};
   planned.record_ = program.record_;
+  drop_unused_leases(program, planned.record_);
   auto now = clock_.now();
   auto has_draw = false;
   for (const auto& pending : program.queue_) {
@@ -216,6 +223,9 @@
       return planned;
     }
     planned.changes_.emplace_back(pending, change_outcome);
+    if (change_outcome == change_result::done_before && pending->kind_ == change::kind::settle) {
+      adopt_lease(program, *pending, planned);
+    }
     if (change_outcome != change_result::applied) {
       continue;
     }
@@ -239,6 +249,19 @@
   return planned;
 }
 
+auto program_store::log_exhausted(const entry& program, const change& pending) const -> void {
+  const auto& record = program.record_;
+  log_event(log_level::info, "budget_exhausted",
+            {{"request", pending.turn_},
+             {"program", program.name_},
+             {"budget", pending.budget_.value_or(0)},
+             {"tokens", pending.tokens_},
+             {"spent", record.spent_},
+             {"reserved", record.committed() - record.spent_},
+             {"lost", lost_tokens(program, record)},
+             {"record_age_ms", program.record_at_ ? clock_.now() - *program.record_at_ : milliseconds{-1}}});
+}
+
 auto program_store::complete_batch(entry& program, const batch_plan& planned) -> void {
   program.leased_.insert(program.leased_.end(), planned.leased_.begin(), planned.leased_.end());
   for (const auto& [pending, change_outcome] : planned.changes_) {
@@ -249,7 +272,11 @@
       complete_draw(program, *pending, change_outcome, planned.record_);
     }
     remember_if_spent(program, *pending, planned.record_);
+    if (!pending->starts_turn()) {
+      leases_.end_use(pending->reservation_);
+    }
     if (change_outcome == change_result::over_budget) {
+      log_exhausted(program, *pending);
       complete_change(pending, error{error_code::budget_exhausted,
                                      "remaining budget of the program is below the token limit of the turn"});
     } else if (change_outcome == change_result::budget_leased) {
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -52,6 +52,7 @@
     : settings_{settings},
       settings_file_{std::move(settings_file)},
       incarnation_{std::random_device{}()},
+      random_{incarnation_},
       stop_signals_{loop_, SIGTERM, SIGINT},
       reload_signals_{loop_, SIGHUP},
       context_{std::make_shared<gateway_context>()} {}
@@ -88,6 +89,7 @@
   program_settings.max_start_wait_ = settings_.store_patience_ms_;
   program_settings.retry_after_ = settings_.store_retry_ms_;
   program_settings.spent_memory_ = settings_.spent_memory_ != 0;
+  program_settings.witnessed_leases_ = true;
   auto programs = program_store::create(loop_, store_, program_settings);
   if (!ok(programs)) {
     return failure(programs);
@@ -375,6 +377,7 @@
   if (allowances_) {
     start(loop_, "release_allowances", allowances_->release());
   }
+  context_->programs_->release_leases();
   auto quiet_at = std::min(began + balancer_looks_ms, leave_at);
   co_await pause_for(loop_, quiet_at - began);
   server_->stop_accepting();
--- a/birchlever_daemon/gateway_daemon.h
+++ b/birchlever_daemon/gateway_daemon.h
@@ -4,6 +4,8 @@
 #include <boost/asio/signal_set.hpp>
 #include <map>
 #include <memory>
+#include <optional>
+#include <random>
 #include <string>
 
 #include "birchlever/controllers/peer_exchange.h"
@@ -61,6 +63,8 @@
   [[nodiscard]] auto may_have_lost_daemon() const -> bool;
   auto share_upstream_feed() -> void;
   auto incarnation_name() const -> std::string;
+  /// Returns the name of a peer's process that can witness leases; none if there is none.
+  auto choose_process() -> std::optional<std::string>;
   auto describe_self() const -> peer_state;
   auto follow_peers() -> task<>;
   auto enable_admission() -> void;
@@ -86,6 +90,7 @@
   std::string settings_file_;
   std::string settings_text_;
   std::uint32_t incarnation_;  ///< Drawn at each start: what an earlier process drew of budgets is not here.
+  std::minstd_rand random_;    ///< For the choice of witnesses.
   event_loop loop_{1};
   asio::signal_set stop_signals_;
   asio::signal_set reload_signals_;
--- a/birchlever_daemon/gateway_daemon_pages.cpp
+++ b/birchlever_daemon/gateway_daemon_pages.cpp
@@ -111,6 +111,10 @@
   counters.gauge("budget_leases_shared", static_cast<double>(budgets.shared_leases_));
   counters.gauge("budget_waits", static_cast<double>(budgets.waits_));
   counters.gauge("budget_waits_served", static_cast<double>(budgets.waits_served_));
+  counters.gauge("leases_not_witnessed", static_cast<double>(budgets.leases_not_witnessed_));
+  counters.gauge("leases_inquired{result=\"unused\"}", static_cast<double>(budgets.leases_found_unused_));
+  counters.gauge("leases_inquired{result=\"unresolved\"}", static_cast<double>(budgets.leases_unresolved_));
+  counters.gauge("leases_remembered", static_cast<double>(context_->programs_->remembered_leases()));
   counters.gauge("upstream_connections_opened",
                  static_cast<double>(context_->upstream_connections_->opened()));
   counters.gauge("configuration_version",
--- a/birchlever_daemon/gateway_daemon_peers.cpp
+++ b/birchlever_daemon/gateway_daemon_peers.cpp
@@ -29,6 +29,7 @@
                           // some ten seconds. At 350 daemons each is heard by then.
 constexpr auto unknown_fleet = std::int64_t{1000};      // Daemons that are assumed until the list of them is
                                                         // known, so that nobody takes too large a share.
+constexpr auto witness_max_age = milliseconds{3000};  // A peer that was silent for longer may have ended.
 constexpr auto peer_address_age = milliseconds{10000};  // Addresses stay; of a thousand peers half are heard
                                                         // within it. One that was lost does not answer.
 constexpr auto peer_clock_margin = milliseconds{150};   // Calls that were under way when the store went away.
@@ -37,6 +38,10 @@
 constexpr auto crash_memory = milliseconds{30000};
 constexpr auto missed_messages = std::int64_t{6};  // Of a peer, after which it may have ended.
 constexpr auto ms_per_second = 1000.0;
+
+auto name_of_process(const std::string& vm, std::uint32_t incarnation) -> std::string {
+  return vm + "@" + std::to_string(incarnation);
+}
 // Time between two samples of the store's writes.
 constexpr auto pressure_gap = milliseconds{100};
 // Services are sampled less often, since this visits up to 10,000 upstreams.
@@ -67,6 +72,7 @@
   transfer_settings.daemon_ = incarnation_name();
   budget_transfer_ = budget_transfer::create(
       loop_, transfer_settings, [this] { return peers_->views().addresses_within(peer_address_age); });
+  budget_transfer_->set_witnesses([this] { return choose_process(); });
   context_->programs_->set_budget_peers(budget_transfer_);
   auto held = hold_allowances();
   if (!ok(held)) {
@@ -210,7 +216,13 @@
 }
 
 auto gateway_daemon::incarnation_name() const -> std::string {
-  return settings_.vm_id_ + "@" + std::to_string(incarnation_);
+  return name_of_process(settings_.vm_id_, incarnation_);
+}
+
+auto gateway_daemon::choose_process() -> std::optional<std::string> {
+  const auto* peer = peers_->views().find_process(random_(), witness_max_age,
+                                                  regions_.region_of(settings_.data_hall_));
+  return peer == nullptr ? std::nullopt : std::optional{name_of_process(peer->vm_, *peer->incarnation_)};
 }
 
 auto gateway_daemon::describe_self() const -> peer_state {
@@ -234,6 +246,7 @@
   }
   state.speeds_ = context_->upstreams_->speed_reports();
   state.uptime_ = context_->clock_.now() - joined_at_;
+  state.incarnation_ = incarnation_;
   return state;
 }
 
--- a/unit_tests/controllers/budget_transfer_test.cpp
+++ b/unit_tests/controllers/budget_transfer_test.cpp
@@ -111,4 +111,52 @@
   CHECK(status_of(fixture, "/allowance/p") == 400);
 }
 
+/// Failure: a use of a lease is taken as recorded although its witness does not know of it.
+TEST_CASE("a use of a lease is recorded by its witness, unless the lease was revoked", "[lease_use]") {
+  auto fixture = transfer_fixture{};
+  auto record = [&](const std::string& lease, const std::string& witness) {
+    return run_to_end(fixture.loop_, fixture.requester_->record_lease_use(lease, witness, 1000));
+  };
+  auto revoke = [&](const std::string& lease, const std::string& witness) {
+    return run_to_end(fixture.loop_, fixture.requester_->revoke_lease(lease, witness, 1000)).state_;
+  };
+  CHECK(record("t1+vm-2@9", "vm-1@7"));
+  CHECK(revoke("t1+vm-2@9", "vm-1@7") == lease_state::in_use);
+  CHECK(revoke("t2+vm-2@9", "vm-1@7") == lease_state::unused);
+  CHECK_FALSE(record("t2+vm-2@9", "vm-1@7"));
+  CHECK_FALSE(record("t3+vm-2@9", "vm-1@6"));  // An earlier incarnation, which may have known of other uses.
+  CHECK(revoke("t3+vm-2@9", "vm-1@6") == lease_state::unresolved);
+  CHECK(revoke("t3+vm-2@9", "vm-3@1") == lease_state::unresolved);
+}
+
+/// Failure: an inquiry is answered by another incarnation than the one that may use the lease.
+TEST_CASE("a daemon tells whether it uses a lease, and to which daemon it transferred it", "[lease_use]") {
+  auto fixture = transfer_fixture{};
+  auto order = turn_request{"p", "t1", "", 400, 40, "in"};
+  auto granted = run_to_end(fixture.loop_, fixture.holder_->begin_turn(order, max_wait));
+  REQUIRE(ok(granted));
+  auto ended = turn_completion{"p", "t1", value(granted).reservation_, 4, 4, 400, 0, std::nullopt};
+  ended.record_ = turn_record{"", "in", "out", "engine-1"};
+  REQUIRE(ok(run_to_end(fixture.loop_, fixture.holder_->end_turn(std::move(ended), max_wait))));
+  auto inquire = [&](const std::string& lease, const std::string& daemon) {
+    return run_to_end(fixture.loop_, fixture.requester_->inquire_lease("p", lease, daemon, 1000));
+  };
+  CHECK(run_to_end(fixture.loop_, fixture.requester_->request_lease("p", "t1+vm-1@7", "vm-1@7")));
+  CHECK(inquire("t1+vm-1@7", "vm-1@7").state_ == lease_state::transferred);
+  CHECK(inquire("t1+vm-1@7", "vm-1@7").recipient_ == "vm-2@9");
+  CHECK(inquire("t2+vm-1@7", "vm-1@7").state_ == lease_state::unused);
+  CHECK(inquire("t2+vm-1@7", "vm-1@6").state_ == lease_state::unresolved);
+}
+
+/// Failure: a malformed request about a lease changes what is remembered of it.
+TEST_CASE("a malformed request about a lease is rejected", "[lease_use]") {
+  auto fixture = transfer_fixture{};
+  CHECK(status_of(fixture, "/lease_use/t1/soon/vm-1@7") == 400);
+  CHECK(status_of(fixture, "/lease_use/t1/99999999999/vm-1@7") == 400);
+  CHECK(status_of(fixture, "/lease_revocation/t1") == 400);
+  CHECK(status_of(fixture, "/lease_inquiry/t1/1000/vm-1@7") == 400);
+  CHECK(status_of(fixture, "/lease/p/t1") == 400);
+  CHECK(status_of(fixture, "/lease/p/t1/vm-1@7") == 410);  // As sent by earlier versions.
+}
+
 }  // namespace birchlever
--- /dev/null
+++ b/unit_tests/coordination/lease_use_test.cpp
@@ -0,0 +1,200 @@
+/// Guards budgets against leased reservations of lost daemons: a turn that ran under one must stay counted, and
+/// one that was not used must be released.
+#include <catch2/catch.hpp>
+
+#include "unit_tests/coordination/lease_fleet.h"
+
+namespace birchlever {
+namespace {
+
+constexpr auto limit = lease_fleet::turn_limit;
+constexpr auto budget = 4 * limit;
+
+/// Runs turns at a daemon until one is not served. Returns the error code and adds to `served`.
+auto run_until_refused(lease_fleet& fleet, int vm, int& served) -> std::optional<error_code> {
+  for (auto number = 0; number < 2 * budget / limit; ++number) {
+    auto name = "n" + std::to_string(vm) + "-" + std::to_string(served);
+    auto granted = fleet.begin(vm, name, "t1", budget);
+    if (!ok(granted)) {
+      return failure(granted).code_;
+    }
+    ++served;
+    REQUIRE(ok(fleet.end(vm, name, "t1", value(granted), budget)));
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+/// Failure: after a kill the tokens of a turn that ran under a lease are granted a second time.
+TEST_CASE("a turn under a lease stays counted when its daemon is killed", "[lease_use]") {
+  for (auto witnessed : {false, true}) {
+    for (auto spent_memory : {false, true}) {
+      CAPTURE(witnessed, spent_memory);
+      auto fleet = lease_fleet{3, witnessed, spent_memory};
+      fleet.only_witness_ = 1;
+      fleet.turn(0, "t1", "", budget);
+      REQUIRE(ok(fleet.begin(0, "t2", "t1", budget)));  // Runs under the lease.
+      fleet.kill(0, false);
+      fleet.expire_leases();
+      auto served = 0;
+      CHECK(run_until_refused(fleet, 2, served) == error_code::budget_exhausted);
+      CHECK(served == 2);  // Four turns, less the one that ended and the one under way at the kill.
+    }
+  }
+}
+
+/// Failure: a program is refused for a reservation that nobody used.
+TEST_CASE("an unused lease of a killed daemon is released at once", "[lease_use]") {
+  for (auto spent_memory : {false, true}) {
+    for (auto next : {1, 2}) {  // The witness itself, and another daemon.
+      CAPTURE(spent_memory, next);
+      auto fleet = lease_fleet{3, true, spent_memory};
+      fleet.only_witness_ = 1;
+      fleet.turn(0, "t1", "", budget);
+      fleet.kill(0, false);
+      auto served = 0;
+      auto clock = steady_clock{};
+      auto started_at = clock.now();
+      CHECK(run_until_refused(fleet, next, served) == error_code::budget_exhausted);
+      CHECK(served == 3);
+      CHECK(clock.now() - started_at < lease_fleet::max_wait);
+    }
+  }
+}
+
+/// Failure: the witness of a lost lease is gone, too, and the program is held by 503 for ever.
+TEST_CASE("a lease whose holder and witness are lost counts as spent once it has expired", "[lease_use]") {
+  auto fleet = lease_fleet{3};
+  fleet.settings_.max_turn_duration_ = 600;
+  fleet.kill(0);  // With the longer time until leases expire.
+  fleet.only_witness_ = 1;
+  fleet.turn(0, "t1", "", budget);
+  fleet.kill(0);
+  fleet.kill(1);
+  auto served = 0;
+  CHECK(run_until_refused(fleet, 2, served) == error_code::store_unavailable);
+  fleet.expire_leases();
+  CHECK(run_until_refused(fleet, 2, served) == error_code::budget_exhausted);
+  CHECK(served == 2);
+}
+
+/// Failure: a daemon that was paused starts a turn under a lease that was released meanwhile.
+TEST_CASE("a paused holder starts no turn under a lease that was released without it", "[lease_use]") {
+  auto fleet = lease_fleet{3};
+  fleet.settings_.reservation_lease_ = 60'000;
+  fleet.kill(0);  // With the longer lease.
+  fleet.only_witness_ = 1;
+  fleet.turn(0, "t1", "", budget);
+  fleet.daemon(0).paused_ = true;
+  auto served = 0;
+  CHECK(run_until_refused(fleet, 2, served) == error_code::budget_exhausted);
+  CHECK(served == 3);
+  fleet.daemon(0).paused_ = false;
+  CHECK(code_of(fleet.begin(0, "t2", "t1", budget)) == error_code::budget_exhausted);
+  CHECK(fleet.daemon(0).store_->statistics().leases_not_witnessed_ == 1);
+}
+
+/// Failure: a turn starts under a lease although no other daemon knows of it, or its budget is lost with the
+/// witness.
+TEST_CASE("without its witness a lease is not used, and its tokens stay available", "[lease_use]") {
+  auto fleet = lease_fleet{3};
+  fleet.only_witness_ = 1;
+  fleet.turn(0, "t1", "", budget);
+  fleet.kill(1, false);
+  auto commits = fleet.rows_->commits();
+  auto granted = fleet.begin(0, "t2", "t1", budget);
+  REQUIRE(ok(granted));
+  CHECK(fleet.rows_->commits() == commits + 1);
+  CHECK(value(granted).reservation_ == "t2");
+  REQUIRE(ok(fleet.end(0, "t2", "t1", value(granted), budget)));
+  auto served = 0;
+  CHECK(run_until_refused(fleet, 0, served) == error_code::budget_exhausted);
+  CHECK(served == 2);
+}
+
+/// Failure: a lease is lost with the response to its transfer, although no daemon was.
+TEST_CASE("a lease whose transfer got no response is released", "[lease_use]") {
+  auto fleet = lease_fleet{3};
+  fleet.only_witness_ = 1;
+  fleet.turn(0, "t1", "", budget);
+  fleet.lost_peer_answers_ = 1;
+  auto granted = fleet.begin(2, "t2", "t1", budget);  // The first contact with the program reads its record.
+  REQUIRE(ok(granted));
+  REQUIRE(ok(fleet.end(2, "t2", "t1", value(granted), budget)));
+  fleet.lost_peer_answers_ = 0;
+  auto served = 0;
+  CHECK(run_until_refused(fleet, 1, served) == error_code::budget_exhausted);
+  CHECK(served == 2);
+}
+
+/// Failure: a lease is lost with the store's response to the write that made it.
+TEST_CASE("a lease whose write got no response is used by the next turn", "[lease_use]") {
+  auto fleet = lease_fleet{3};
+  fleet.turn(0, "t1", "", budget);
+  auto granted = fleet.begin(0, "t2", "t1", budget);
+  REQUIRE(ok(granted));
+  fleet.rows_->faults().lose_answers_ = 1;
+  REQUIRE(ok(fleet.end(0, "t2", "t1", value(granted), budget)));
+  auto commits = fleet.rows_->commits();
+  auto next = fleet.begin(0, "t3", "t2", budget);
+  REQUIRE(ok(next));
+  CHECK(fleet.rows_->commits() == commits);
+}
+
+/// Failure: a lease that was not used blocks the budget although its holder is alive.
+TEST_CASE("an unused lease is dropped by its holder once it may not be used any more", "[lease_use]") {
+  auto fleet = lease_fleet{1, false};
+  fleet.turn(0, "t1", "", budget);
+  run_loop_for(fleet.loop_, fleet.settings_.reservation_lease_ + 10);
+  auto served = 0;
+  CHECK(run_until_refused(fleet, 0, served) == error_code::budget_exhausted);
+  CHECK(served == 3);
+}
+
+/// Failure: the leases of a daemon that stopped as planned are lost when their witnesses stop after it.
+TEST_CASE("a daemon that stops releases its leases", "[lease_use]") {
+  auto fleet = lease_fleet{3};
+  fleet.only_witness_ = 1;
+  fleet.turn(0, "t1", "", budget);
+  fleet.daemon(0).store_->release_leases();
+  run_loop_for(fleet.loop_, 20);
+  fleet.kill(0);
+  fleet.kill(1);
+  auto served = 0;
+  CHECK(run_until_refused(fleet, 2, served) == error_code::budget_exhausted);
+  CHECK(served == 3);
+}
+
+/// Failure: eviction makes a daemon forget that a turn runs under its lease, which it then drops.
+TEST_CASE("a lease in use is kept although the program was evicted from memory", "[lease_use]") {
+  auto fleet = lease_fleet{1, false};
+  fleet.settings_.cache_bytes_ = 1;
+  fleet.kill(0);
+  fleet.turn(0, "t1", "", budget);
+  REQUIRE(ok(fleet.begin(0, "t2", "t1", budget)));
+  fleet.expire_leases();
+  auto served = 0;
+  run_until_refused(fleet, 0, served);
+  CHECK(served == 2);
+}
+
+/// Failure: a turn runs under a lease longer than assumed, and its tokens are granted to others meanwhile.
+TEST_CASE("a turn that runs longer than its lease stays counted while its daemon is alive", "[lease_use]") {
+  auto fleet = lease_fleet{3};
+  fleet.only_witness_ = 1;
+  fleet.turn(0, "t1", "", budget);
+  auto running = fleet.begin(0, "t2", "t1", budget);
+  REQUIRE(ok(running));
+  fleet.expire_leases();
+  fleet.daemon(0).rows_->cut_ = true;
+  auto served = 0;
+  run_until_refused(fleet, 2, served);
+  CHECK(served == 2);
+  fleet.daemon(0).rows_->cut_ = false;
+  REQUIRE(ok(fleet.end(0, "t2", "t1", value(running), budget, limit / 2)));
+  CHECK(run_until_refused(fleet, 2, served) == error_code::budget_exhausted);
+  CHECK(served == 2);
+}
+
+}  // namespace birchlever
--- a/unit_tests/coordination/peers_without_tokens.h
+++ b/unit_tests/coordination/peers_without_tokens.h
@@ -11,6 +11,19 @@
                       std::int64_t /*tokens*/) -> task<transferred_tokens> override {
     co_return transferred_tokens{};
   }
+  auto choose_witness() -> std::optional<std::string> override { return std::nullopt; }
+  auto record_lease_use(std::string /*lease*/, std::string /*witness*/, milliseconds /*keep_for*/)
+      -> task<bool> override {
+    co_return false;
+  }
+  auto inquire_lease(std::string /*program_key*/, std::string /*lease*/, std::string /*daemon*/,
+                     milliseconds /*keep_for*/) -> task<lease_answer> override {
+    co_return lease_answer{};
+  }
+  auto revoke_lease(std::string /*lease*/, std::string /*witness*/, milliseconds /*keep_for*/)
+      -> task<lease_answer> override {
+    co_return lease_answer{};
+  }
   auto request_allowance(std::string /*program_key*/, std::int64_t /*tokens*/)
       -> task<std::int64_t> override {
     co_return 0;
--- a/unit_tests/coordination/program_store_test.cpp
+++ b/unit_tests/coordination/program_store_test.cpp
@@ -142,6 +142,23 @@
   CHECK(code_of(fleet.begin(*fleet.there_, "t3", "t1", tight_budget)) == error_code::store_unavailable);
 }
 
+/// Failure: the tokens of a turn that ran under a lease are granted a second time once its daemon is gone.
+TEST_CASE("an expired lease that another daemon may have used counts as spent") {
+  for (auto spent_memory : {false, true}) {
+    auto settings = short_leases();
+    settings.spent_memory_ = spent_memory;
+    settings.initial_turn_duration_ = 1;
+    auto fleet = two_daemons{settings};
+    settings.daemon_ = "vm-2@1";
+    fleet.there_ = value(program_store::create(fleet.loop_, fleet.rows_, settings));
+    fleet.turn(*fleet.here_, "t1", "", tight_budget);
+    REQUIRE(ok(fleet.begin(*fleet.here_, "t2", "t1", tight_budget)));  // Runs under the lease.
+    fleet.run_for(short_leases().reservation_lease_ + short_leases().max_turn_duration_ + 20);
+    fleet.turn(*fleet.there_, "t3", "t1", tight_budget);
+    CHECK(code_of(fleet.begin(*fleet.there_, "t4", "t3", tight_budget)) == error_code::budget_exhausted);
+  }
+}
+
 TEST_CASE("a turn whose expired reservation was removed is still charged and stored") {
   auto fleet = two_daemons{short_leases()};
   auto delayed = remove_expired_reservation(fleet);
