Count turns that were lost with their daemon as spent after their deadline

What callers saw: a program whose turn was under way at a kill got 503 without end, at every try, once the rest of its budget was spent; a 402 would have told it that the budget does not hold one more turn.

Cause: the reservation of a started turn has no expiry. Only spent tokens proved that a budget is exhausted (with spent_memory; without it, if a single turn was started), so a reservation that nobody will settle kept the answer at 503. The tokens stayed counted; BUDGET was not broken.

Change: a reservation names the time by which its turn is settled unless its daemon is lost, its deadline and 2 s. After that it counts as spent when a turn is refused. It is never removed but by its own settlement.

Why it works: a live daemon settles a turn within its deadline or cuts its stream, so the turn has not ended whole and counts at its most. A late settlement still gives back what the turn left.

--- a/birchlever/coordination/program_record.cpp
+++ b/birchlever/coordination/program_record.cpp
@@ -33,12 +33,14 @@
 }
 
 auto decode_reservation(const json& held) -> reservation {
-  constexpr auto witness_field = std::size_t{2};  // Absent in rows of earlier releases.
+  constexpr auto witness_field = std::size_t{2};  // These two are absent in rows of earlier releases.
+  constexpr auto ends_by_field = std::size_t{3};
   if (!held.is_array()) {
-    return {held.get<std::int64_t>(), 0, {}};  // The first release wrote a plain number.
+    return {held.get<std::int64_t>()};  // The first release wrote a plain number.
   }
   auto witness = held.size() > witness_field ? held.at(witness_field).get<std::string>() : std::string{};
-  return {held.at(0).get<std::int64_t>(), held.at(1).get<milliseconds>(), std::move(witness)};
+  auto ends_by = held.size() > ends_by_field ? held.at(ends_by_field).get<milliseconds>() : milliseconds{0};
+  return {held.at(0).get<std::int64_t>(), held.at(1).get<milliseconds>(), std::move(witness), ends_by};
 }
 
 /// Parses CBOR, which allows arbitrary bytes in bodies. A malformed row is an error, never an empty record.
@@ -80,9 +82,12 @@
   auto reserved = json::object();
   for (const auto& [name, held] : record.reserved_) {
     reserved[name] = json::array({held.tokens_, held.expires_at_});
-    if (!held.witness_.empty()) {
+    if (!held.witness_.empty() || held.ends_by_ > 0) {
       reserved[name].push_back(held.witness_);
     }
+    if (held.ends_by_ > 0) {
+      reserved[name].push_back(held.ends_by_);
+    }
   }
   auto row = json{
       {spent_key, record.spent_}, {reserved_key, std::move(reserved)}, {updated_key, record.updated_at_}};
--- a/birchlever/coordination/program_store.cpp
+++ b/birchlever/coordination/program_store.cpp
@@ -215,6 +215,7 @@
   pending->budget_ = order.budget_;
   pending->start_rank_ = rank_of(order);
   pending->times_out_at_ = clock_.now() + std::min(time_left, max_wait);
+  pending->turn_ends_by_ = limits.caller_due_ + settings_.settle_grace_;
   if (order.previous_.empty() && program->version_ == version_not_read) {
     program->version_ =
         version_absent;  // First turn: assume a new program; an existing one causes a conflict.
--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -68,6 +68,8 @@
              ///< then.
   bool witnessed_leases_ = false;  ///< Leases only with a witness among the peers, so that an unused lease of
                                    ///< a lost daemon is released. Without one it counts as spent.
+  milliseconds settle_grace_ = 2000;  ///< Time after a turn's deadline by which its end is stored, unless its
+                                      ///< daemon is lost; its reservation counts as spent from then on.
   milliseconds lease_memory_ = 60000;  ///< Time after its expiry for which the use of a lease is remembered.
   milliseconds inquiry_max_age_ = 1000;  ///< Daemons are asked about a lease again after this time.
   milliseconds budget_max_age_ =
--- a/birchlever/coordination/program_store_lease.cpp
+++ b/birchlever/coordination/program_store_lease.cpp
@@ -168,6 +168,10 @@
 
 auto program_store::is_lost(const entry& program, const std::string& name, const reservation& held) const
     -> bool {
+  if (held.expires_at_ == 0) {
+    auto overdue = held.ends_by_ > 0 && store_clock_known_ && held.ends_by_ <= store_now();
+    return overdue && program.started_.count(name) == 0;
+  }
   if (!is_expired(held) || leases_.use_of(name) == lease_use::in_use) {
     return false;
   }
--- a/birchlever/coordination/program_store_state.h
+++ b/birchlever/coordination/program_store_state.h
@@ -59,6 +59,7 @@
   std::optional<std::int64_t> budget_;
   std::shared_ptr<const turn_record> record_;
   milliseconds times_out_at_ = 0;
+  milliseconds turn_ends_by_ = 0;  ///< Time by which the end of a turn that it starts is stored.
   bool sent_ = false;              ///< Was part of a transaction that was sent, so it may be committed.
   bool unknown_ = false;           ///< Was part of a transaction without a response.
   bool expired_ = false;           ///< The caller has left.
--- a/birchlever/coordination/program_store_write.cpp
+++ b/birchlever/coordination/program_store_write.cpp
@@ -114,7 +114,8 @@
   if (auto refused = check_budget(program, pending, record)) {
     return *refused;
   }
-  record.reserved_[pending.reservation_] = {pending.tokens_, 0, {}};
+  auto ends_by = store_clock_known_ ? pending.turn_ends_by_ + store_clock_offset_ : milliseconds{0};
+  record.reserved_[pending.reservation_] = {pending.tokens_, 0, {}, ends_by};
   return change_result::applied;
 }
 
--- a/unit_tests/coordination/lease_book_test.cpp
+++ b/unit_tests/coordination/lease_book_test.cpp
@@ -66,14 +66,17 @@
   }
 }
 
-/// Failure: the witness of a lease is lost when another daemon writes the record.
-TEST_CASE("the witness of a lease survives a round trip of the record", "[lease_use]") {
+/// Failure: the witness of a lease, or the time by which a turn ends, is lost when another daemon writes the
+/// record.
+TEST_CASE("witnesses of leases and ends of turns survive a round trip of the record", "[lease_use]") {
   auto record = program_record{};
-  record.reserved_ = {{"t1", {40, 0, {}}}, {"t2+vm-1@7", {30, 1234, "vm-2@9"}}};
+  record.reserved_ = {{"t1", {40, 0, {}, 5678}}, {"t2+vm-1@7", {30, 1234, "vm-2@9"}}};
   auto decoded = decode_program(encode(record));
   REQUIRE(ok(decoded));
   CHECK(value(decoded).reserved_.at("t2+vm-1@7").witness_ == "vm-2@9");
+  CHECK(value(decoded).reserved_.at("t2+vm-1@7").ends_by_ == 0);
   CHECK(value(decoded).reserved_.at("t1").witness_.empty());
+  CHECK(value(decoded).reserved_.at("t1").ends_by_ == 5678);
 }
 
 }  // namespace birchlever
--- a/unit_tests/coordination/lease_use_test.cpp
+++ b/unit_tests/coordination/lease_use_test.cpp
@@ -44,6 +44,28 @@
   }
 }
 
+/// Failure: the reservation of a turn that was under way at a kill holds its program by 503 for ever.
+TEST_CASE("a started turn counts as spent once its deadline passed and its daemon is lost", "[lease_use]") {
+  for (auto spent_memory : {false, true}) {
+    CAPTURE(spent_memory);
+    auto fleet = lease_fleet{2, true, spent_memory};
+    fleet.settings_.settle_grace_ = 1;
+    fleet.kill(0);  // With the shorter grace.
+    fleet.turn(0, "t1", "", budget);
+    constexpr auto deadline = milliseconds{500};
+    for (const auto* turn : {"t2", "t3"}) {  // Under the lease, and under a reservation of its own.
+      auto order = turn_request{"p", turn, "t1", budget, limit, "in"};
+      REQUIRE(ok(run_to_end(fleet.loop_, fleet.daemon(0).store_->begin_turn(std::move(order), deadline))));
+    }
+    fleet.kill(0, false);
+    auto served = 0;
+    CHECK(run_until_refused(fleet, 1, served) == error_code::store_unavailable);
+    run_loop_for(fleet.loop_, deadline + 20);
+    CHECK(run_until_refused(fleet, 1, served) == error_code::budget_exhausted);
+    CHECK(served == 1);
+  }
+}
+
 /// Failure: a program is refused for a reservation that nobody used.
 TEST_CASE("an unused lease of a killed daemon is released at once", "[lease_use]") {
   for (auto spent_memory : {false, true}) {
