Ask about leases only while the store's clock is known and uses are remembered

Found by reading. A daemon that did not know the store's clock could have asked a witness about a lease whose use it had forgotten, and taken the answer for a release; every path that reads a record learns the clock first, so no run showed it. A stop walked the programs in memory while the writes that it queued may evict them.

The clock is a condition of each inquiry now, with its error on the safe side; a stop collects the leases first. "a lease counts as spent when it expired too long ago for its witness to know" guards the limit.

--- a/birchlever/coordination/program_store_lease.cpp
+++ b/birchlever/coordination/program_store_lease.cpp
@@ -4,6 +4,7 @@
 /// A reservation is removed only when it is certain that no turn uses it: its holder says so, or its witness,
 /// which then refuses each later use. Any other expired lease counts as spent.
 #include <algorithm>
+#include <cassert>
 
 #include "birchlever/coordination/program_store_state.h"
 #include "birchlever/telemetry/log.h"
@@ -21,8 +22,8 @@
 }
 
 auto program_store::keep_for(milliseconds expires_at) const -> milliseconds {
-  auto left = store_clock_known_ ? expires_at - store_now() : milliseconds{0};
-  return std::max<milliseconds>(left, 0) + settings_.lease_memory_ + keep_margin;
+  assert(store_clock_known_);  // Set by the call that read or wrote the lease.
+  return std::max<milliseconds>(expires_at - store_now(), 0) + settings_.lease_memory_ + keep_margin;
 }
 
 auto program_store::acquire_local_lease(entry& program, const turn_request& order)
@@ -132,12 +133,16 @@
 auto program_store::release_leases() -> void {
   leasing_ = false;
   auto now = clock_.now();
+  auto releases = std::vector<std::pair<entry_pointer, std::string>>{};  // Writes may evict entries.
   for (const auto& [name, program] : entries_) {
     for (const auto& lease : std::exchange(program->leased_, {})) {
       leases_.retire(lease.name_, now + keep_for(lease.expires_at_), now);
-      release(program, lease.name_);
+      releases.emplace_back(program, lease.name_);
     }
   }
+  for (const auto& [program, lease] : releases) {
+    release(program, lease);
+  }
 }
 
 auto program_store::release_retired(const entry_pointer& program) -> void {
@@ -153,8 +158,9 @@
   auto use = leases_.use_of(lease);
   auto elsewhere = use == lease_use::transferred ||
                    (use == lease_use::unknown && holder_of_lease(lease) != settings_.daemon_);
+  // Later, a witness that forgot a use would say that the lease is unused.
   auto remembered =
-      !store_clock_known_ || store_now() + store_clock_error_ <= held.expires_at_ + settings_.lease_memory_;
+      store_clock_known_ && store_now() + store_clock_error_ <= held.expires_at_ + settings_.lease_memory_;
   return budget_peers_ && held.expires_at_ > 0 && elsewhere && remembered;
 }
 
@@ -208,7 +214,7 @@
       return kept->usable_until_ <= now;
     }
     // The write that leased it got no response, or the program was evicted: no turn starts under it.
-    return is_expired(held) && store_now() <= held.expires_at_ + settings_.lease_memory_;
+    return is_expired(held) && store_now() + store_clock_error_ <= held.expires_at_ + settings_.lease_memory_;
   });
 }
 
--- a/unit_tests/coordination/lease_use_test.cpp
+++ b/unit_tests/coordination/lease_use_test.cpp
@@ -176,6 +176,24 @@
   CHECK(served == 2);
 }
 
+/// Failure: a witness that has forgotten a use releases the lease, and its tokens are granted again.
+TEST_CASE("a lease counts as spent when it expired too long ago for its witness to know", "[lease_use]") {
+  auto fleet = lease_fleet{3};
+  fleet.settings_.lease_memory_ = 30;
+  for (auto vm = 0; vm < 3; ++vm) {
+    fleet.kill(vm);  // With the shorter memory.
+  }
+  fleet.only_witness_ = 1;
+  fleet.turn(0, "t1", "", budget);  // Leases a reservation that is not used.
+  fleet.kill(0, false);
+  fleet.expire_leases();
+  run_loop_for(fleet.loop_, 50);
+  auto served = 0;
+  CHECK(run_until_refused(fleet, 2, served) == error_code::budget_exhausted);
+  CHECK(served == 2);
+  CHECK(fleet.daemon(2).store_->statistics().leases_found_unused_ == 0);
+}
+
 /// Failure: a lease is lost with the response to its transfer, although no daemon was.
 TEST_CASE("a lease whose transfer got no response is released", "[lease_use]") {
   auto fleet = lease_fleet{3};
