Let the holder witness a lease that its own witness received

Cause: a lease that is transferred to its own witness is known to one process only. When that is killed before it used the lease, for example since the response to its request was lost, nobody can say that it is unused.

Change: a daemon that is the witness of a lease it received records the use with the holder, and with itself; an inquiry into a lease whose recipient is its witness asks the holder in the witness's place. A witness that runs a turn under the lease itself does not revoke it.

--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -267,8 +267,10 @@
   /// those that are found to be unused, or count as spent from now on.
   auto inquire_leases(entry_pointer program, bool only_expired) -> task<>;
   auto inquire_lease(entry_pointer program, std::string lease, reservation held) -> task<lease_state>;
-  /// Asks the daemons that may use the lease.
-  auto ask_users(std::string program, std::string lease, milliseconds keep) -> task<lease_state>;
+  /// Asks the daemons that may use the lease. The answer names the daemon that it was transferred to.
+  auto ask_users(std::string program, std::string lease, milliseconds keep) -> task<lease_answer>;
+  /// Asks a witness to revoke the lease.
+  auto ask_witness(std::string lease, std::string witness, milliseconds keep) -> task<lease_state>;
   /// Asks about expired leases in the background, while their use is still remembered.
   auto start_inquiry(const entry_pointer& program) -> void;
   [[nodiscard]] auto needs_inquiry(const entry& program, const std::string& lease, const reservation& held,
--- a/birchlever/coordination/program_store_lease.cpp
+++ b/birchlever/coordination/program_store_lease.cpp
@@ -61,11 +61,13 @@
     co_return false;
   }
   auto keep = keep_for(held.expires_at_);
-  auto recorded = held.witness_.empty();
-  if (held.witness_ == settings_.daemon_) {
-    recorded = witness_use(lease, keep);
-  } else if (!recorded && budget_peers_) {
-    recorded = co_await budget_peers_->record_lease_use(lease, held.witness_, keep);
+  // A witness of its own use would be lost together with the turn, so the holder takes its place.
+  auto is_witness = held.witness_ == settings_.daemon_;
+  auto witness = is_witness ? holder_of_lease(lease) : held.witness_;
+  auto may_start = !is_witness || witness_use(lease, keep);
+  auto recorded = witness.empty();
+  if (may_start && !recorded && budget_peers_) {
+    recorded = co_await budget_peers_->record_lease_use(lease, witness, keep);
   }
   if (recorded) {
     co_return true;
@@ -73,7 +75,7 @@
   leases_.abandon_use(lease, clock_.now() + keep, clock_.now());
   ++statistics_.leases_not_witnessed_;
   log_event(log_level::info, "lease_not_witnessed",
-            {{"program", program->name_}, {"reservation", lease}, {"witness", held.witness_}});
+            {{"program", program->name_}, {"reservation", lease}, {"witness", witness}});
   co_return false;
 }
 
@@ -117,7 +119,7 @@
 
 auto program_store::revoke(const std::string& lease, milliseconds keep_for) -> lease_answer {
   auto now = clock_.now();
-  auto revoked = leases_.revoke(lease, now + keep_for, now);
+  auto revoked = leases_.use_of(lease) != lease_use::in_use && leases_.revoke(lease, now + keep_for, now);
   return {revoked ? lease_state::unused : lease_state::in_use, {}};
 }
 
@@ -239,19 +241,31 @@
 }
 
 auto program_store::ask_users(std::string program, std::string lease, milliseconds keep)
-    -> task<lease_state> {
-  auto asked = holder_of_lease(lease);
-  auto known = leases_.recipient_of(lease);
-  if (!known.empty()) {
-    asked = std::move(known);
+    -> task<lease_answer> {
+  auto recipient = leases_.recipient_of(lease);
+  if (recipient.empty()) {
+    auto answer = co_await budget_peers_->inquire_lease(program, lease, holder_of_lease(lease), keep);
+    if (answer.state_ != lease_state::transferred) {
+      co_return answer;
+    }
+    recipient = answer.recipient_;
+  }
+  if (recipient == settings_.daemon_) {
+    co_return lease_answer{lease_state::unused, {}};  // The response to this daemon's request was lost.
   }
-  auto answer = co_await budget_peers_->inquire_lease(program, lease, asked, keep);
-  if (answer.state_ == lease_state::transferred && answer.recipient_ == settings_.daemon_) {
-    co_return lease_state::unused;  // The response to this daemon's request was lost.
+  auto answer = co_await budget_peers_->inquire_lease(program, lease, recipient, keep);
+  co_return lease_answer{answer.state_, recipient};
+}
+
+auto program_store::ask_witness(std::string lease, std::string witness, milliseconds keep)
+    -> task<lease_state> {
+  if (witness.empty()) {
+    co_return lease_state::unresolved;
   }
-  if (answer.state_ == lease_state::transferred) {
-    answer = co_await budget_peers_->inquire_lease(program, lease, answer.recipient_, keep);
+  if (witness == settings_.daemon_) {
+    co_return revoke(lease, keep).state_;
   }
+  auto answer = co_await budget_peers_->revoke_lease(lease, witness, keep);
   co_return answer.state_;
 }
 
@@ -259,19 +273,17 @@
     -> task<lease_state> {
   auto keep = keep_for(held.expires_at_);
   auto by_users = co_await ask_users(program->name_, lease, keep);
-  auto state = by_users;
-  auto resolved = state == lease_state::unused || state == lease_state::in_use;
-  if (!resolved && held.witness_ == settings_.daemon_) {
-    state = revoke(lease, keep).state_;
-  } else if (!resolved && !held.witness_.empty()) {
-    auto answer = co_await budget_peers_->revoke_lease(lease, held.witness_, keep);
-    state = answer.state_;
+  auto state = by_users.state_;
+  if (state != lease_state::unused && state != lease_state::in_use) {
+    // See start_under_lease: the holder witnesses the use of a lease by its witness.
+    auto witness = by_users.recipient_ == held.witness_ ? holder_of_lease(lease) : held.witness_;
+    state = co_await ask_witness(lease, std::move(witness), keep);
   }
   log_event(log_level::info, "lease_inquired",
             {{"program", program->name_},
              {"reservation", lease},
              {"witness", held.witness_},
-             {"users", std::string{name_of(by_users)}},
+             {"users", std::string{name_of(by_users.state_)}},
              {"state", std::string{name_of(state)}},
              {"expired", is_expired(held)},
              {"tokens", held.tokens_}});
--- a/unit_tests/coordination/lease_use_test.cpp
+++ b/unit_tests/coordination/lease_use_test.cpp
@@ -209,6 +209,40 @@
   CHECK(served == 2);
 }
 
+/// Failure: a lease is lost with one daemon that was both its recipient and its witness.
+TEST_CASE("a lease that was transferred to its own witness is released when that is killed", "[lease_use]") {
+  auto fleet = lease_fleet{3};
+  fleet.only_witness_ = 2;
+  fleet.turn(0, "t1", "", budget);
+  fleet.lost_peer_answers_ = 1;
+  auto granted = fleet.begin(2, "t2", "t1", budget);
+  REQUIRE(ok(granted));
+  REQUIRE(ok(fleet.end(2, "t2", "t1", value(granted), budget)));
+  fleet.kill(2, false);
+  fleet.expire_leases();
+  auto served = 0;
+  CHECK(run_until_refused(fleet, 1, served) == error_code::budget_exhausted);
+  CHECK(served == 2);
+}
+
+/// Failure: a turn that its witness runs itself is taken for one that never started.
+TEST_CASE("a lease that its own witness uses stays counted, whichever daemon is killed", "[lease_use]") {
+  for (auto killed : {0, 2}) {
+    CAPTURE(killed);
+    auto fleet = lease_fleet{3};
+    fleet.only_witness_ = 2;
+    fleet.turn(0, "t1", "", budget);
+    auto commits = fleet.rows_->commits();
+    REQUIRE(ok(fleet.begin(2, "t2", "t1", budget)));
+    REQUIRE(fleet.rows_->commits() == commits);  // It runs under the lease.
+    fleet.kill(killed, false);
+    fleet.expire_leases();
+    auto served = 0;
+    run_until_refused(fleet, 1, served);
+    CHECK(served == 2);
+  }
+}
+
 /// Failure: a lease is lost with the store's response to the write that made it.
 TEST_CASE("a lease whose write got no response is used by the next turn", "[lease_use]") {
   auto fleet = lease_fleet{3};
