--- a/birchlever/coordination/program_record.h
+++ b/birchlever/coordination/program_record.h
@@ -17,9 +17,9 @@
   std::int64_t tokens_ = 0;      ///< Token limit of the turn.
   milliseconds expires_at_ = 0;  ///< On the store's clock; 0 for a turn in progress, which holds it until it
                                  ///< ends. A turn that started under a lease must have ended by then.
-  std::string witness_;       ///< Daemon that knows whether a lease is in use; empty if there is none.
-  milliseconds ends_by_ = 0;  ///< On the store's clock; a turn in progress that has not ended by then was
-                              ///< lost with its daemon. 0 for leases, and in rows of earlier releases.
+  std::string witness_;          ///< Daemon that knows whether a lease is in use; empty if there is none.
+  milliseconds ends_by_ = 0;     ///< On the store's clock; a turn in progress that has not ended by then was
+                                 ///< lost with its daemon. 0 for leases, and in rows of earlier releases.
 };
 
 /// Tokens that one daemon drew from a budget in advance, for turns whose history is not stored. They count as
