Do not transfer a lease that was reported as unused

Found by reading; no caller saw it. A daemon answers an inquiry about a lease that it does not know with "unused", and remembers that. The response to the write that made the lease may arrive after the inquiry, since others read the row before; the lease then counted as held, and a transfer replaced what was remembered.

lease_book refuses to transfer a lease that is used, retired or transferred. "a lease that was reported as unused is not transferred, also if its write ended later" failed before (the lease was given), and passes now.

--- a/birchlever/coordination/lease_book.cpp
+++ b/birchlever/coordination/lease_book.cpp
@@ -43,9 +43,14 @@
 }
 
 auto lease_book::transfer(const std::string& lease, const std::string& recipient, milliseconds keep_until,
-                          milliseconds now) -> void {
+                          milliseconds now) -> bool {
   forget_old(now);
-  own_[lease] = {lease_use::transferred, recipient, keep_until};
+  auto& record = own_[lease];
+  if (record.use_ != lease_use::unknown) {
+    return false;
+  }
+  record = {lease_use::transferred, recipient, keep_until};
+  return true;
 }
 
 auto lease_book::retire(const std::string& lease, milliseconds keep_until, milliseconds now) -> bool {
--- a/birchlever/coordination/lease_book.h
+++ b/birchlever/coordination/lease_book.h
@@ -37,9 +37,10 @@
   /// Records that the use of a lease ended: its end is stored.
   auto end_use(const std::string& lease) -> void;
 
-  /// Records that the lease was transferred to a daemon. Remembered until `keep_until`.
-  auto transfer(const std::string& lease, const std::string& recipient, milliseconds keep_until,
-                milliseconds now) -> void;
+  /// Records that the lease is transferred to a daemon. Returns false if it is used, retired or transferred.
+  /// Remembered until `keep_until`.
+  [[nodiscard]] auto transfer(const std::string& lease, const std::string& recipient, milliseconds keep_until,
+                              milliseconds now) -> bool;
 
   /// Records that no daemon uses the lease from now on. Does nothing if this daemon uses or transferred it.
   /// Returns true if it is retired. Remembered until `keep_until`.
--- a/birchlever/coordination/program_store_lease.cpp
+++ b/birchlever/coordination/program_store_lease.cpp
@@ -88,13 +88,14 @@
   auto& leased = known->second->leased_;
   auto matches = [&](const leased_reservation& entry) { return entry.name_ == reservation; };
   auto found = std::find_if(leased.begin(), leased.end(), matches);
-  auto usable = found != leased.end() && found->usable_until_ > clock_.now() + settings_.lease_margin_;
-  if (usable) {
-    auto now = clock_.now();
-    leases_.transfer(reservation, recipient, now + keep_for(found->expires_at_), now);
-    leased.erase(found);
+  auto now = clock_.now();
+  auto usable = found != leased.end() && found->usable_until_ > now + settings_.lease_margin_;
+  if (!usable) {
+    return false;
   }
-  return usable;
+  auto transferred = leases_.transfer(reservation, recipient, now + keep_for(found->expires_at_), now);
+  leased.erase(found);
+  return transferred;
 }
 
 auto program_store::answer_inquiry(const std::string& program_key, const std::string& lease,
--- a/unit_tests/coordination/lease_book_test.cpp
+++ b/unit_tests/coordination/lease_book_test.cpp
@@ -19,7 +19,9 @@
   CHECK(book.use_of("a") == lease_use::unknown);
   CHECK(book.retire("b", 100, 0));
   CHECK_FALSE(book.begin_use("b"));
-  book.transfer("c", "vm-2@1", 100, 0);
+  CHECK(book.transfer("c", "vm-2@1", 100, 0));
+  CHECK_FALSE(book.transfer("c", "vm-3@1", 100, 0));
+  CHECK_FALSE(book.transfer("b", "vm-2@1", 100, 0));
   CHECK_FALSE(book.begin_use("c"));
   CHECK_FALSE(book.retire("c", 100, 0));
   CHECK(book.recipient_of("c") == "vm-2@1");
--- a/unit_tests/coordination/lease_use_test.cpp
+++ b/unit_tests/coordination/lease_use_test.cpp
@@ -243,6 +243,22 @@
   }
 }
 
+/// Failure: a lease is given away after another daemon was told that nobody uses it, and its tokens are
+/// granted twice.
+TEST_CASE("a lease that was reported as unused is not transferred, also if its write ended later",
+          "[lease_use]") {
+  auto fleet = lease_fleet{3};
+  fleet.only_witness_ = 1;
+  auto granted = fleet.begin(0, "t1", "", budget);
+  REQUIRE(ok(granted));
+  auto holder = fleet.daemon(0);
+  auto lease = "t1+" + holder.name_;
+  // Another daemon reads the lease before the response to its write reaches the holder.
+  REQUIRE(holder.store_->answer_inquiry("p", lease, 1000).state_ == lease_state::unused);
+  REQUIRE(ok(fleet.end(0, "t1", "", value(granted), budget)));
+  CHECK_FALSE(holder.store_->transfer_lease("p", lease, fleet.daemon(2).name_));
+}
+
 /// Failure: a lease is lost with the store's response to the write that made it.
 TEST_CASE("a lease whose write got no response is used by the next turn", "[lease_use]") {
   auto fleet = lease_fleet{3};
