Transfer witnessed leases only to daemons that record their use

Found by reading; no caller saw it. During an update a daemon of the earlier version may request a lease and start a turn under it without telling its witness.

Daemons of the earlier version send no name with the request; a witnessed lease is not transferred to them, and they reserve in the store. "a witnessed lease is transferred only to a daemon that names itself" failed before.

--- a/birchlever/coordination/program_store_lease.cpp
+++ b/birchlever/coordination/program_store_lease.cpp
@@ -90,7 +90,8 @@
   auto found = std::find_if(leased.begin(), leased.end(), matches);
   auto now = clock_.now();
   auto usable = found != leased.end() && found->usable_until_ > now + settings_.lease_margin_;
-  if (!usable) {
+  // A daemon of an earlier version, which sends no name, would not record the use with the witness.
+  if (!usable || (recipient.empty() && !found->witness_.empty())) {
     return false;
   }
   auto transferred = leases_.transfer(reservation, recipient, now + keep_for(found->expires_at_), now);
--- a/unit_tests/coordination/lease_use_test.cpp
+++ b/unit_tests/coordination/lease_use_test.cpp
@@ -259,6 +259,17 @@
   CHECK_FALSE(holder.store_->transfer_lease("p", lease, fleet.daemon(2).name_));
 }
 
+/// Failure: a daemon of an earlier version starts a turn under a lease without its witness.
+TEST_CASE("a witnessed lease is transferred only to a daemon that names itself", "[lease_use]") {
+  auto fleet = lease_fleet{3};
+  fleet.only_witness_ = 1;
+  fleet.turn(0, "t1", "", budget);
+  auto holder = fleet.daemon(0);
+  auto lease = "t1+" + holder.name_;
+  CHECK_FALSE(holder.store_->transfer_lease("p", lease));
+  CHECK(holder.store_->transfer_lease("p", lease, fleet.daemon(2).name_));
+}
+
 /// Failure: a lease is lost with the store's response to the write that made it.
 TEST_CASE("a lease whose write got no response is used by the next turn", "[lease_use]") {
   auto fleet = lease_fleet{3};
