Log leases given up with their request, released at a stop, and the recipients of transfers

lease_not_witnessed had no request id, so the search from a request to its cause missed it; a stop and a transfer did not say how many leases, or to whom.

--- a/birchlever/controllers/budget_transfer.cpp
+++ b/birchlever/controllers/budget_transfer.cpp
@@ -274,7 +274,8 @@
   auto requester = parts.size() > without_requester ? parts.back() : std::string{};
   auto granted = parts[2] == settings_.daemon_ && programs.transfer_lease(parts[0], parts[1], requester);
   if (granted) {
-    log_event(log_level::info, "reservation_transferred", {{"program", parts[0]}, {"reservation", parts[1]}});
+    log_event(log_level::info, "reservation_transferred",
+              {{"program", parts[0]}, {"reservation", parts[1]}, {"to", requester}});
   }
   return http_response{granted ? http::status::ok : http::status::gone, 11};
 }
--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -262,7 +262,8 @@
       -> task<std::optional<std::string>>;
   /// Records the start of a turn with the lease's witness. Returns false if no turn may start under the
   /// lease, now or later.
-  auto start_under_lease(entry_pointer program, std::string lease, reservation held) -> task<bool>;
+  auto start_under_lease(entry_pointer program, const turn_request& order, std::string lease,
+                         reservation held) -> task<bool>;
   /// Asks about leases of other daemons, and only about expired ones if `only_expired`. Counts in `resolved_`
   /// those that are found to be unused, or count as spent from now on.
   auto inquire_leases(entry_pointer program, bool only_expired) -> task<>;
@@ -301,7 +302,7 @@
       -> task<result<std::string>>;
   /// Requests leased reservations from the daemons that hold them according to the program's record, which
   /// must not be older than `max_age` ms. At most `max_requests` are requested per turn, none of them twice.
-  auto acquire_remote_lease(entry_pointer program, std::int64_t tokens, milliseconds max_age,
+  auto acquire_remote_lease(entry_pointer program, const turn_request& order, milliseconds max_age,
                             std::size_t max_requests, std::set<std::string>& requested)
       -> task<std::optional<std::string>>;
   [[nodiscard]] auto find_remote_leases(const entry& program, std::int64_t tokens) const
--- a/birchlever/coordination/program_store_lease.cpp
+++ b/birchlever/coordination/program_store_lease.cpp
@@ -46,7 +46,7 @@
   auto local = acquire_local_lease(*program, order);
   while (local) {
     auto held = reservation{local->tokens_, local->expires_at_, local->witness_};
-    auto started = co_await start_under_lease(program, local->name_, held);
+    auto started = co_await start_under_lease(program, order, local->name_, held);
     if (started) {
       co_return std::move(local->name_);
     }
@@ -55,8 +55,8 @@
   co_return std::nullopt;
 }
 
-auto program_store::start_under_lease(entry_pointer program, std::string lease, reservation held)
-    -> task<bool> {
+auto program_store::start_under_lease(entry_pointer program, const turn_request& order, std::string lease,
+                                      reservation held) -> task<bool> {
   if (!leases_.begin_use(lease)) {
     co_return false;
   }
@@ -75,7 +75,11 @@
   leases_.abandon_use(lease, clock_.now() + keep, clock_.now());
   ++statistics_.leases_not_witnessed_;
   log_event(log_level::info, "lease_not_witnessed",
-            {{"program", program->name_}, {"reservation", lease}, {"witness", witness}});
+            {{"request", order.turn_},
+             {"program", program->name_},
+             {"reservation", lease},
+             {"witness", witness},
+             {"revoked", !may_start}});
   co_return false;
 }
 
@@ -147,6 +151,7 @@
   for (const auto& [program, lease] : releases) {
     release(program, lease);
   }
+  log_event(log_level::info, "leases_released", {{"leases", static_cast<std::int64_t>(releases.size())}});
 }
 
 auto program_store::release_retired(const entry_pointer& program) -> void {
--- a/birchlever/coordination/program_store_share.cpp
+++ b/birchlever/coordination/program_store_share.cpp
@@ -37,7 +37,7 @@
     co_return std::move(*held);
   }
   auto requested = std::set<std::string>{};
-  auto remote = co_await acquire_remote_lease(program, order.max_tokens_, settings_.lease_max_age_,
+  auto remote = co_await acquire_remote_lease(program, order, settings_.lease_max_age_,
                                               lease_requests_at_start, requested);
   if (remote) {
     co_return std::move(*remote);
@@ -74,14 +74,15 @@
   return found;
 }
 
-auto program_store::acquire_remote_lease(entry_pointer program, std::int64_t tokens, milliseconds max_age,
-                                         std::size_t max_requests, std::set<std::string>& requested)
+auto program_store::acquire_remote_lease(entry_pointer program, const turn_request& order,
+                                         milliseconds max_age, std::size_t max_requests,
+                                         std::set<std::string>& requested)
     -> task<std::optional<std::string>> {
   auto is_current = program->record_at_ && clock_.now() - *program->record_at_ <= max_age;
   if (!budget_peers_ || !is_current) {
     co_return std::nullopt;
   }
-  auto leases = find_remote_leases(*program, tokens);
+  auto leases = find_remote_leases(*program, order.max_tokens_);
   for (const auto& [name, held] : leases) {
     if (requested.size() >= max_requests) {
       co_return std::nullopt;
@@ -93,7 +94,7 @@
     if (!given) {
       continue;
     }
-    auto started = co_await start_under_lease(program, name, held);
+    auto started = co_await start_under_lease(program, order, name, held);
     if (started) {
       co_return name;
     }
@@ -124,8 +125,8 @@
   };
   auto waited = false;
   while (true) {
-    auto lease = co_await acquire_remote_lease(program, order.max_tokens_, settings_.start_timeout_,
-                                               max_lease_requests, requested);
+    auto lease = co_await acquire_remote_lease(program, order, settings_.start_timeout_, max_lease_requests,
+                                               requested);
     if (lease) {
       ++statistics_.shared_leases_;
       log_outcome("lease_transferred", *lease);
