Forget uses of leases whose end was never stored

A use was forgotten only when the end of its turn was stored. In an outage of the store longer than a settlement is tried for, each leased turn left a record for ever. It is kept now for as long as others may ask about the lease; after that its reservation counts as spent and is not removed, so nothing is granted twice.

--- a/birchlever/coordination/lease_book.cpp
+++ b/birchlever/coordination/lease_book.cpp
@@ -20,18 +20,18 @@
     return;
   }
   forget_at_ = now + forget_interval;
-  std::erase_if(own_, [now](const auto& entry) {
-    return entry.second.use_ != lease_use::in_use && entry.second.keep_until_ <= now;
-  });
-  std::erase_if(witnessed_, [now](const auto& entry) { return entry.second.keep_until_ <= now; });
+  auto is_old = [now](const auto& entry) { return entry.second.keep_until_ <= now; };
+  std::erase_if(own_, is_old);
+  std::erase_if(witnessed_, is_old);
 }
 
-auto lease_book::begin_use(const std::string& lease) -> bool {
+auto lease_book::begin_use(const std::string& lease, milliseconds keep_until, milliseconds now) -> bool {
+  forget_old(now);
   auto& record = own_[lease];
   if (record.use_ != lease_use::unknown) {
     return false;
   }
-  record.use_ = lease_use::in_use;
+  record = {lease_use::in_use, {}, keep_until};
   return true;
 }
 
--- a/birchlever/coordination/lease_book.h
+++ b/birchlever/coordination/lease_book.h
@@ -31,8 +31,9 @@
 /// Leases are identified by the names of their reservations. Times are in ms on the local clock.
 class lease_book {
  public:
-  /// Records that a turn starts under the lease. Returns false if it is retired or transferred.
-  [[nodiscard]] auto begin_use(const std::string& lease) -> bool;
+  /// Records that a turn starts under the lease. Returns false if it is used, retired or transferred.
+  /// Remembered until the use ends, or until `keep_until` if its end cannot be stored.
+  [[nodiscard]] auto begin_use(const std::string& lease, milliseconds keep_until, milliseconds now) -> bool;
 
   /// Records that the use of a lease ended: its end is stored.
   auto end_use(const std::string& lease) -> void;
@@ -67,7 +68,7 @@
   struct own_record {
     lease_use use_ = lease_use::unknown;
     std::string recipient_;
-    milliseconds keep_until_ = 0;  ///< Not of leases in use.
+    milliseconds keep_until_ = 0;
   };
   struct witness_record {
     bool revoked_ = false;
--- a/birchlever/coordination/program_store_lease.cpp
+++ b/birchlever/coordination/program_store_lease.cpp
@@ -57,10 +57,10 @@
 
 auto program_store::start_under_lease(entry_pointer program, const turn_request& order, std::string lease,
                                       reservation held) -> task<bool> {
-  if (!leases_.begin_use(lease)) {
+  auto keep = keep_for(held.expires_at_);
+  if (!leases_.begin_use(lease, clock_.now() + keep, clock_.now())) {
     co_return false;
   }
-  auto keep = keep_for(held.expires_at_);
   // A witness of its own use would be lost together with the turn, so the holder takes its place.
   auto is_witness = held.witness_ == settings_.daemon_;
   auto witness = is_witness ? holder_of_lease(lease) : held.witness_;
