--- a/unit_tests/coordination/budget_draw_test.cpp
+++ b/unit_tests/coordination/budget_draw_test.cpp
@@ -6,6 +6,7 @@
 
 #include "birchlever/coordination/program_store.h"
 #include "birchlever/storage/memory_row_store.h"
+#include "unit_tests/coordination/idle_peers.h"
 #include "unit_tests/http/loop_runner.h"
 
 namespace birchlever {
@@ -20,30 +21,13 @@
 class daemon_group;
 
 /// Connects one daemon to the others.
-class group_peers final : public budget_peers {
+class group_peers final : public idle_peers {
  public:
   group_peers(daemon_group& daemons, std::string asker) : group_{&daemons}, asker_{std::move(asker)} {}
 
   auto request_tokens(std::string program_key, std::vector<std::string> holders, std::int64_t tokens)
       -> task<transferred_tokens> override;
   auto request_allowance(std::string program_key, std::int64_t tokens) -> task<std::int64_t> override;
-  auto choose_witness() -> std::optional<std::string> override { return std::nullopt; }
-  auto record_lease_use(std::string /*lease*/, std::string /*witness*/, milliseconds /*keep_for*/)
-      -> task<bool> override {
-    co_return false;
-  }
-  auto inquire_lease(std::string /*program_key*/, std::string /*lease*/, std::string /*daemon*/,
-                     milliseconds /*keep_for*/) -> task<lease_answer> override {
-    co_return lease_answer{};
-  }
-  auto revoke_lease(std::string /*lease*/, std::string /*witness*/, milliseconds /*keep_for*/)
-      -> task<lease_answer> override {
-    co_return lease_answer{};
-  }
-  auto request_lease(std::string /*program_key*/, std::string /*reservation*/, std::string /*holder*/)
-      -> task<bool> override {
-    co_return false;  // Turns without stored history have no leases.
-  }
 
  private:
   daemon_group* group_;
--- a/unit_tests/coordination/lease_fleet.cpp
+++ b/unit_tests/coordination/lease_fleet.cpp
@@ -8,7 +8,7 @@
 }
 
 /// Connects a daemon to the others.
-class fleet_peers final : public peers_without_tokens {
+class fleet_peers final : public idle_peers {
  public:
   fleet_peers(lease_fleet& fleet, int vm, std::string name)
       : fleet_{&fleet}, vm_{vm}, name_{std::move(name)} {}
--- a/unit_tests/coordination/lease_fleet.h
+++ b/unit_tests/coordination/lease_fleet.h
@@ -12,7 +12,7 @@
 
 #include "birchlever/coordination/program_store.h"
 #include "birchlever/storage/memory_row_store.h"
-#include "unit_tests/coordination/peers_without_tokens.h"
+#include "unit_tests/coordination/idle_peers.h"
 #include "unit_tests/http/loop_runner.h"
 
 namespace birchlever {
--- a/unit_tests/coordination/lease_random_test.cpp
+++ b/unit_tests/coordination/lease_random_test.cpp
@@ -11,7 +11,7 @@
 constexpr auto run_time = milliseconds{1200};
 constexpr auto turn_time = milliseconds{500};  // Deadline of a turn.
 constexpr auto kill_gap = milliseconds{120};
-constexpr auto victim = 1;
+constexpr auto killed_vm = 1;
 
 auto spent_memory_of(std::uint32_t seed) -> bool {
   return seed % 3 != 0;
@@ -19,13 +19,13 @@
 
 /// The disruptions of a run.
 enum class trouble {
-  none,        ///< Answers of the store and of peers are lost; daemons run on.
-  one_victim,  ///< Also, one VM's daemon is killed again and again. Witnesses of its leases run on.
-  everything   ///< Also, daemons are killed, stopped, paused and cut off at any moment.
+  none,           ///< Answers of the store and of peers are lost; daemons run on.
+  one_vm_killed,  ///< Also, one VM's daemon is killed again and again. Witnesses of its leases run on.
+  everything      ///< Also, daemons are killed, stopped, paused and cut off at any moment.
 };
 
 /// What the turns of one program did.
-struct program_ledger_of_test {
+struct run_totals {
   std::int64_t budget_ = 0;
   std::int64_t handed_ = 0;     ///< Tokens handed to callers.
   std::int64_t running_ = 0;    ///< Token limits of turns under way.
@@ -47,12 +47,12 @@
     for (auto vm = 0; vm < fleet_size; ++vm) {
       fleet_.kill(vm);  // With the shorter grace.
     }
-    ledger_.budget_ = static_cast<std::int64_t>(800 + random_() % 1600);
+    totals_.budget_ = static_cast<std::int64_t>(800 + random_() % 1600);
   }
 
-  auto run() -> program_ledger_of_test {
-    fleet_.turn(0, "t1", "", ledger_.budget_, 1);
-    ++ledger_.handed_;
+  auto run() -> run_totals {
+    fleet_.turn(0, "t1", "", totals_.budget_, 1);
+    ++totals_.handed_;
     constexpr auto lines = 4;
     for (auto line = 0; line < lines; ++line) {
       start(fleet_.loop_, "line", run_line(line));
@@ -68,7 +68,7 @@
     stopping_ = true;
     REQUIRE(run_loop_until(fleet_.loop_, [&] { return active_ == 0; }));
     spend_rest();
-    return ledger_;
+    return totals_;
   }
 
  private:
@@ -89,55 +89,55 @@
   auto run_turn(int vm, std::string name) -> task<> {
     auto incarnation = fleet_.daemon(vm).name_;
     auto store = fleet_.daemon(vm).store_;
-    auto order = turn_request{"p", name, "t1", ledger_.budget_, limit, "in"};
+    auto order = turn_request{"p", name, "t1", totals_.budget_, limit, "in"};
     auto granted = co_await store->begin_turn(std::move(order), turn_time);
     auto killed = [&] { return fleet_.daemon(vm).name_ != incarnation || !fleet_.daemon(vm).alive_; };
     if (killed()) {
-      ledger_.abandoned_ += limit;  // It may have been granted.
+      totals_.abandoned_ += limit;  // It may have been granted.
       co_return;
     }
     if (!ok(granted)) {
       record_refusal(failure(granted));
       co_return;
     }
-    ledger_.running_ += limit;
+    totals_.running_ += limit;
     auto planned = chance(3) ? limit : static_cast<std::int64_t>(1 + random_() % limit);
     auto handed = std::int64_t{0};
     while (handed < planned && !killed()) {
       auto piece = std::min<std::int64_t>(8, planned - handed);
       handed += piece;
-      ledger_.handed_ += piece;
+      totals_.handed_ += piece;
       co_await pause_for(fleet_.loop_, 1 + random_() % 8);
     }
     if (killed()) {
-      ledger_.running_ -= limit;
-      ledger_.abandoned_ += limit;
+      totals_.running_ -= limit;
+      totals_.abandoned_ += limit;
       co_return;
     }
-    auto ended = lease_fleet::completion(name, "t1", value(granted), ledger_.budget_, handed);
+    auto ended = lease_fleet::completion(name, "t1", value(granted), totals_.budget_, handed);
     auto settled = co_await store->end_turn(std::move(ended), lease_fleet::max_wait);
-    ledger_.running_ -= limit;
+    totals_.running_ -= limit;
     // A turn whose end was not stored in time may be lost with its daemon later.
     auto may_be_lost = killed() || (!ok(settled) && kind_ != trouble::none);
-    ledger_.abandoned_ += may_be_lost ? limit - handed : 0;
-    ledger_.unsettled_ += !may_be_lost && !ok(settled) ? limit - handed : 0;
-    ++ledger_.served_;
+    totals_.abandoned_ += may_be_lost ? limit - handed : 0;
+    totals_.unsettled_ += !may_be_lost && !ok(settled) ? limit - handed : 0;
+    ++totals_.served_;
   }
 
   auto record_refusal(const error& reason) -> void {
     auto exhausted = reason.code_ == error_code::budget_exhausted;
-    ledger_.exhausted_ += exhausted ? 1 : 0;
-    ledger_.unavailable_ += exhausted ? 0 : 1;
-    auto held = ledger_.handed_ + ledger_.running_ + ledger_.abandoned_ + ledger_.unsettled_ + limit;
-    ledger_.early_refusals_ += exhausted && held <= ledger_.budget_ ? 1 : 0;
+    totals_.exhausted_ += exhausted ? 1 : 0;
+    totals_.unavailable_ += exhausted ? 0 : 1;
+    auto held = totals_.handed_ + totals_.running_ + totals_.abandoned_ + totals_.unsettled_ + limit;
+    totals_.early_refusals_ += exhausted && held <= totals_.budget_ ? 1 : 0;
   }
 
   auto disrupt() -> task<> {
     ++active_;
     while (!stopping_) {
-      co_await pause_for(fleet_.loop_, kind_ == trouble::one_victim ? kill_gap : random_() % 60);
-      auto vm = kind_ == trouble::one_victim ? victim : static_cast<int>(random_() % fleet_size);
-      auto action = kind_ == trouble::one_victim ? 0 : random_() % 5;
+      co_await pause_for(fleet_.loop_, kind_ == trouble::one_vm_killed ? kill_gap : random_() % 60);
+      auto vm = kind_ == trouble::one_vm_killed ? killed_vm : static_cast<int>(random_() % fleet_size);
+      auto action = kind_ == trouble::one_vm_killed ? 0 : random_() % 5;
       if (action == 0) {
         fleet_.kill(vm);
       } else if (action == 1) {
@@ -197,10 +197,10 @@
     auto exhausted = false;
     for (auto number = 0; !exhausted && clock.now() < give_up; ++number) {
       auto name = "rest-" + std::to_string(number);
-      auto granted = fleet_.begin(0, name, "t1", ledger_.budget_);
+      auto granted = fleet_.begin(0, name, "t1", totals_.budget_);
       if (ok(granted)) {
-        REQUIRE(ok(fleet_.end(0, name, "t1", value(granted), ledger_.budget_, limit)));
-        ledger_.handed_ += limit;
+        REQUIRE(ok(fleet_.end(0, name, "t1", value(granted), totals_.budget_, limit)));
+        totals_.handed_ += limit;
         continue;
       }
       record_refusal(failure(granted));
@@ -213,7 +213,7 @@
   std::minstd_rand random_;
   trouble kind_;
   lease_fleet fleet_;
-  program_ledger_of_test ledger_;
+  run_totals totals_;
   int active_ = 0;
   bool stopping_ = false;
 };
@@ -235,7 +235,7 @@
 /// spent.
 TEST_CASE("a program gets its whole budget but one turn's worth, less turns under way at kills",
           "[lease_random]") {
-  for (auto kind : {trouble::none, trouble::one_victim}) {
+  for (auto kind : {trouble::none, trouble::one_vm_killed}) {
     for (auto seed = 101U; seed <= 106; ++seed) {
       CAPTURE(seed, static_cast<int>(kind));
       auto done = random_run{seed, kind}.run();
--- a/unit_tests/coordination/lease_use_test.cpp
+++ b/unit_tests/coordination/lease_use_test.cpp
@@ -24,6 +24,19 @@
   return std::nullopt;
 }
 
+/// Runs a turn at daemon 0, which leases the next one. `witness` witnesses it.
+auto lease_at_first_daemon(lease_fleet& fleet, int witness) -> void {
+  fleet.only_witness_ = witness;
+  fleet.turn(0, "t1", "", budget);
+}
+
+/// Checks how many turns the budget still holds.
+auto check_turns_left(lease_fleet& fleet, int vm, int turns) -> void {
+  auto served = 0;
+  CHECK(run_until_refused(fleet, vm, served) == error_code::budget_exhausted);
+  CHECK(served == turns);
+}
+
 }  // namespace
 
 /// Failure: after a kill the tokens of a turn that ran under a lease are granted a second time.
@@ -32,19 +45,17 @@
     for (auto spent_memory : {false, true}) {
       CAPTURE(witnessed, spent_memory);
       auto fleet = lease_fleet{3, witnessed, spent_memory};
-      fleet.only_witness_ = 1;
-      fleet.turn(0, "t1", "", budget);
+      lease_at_first_daemon(fleet, 1);
       REQUIRE(ok(fleet.begin(0, "t2", "t1", budget)));  // Runs under the lease.
       fleet.kill(0, false);
       fleet.expire_leases();
-      auto served = 0;
-      CHECK(run_until_refused(fleet, 2, served) == error_code::budget_exhausted);
-      CHECK(served == 2);  // Four turns, less the one that ended and the one under way at the kill.
+      check_turns_left(fleet, 2,
+                       2);  // Four turns, less the one that ended and the one under way at the kill.
     }
   }
 }
 
-/// Failure: the reservation of a turn that was under way at a kill holds its program by 503 for ever.
+/// Failure: the reservation of a turn that was under way at a kill makes its program get 503 without end.
 TEST_CASE("a started turn counts as spent once its deadline passed and its daemon is lost", "[lease_use]") {
   for (auto spent_memory : {false, true}) {
     CAPTURE(spent_memory);
@@ -72,8 +83,7 @@
     for (auto next : {1, 2}) {  // The witness itself, and another daemon.
       CAPTURE(spent_memory, next);
       auto fleet = lease_fleet{3, true, spent_memory};
-      fleet.only_witness_ = 1;
-      fleet.turn(0, "t1", "", budget);
+      lease_at_first_daemon(fleet, 1);
       fleet.kill(0, false);
       auto served = 0;
       auto clock = steady_clock{};
@@ -88,25 +98,21 @@
 /// Failure: a lost lease is asked about only when the budget is short, when its witness is gone, too.
 TEST_CASE("an expired lease of a killed daemon is asked about with the next write", "[lease_use]") {
   auto fleet = lease_fleet{3};
-  fleet.only_witness_ = 1;
-  fleet.turn(0, "t1", "", budget);
+  lease_at_first_daemon(fleet, 1);
   fleet.kill(0);
   fleet.expire_leases();
   fleet.turn(2, "t2", "t1", budget);
   run_loop_for(fleet.loop_, 30);
   fleet.kill(1);
-  auto served = 0;
-  CHECK(run_until_refused(fleet, 2, served) == error_code::budget_exhausted);
-  CHECK(served == 2);
+  check_turns_left(fleet, 2, 2);
 }
 
-/// Failure: the witness of a lost lease is gone, too, and the program is held by 503 for ever.
+/// Failure: the witness of a lost lease is gone, too, and the program gets 503 without end.
 TEST_CASE("a lease whose holder and witness are lost counts as spent once it has expired", "[lease_use]") {
   auto fleet = lease_fleet{3};
   fleet.settings_.max_turn_duration_ = 600;
   fleet.kill(0);  // With the longer time until leases expire.
-  fleet.only_witness_ = 1;
-  fleet.turn(0, "t1", "", budget);
+  lease_at_first_daemon(fleet, 1);
   fleet.kill(0);
   fleet.kill(1);
   auto served = 0;
@@ -121,12 +127,9 @@
   auto fleet = lease_fleet{3};
   fleet.settings_.reservation_lease_ = 60'000;
   fleet.kill(0);  // With the longer lease.
-  fleet.only_witness_ = 1;
-  fleet.turn(0, "t1", "", budget);
+  lease_at_first_daemon(fleet, 1);
   fleet.daemon(0).paused_ = true;
-  auto served = 0;
-  CHECK(run_until_refused(fleet, 2, served) == error_code::budget_exhausted);
-  CHECK(served == 3);
+  check_turns_left(fleet, 2, 3);
   fleet.daemon(0).paused_ = false;
   CHECK(code_of(fleet.begin(0, "t2", "t1", budget)) == error_code::budget_exhausted);
   CHECK(fleet.daemon(0).store_->statistics().leases_not_witnessed_ == 1);
@@ -136,8 +139,7 @@
 /// witness.
 TEST_CASE("without its witness a lease is not used, and its tokens stay available", "[lease_use]") {
   auto fleet = lease_fleet{3};
-  fleet.only_witness_ = 1;
-  fleet.turn(0, "t1", "", budget);
+  lease_at_first_daemon(fleet, 1);
   fleet.kill(1, false);
   auto commits = fleet.rows_->commits();
   auto granted = fleet.begin(0, "t2", "t1", budget);
@@ -145,9 +147,7 @@
   CHECK(fleet.rows_->commits() == commits + 1);
   CHECK(value(granted).reservation_ == "t2");
   REQUIRE(ok(fleet.end(0, "t2", "t1", value(granted), budget)));
-  auto served = 0;
-  CHECK(run_until_refused(fleet, 0, served) == error_code::budget_exhausted);
-  CHECK(served == 2);
+  check_turns_left(fleet, 0, 2);
 }
 
 /// Failure: a lease that was not used is lost with its holder, since its witness knows of a use that did not
@@ -183,46 +183,33 @@
   for (auto vm = 0; vm < 3; ++vm) {
     fleet.kill(vm);  // With the shorter memory.
   }
-  fleet.only_witness_ = 1;
-  fleet.turn(0, "t1", "", budget);  // Leases a reservation that is not used.
+  lease_at_first_daemon(fleet, 1);  // Leases a reservation that is not used.
   fleet.kill(0, false);
   fleet.expire_leases();
   run_loop_for(fleet.loop_, 50);
-  auto served = 0;
-  CHECK(run_until_refused(fleet, 2, served) == error_code::budget_exhausted);
-  CHECK(served == 2);
+  check_turns_left(fleet, 2, 2);
   CHECK(fleet.daemon(2).store_->statistics().leases_found_unused_ == 0);
 }
 
 /// Failure: a lease is lost with the response to its transfer, although no daemon was.
 TEST_CASE("a lease whose transfer got no response is released", "[lease_use]") {
   auto fleet = lease_fleet{3};
-  fleet.only_witness_ = 1;
-  fleet.turn(0, "t1", "", budget);
+  lease_at_first_daemon(fleet, 1);
   fleet.lost_peer_answers_ = 1;
-  auto granted = fleet.begin(2, "t2", "t1", budget);  // The first contact with the program reads its record.
-  REQUIRE(ok(granted));
-  REQUIRE(ok(fleet.end(2, "t2", "t1", value(granted), budget)));
-  fleet.lost_peer_answers_ = 0;
-  auto served = 0;
-  CHECK(run_until_refused(fleet, 1, served) == error_code::budget_exhausted);
-  CHECK(served == 2);
+  fleet.turn(2, "t2", "t1", budget);  // The first contact with the program reads its record.
+  REQUIRE(fleet.lost_peer_answers_ == 0);
+  check_turns_left(fleet, 1, 2);
 }
 
 /// Failure: a lease is lost with one daemon that was both its recipient and its witness.
 TEST_CASE("a lease that was transferred to its own witness is released when that is killed", "[lease_use]") {
   auto fleet = lease_fleet{3};
-  fleet.only_witness_ = 2;
-  fleet.turn(0, "t1", "", budget);
+  lease_at_first_daemon(fleet, 2);
   fleet.lost_peer_answers_ = 1;
-  auto granted = fleet.begin(2, "t2", "t1", budget);
-  REQUIRE(ok(granted));
-  REQUIRE(ok(fleet.end(2, "t2", "t1", value(granted), budget)));
+  fleet.turn(2, "t2", "t1", budget);
   fleet.kill(2, false);
   fleet.expire_leases();
-  auto served = 0;
-  CHECK(run_until_refused(fleet, 1, served) == error_code::budget_exhausted);
-  CHECK(served == 2);
+  check_turns_left(fleet, 1, 2);
 }
 
 /// Failure: a turn that its witness runs itself is taken for one that never started.
@@ -230,8 +217,7 @@
   for (auto killed : {0, 2}) {
     CAPTURE(killed);
     auto fleet = lease_fleet{3};
-    fleet.only_witness_ = 2;
-    fleet.turn(0, "t1", "", budget);
+    lease_at_first_daemon(fleet, 2);
     auto commits = fleet.rows_->commits();
     REQUIRE(ok(fleet.begin(2, "t2", "t1", budget)));
     REQUIRE(fleet.rows_->commits() == commits);  // It runs under the lease.
@@ -262,8 +248,7 @@
 /// Failure: a daemon of an earlier version starts a turn under a lease without its witness.
 TEST_CASE("a witnessed lease is transferred only to a daemon that names itself", "[lease_use]") {
   auto fleet = lease_fleet{3};
-  fleet.only_witness_ = 1;
-  fleet.turn(0, "t1", "", budget);
+  lease_at_first_daemon(fleet, 1);
   auto holder = fleet.daemon(0);
   auto lease = "t1+" + holder.name_;
   CHECK_FALSE(holder.store_->transfer_lease("p", lease));
@@ -289,23 +274,18 @@
   auto fleet = lease_fleet{1, false};
   fleet.turn(0, "t1", "", budget);
   run_loop_for(fleet.loop_, fleet.settings_.reservation_lease_ + 10);
-  auto served = 0;
-  CHECK(run_until_refused(fleet, 0, served) == error_code::budget_exhausted);
-  CHECK(served == 3);
+  check_turns_left(fleet, 0, 3);
 }
 
 /// Failure: the leases of a daemon that stopped as planned are lost when their witnesses stop after it.
 TEST_CASE("a daemon that stops releases its leases", "[lease_use]") {
   auto fleet = lease_fleet{3};
-  fleet.only_witness_ = 1;
-  fleet.turn(0, "t1", "", budget);
+  lease_at_first_daemon(fleet, 1);
   fleet.daemon(0).store_->release_leases();
   run_loop_for(fleet.loop_, 20);
   fleet.kill(0);
   fleet.kill(1);
-  auto served = 0;
-  CHECK(run_until_refused(fleet, 2, served) == error_code::budget_exhausted);
-  CHECK(served == 3);
+  check_turns_left(fleet, 2, 3);
 }
 
 /// Failure: eviction makes a daemon forget that a turn runs under its lease, which it then drops.
@@ -324,8 +304,7 @@
 /// Failure: a turn runs under a lease longer than assumed, and its tokens are granted to others meanwhile.
 TEST_CASE("a turn that runs longer than its lease stays counted while its daemon is alive", "[lease_use]") {
   auto fleet = lease_fleet{3};
-  fleet.only_witness_ = 1;
-  fleet.turn(0, "t1", "", budget);
+  lease_at_first_daemon(fleet, 1);
   auto running = fleet.begin(0, "t2", "t1", budget);
   REQUIRE(ok(running));
   fleet.expire_leases();
--- a/unit_tests/coordination/program_store_test.cpp
+++ b/unit_tests/coordination/program_store_test.cpp
@@ -5,7 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "birchlever/storage/memory_row_store.h"
-#include "unit_tests/coordination/peers_without_tokens.h"
+#include "unit_tests/coordination/idle_peers.h"
 #include "unit_tests/http/loop_runner.h"
 
 namespace birchlever {
@@ -270,7 +270,7 @@
 }
 
 /// Connects to one other daemon.
-class single_peer final : public peers_without_tokens {
+class single_peer final : public idle_peers {
  public:
   explicit single_peer(std::shared_ptr<program_store> other) : other_{std::move(other)} {}
 
--- a/unit_tests/coordination/share_fleet.h
+++ b/unit_tests/coordination/share_fleet.h
@@ -6,7 +6,7 @@
 
 #include "birchlever/coordination/program_store.h"
 #include "birchlever/storage/memory_row_store.h"
-#include "unit_tests/coordination/peers_without_tokens.h"
+#include "unit_tests/coordination/idle_peers.h"
 #include "unit_tests/http/loop_runner.h"
 
 namespace birchlever {
@@ -19,7 +19,7 @@
 class share_fleet;
 
 /// Connects a daemon to the others for leases.
-class lease_peers final : public peers_without_tokens {
+class lease_peers final : public idle_peers {
  public:
   explicit lease_peers(share_fleet& fleet) : fleet_{&fleet} {}
 
