Ask about leases that count as spent again before a program is refused

Shown by a test, seen by no caller: while the holder and the witness of an unused lease were paused or cut off, the lease counted as spent once it had expired; when they were back, the next turn still got 402, since the answer of before held until an inquiry in the background ended.

A turn that is refused as exhausted asks first, at most once a second for each lease, and tries again if a lease was found to be unused. "a lease that counted as spent during a pause is available after it" failed before (0 turns served, 1 is owed), with and without spent_memory.

--- a/birchlever/coordination/program_store_share.cpp
+++ b/birchlever/coordination/program_store_share.cpp
@@ -45,7 +45,8 @@
   auto max_wait = order.max_wait_.value_or(settings_.max_start_wait_);
   auto resolved = program->resolved_;
   auto reserved = co_await reserve(program, order, limits, max_wait);
-  if (reserved.budget_leased_ && !settings_.spent_memory_) {  // Otherwise share_budget asks.
+  auto exhausted = !ok(reserved.status_) && failure(reserved.status_).code_ == error_code::budget_exhausted;
+  if (exhausted || (reserved.budget_leased_ && !settings_.spent_memory_)) {  // Otherwise share_budget asks.
     co_await inquire_leases(program, false);
     if (program->resolved_ != resolved) {
       reserved = co_await reserve(program, order, limits, max_wait);
--- a/unit_tests/coordination/lease_use_test.cpp
+++ b/unit_tests/coordination/lease_use_test.cpp
@@ -122,6 +122,23 @@
   CHECK(served == 2);
 }
 
+/// Failure: a program is refused as exhausted for a lease that could be asked about again.
+TEST_CASE("a lease that counted as spent during a pause is available after it", "[lease_use]") {
+  for (auto spent_memory : {false, true}) {
+    CAPTURE(spent_memory);
+    auto fleet = lease_fleet{3, true, spent_memory};
+    lease_at_first_daemon(fleet, 1);
+    fleet.daemon(0).paused_ = true;
+    fleet.daemon(1).paused_ = true;
+    fleet.expire_leases();
+    check_turns_left(fleet, 2, 2);
+    fleet.daemon(0).paused_ = false;
+    fleet.daemon(1).paused_ = false;
+    run_loop_for(fleet.loop_, fleet.settings_.inquiry_max_age_ + 20);
+    check_turns_left(fleet, 2, 1);
+  }
+}
+
 /// Failure: a daemon that was paused starts a turn under a lease that was released meanwhile.
 TEST_CASE("a paused holder starts no turn under a lease that was released without it", "[lease_use]") {
   auto fleet = lease_fleet{3};
