Tests of containment that fail: ends that are not recognized, sends that are not joined

Eight tests on three daemons before eight upstreams of each service. Three are allowed.

request_offered has the digest of the content and the number of earlier sends that counted when the send was made; lost_send_settled says on what grounds a lost send was taken as harmless. Both are needed to tell the hypotheses of the incident apart.

--- a/birchlever/gateway/crash_guard.cpp
+++ b/birchlever/gateway/crash_guard.cpp
@@ -59,6 +59,10 @@
   return std::shared_ptr<crash_guard>{new crash_guard{context, std::move(crashes), settings}};
 }
 
+auto crash_guard::counted_sends(const gateway_request& request) const -> int {
+  return crashes_->history().crashes(request.fingerprint_);
+}
+
 auto crash_guard::refusal(const gateway_request& request) const -> std::optional<error> {
   const auto& history = crashes_->history();
   auto crashes = history.crashes(request.fingerprint_);
@@ -272,6 +276,11 @@
   auto expired = context_->clock_.now() - send.since_ > settings_.watch_duration_;
   auto survived = target.health().last_response_at() > send.since_ + response_margin;
   if (survived || expired) {
+    log_event(log_level::info, "lost_send_settled",
+              {{"fingerprint", send.fingerprint_},
+               {"upstream", incarnation},
+               {"grounds", std::string{survived ? "responded" : "expired"}},
+               {"after_ms", context_->clock_.now() - send.since_}});
     crashes_->settle(send.fingerprint_, incarnation);
     co_return true;
   }
--- a/birchlever/gateway/crash_guard.h
+++ b/birchlever/gateway/crash_guard.h
@@ -58,6 +58,9 @@
   /// Returns the number of upstreams that may end under a piece of work now.
   [[nodiscard]] auto max_crashes() const -> int;
 
+  /// Returns the number of earlier sends of the request under which the upstream ended or may have ended.
+  [[nodiscard]] auto counted_sends(const gateway_request& request) const -> int;
+
   /// Returns the error with which a request must be rejected, or nothing if it may be sent.
   [[nodiscard]] auto refusal(const gateway_request& request) const -> std::optional<error>;
 
--- a/birchlever/gateway/request_fingerprint.cpp
+++ b/birchlever/gateway/request_fingerprint.cpp
@@ -18,9 +18,8 @@
   text += field;
 }
 
-}  // namespace
-
-auto fingerprint_of(const gateway_request& request) -> std::string {
+/// Returns the fields that decide what an upstream does with a request.
+auto content_text(const gateway_request& request) -> std::string {
   const auto& metadata = request.metadata_;
   const auto& message = request.message_;
   auto text = std::string{};
@@ -29,14 +28,16 @@
   append_field(text, field_of(message, "Host"));
   append_field(text, std::string{message.target()});
   append_field(text, field_of(message, "Cookie"));
-  append_field(text, metadata.program_.empty() ? "id " + metadata.request_id_ : metadata.program_);
-  append_field(text, metadata.session_);
   append_field(text, metadata.previous_turn_);
   append_field(text, metadata.model_);
   append_field(text, message.body());
   for (const auto& part : metadata.parts_) {
     append_field(text, std::to_string(part.id_));
   }
+  return text;
+}
+
+auto digest_of(const std::string& text) -> std::string {
   auto digits = std::array<char, 33>{};
   std::snprintf(digits.data(), digits.size(), "%016llx%016llx",
                 static_cast<unsigned long long>(hash_of(text)),
@@ -44,4 +45,18 @@
   return digits.data();
 }
 
+}  // namespace
+
+auto fingerprint_of(const gateway_request& request) -> std::string {
+  const auto& metadata = request.metadata_;
+  auto text = content_text(request);
+  append_field(text, metadata.program_.empty() ? "id " + metadata.request_id_ : metadata.program_);
+  append_field(text, metadata.session_);
+  return digest_of(text);
+}
+
+auto content_fingerprint_of(const gateway_request& request) -> std::string {
+  return "content-" + digest_of(content_text(request));
+}
+
 }  // namespace birchlever
--- a/birchlever/gateway/request_fingerprint.h
+++ b/birchlever/gateway/request_fingerprint.h
@@ -13,4 +13,8 @@
 /// called before the stored history is prepended to the body.
 [[nodiscard]] auto fingerprint_of(const gateway_request& request) -> std::string;
 
+/// Likewise without program, session and id: equal for all requests that ask an upstream for the same,
+/// whoever sends them. Never equal to a fingerprint of `fingerprint_of`.
+[[nodiscard]] auto content_fingerprint_of(const gateway_request& request) -> std::string;
+
 }  // namespace birchlever
--- a/birchlever/gateway/upstream_dispatch.cpp
+++ b/birchlever/gateway/upstream_dispatch.cpp
@@ -124,7 +124,9 @@
     co_return attempt_outcome::refused_full;
   }
   auto target = value(choice).chosen_;
+  auto counted = 0;  // Earlier sends of the work under which the upstream ended or may have ended.
   if (context_->crash_guard_) {
+    counted = context_->crash_guard_->counted_sends(request);
     auto prepared = co_await context_->crash_guard_->prepare_send(request, *target);
     if (!ok(prepared)) {
       counts.withheld_ = failure(prepared);
@@ -156,6 +158,8 @@
              {"account", request.account_name()},
              {"route", request.route_->name_},
              {"fingerprint", request.fingerprint_},
+             {"content", request.content_fingerprint_},
+             {"counted_sends", std::int64_t{counted}},
              {"session", request.metadata_.session_},
              {"upstream", incarnation_of(target->entry())},
              {"candidates", static_cast<std::int64_t>(value(choice).candidates_)},
--- a/unit_tests/gateway/crash_containment_test.cpp
+++ b/unit_tests/gateway/crash_containment_test.cpp
@@ -199,4 +199,87 @@
   REQUIRE(ask(fixture, 0, "/unsafe/a", headers_of("r5"), "body").status_ == 200);
 }
 
+// Guards against taking an upstream that ended for a sound one because a supervisor holds its port open.
+TEST_CASE("a turn that ends engines whose ports stay open reaches three of them at most") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 3);
+  fixture.port_after_end_ = port_after_end::held;
+  repeat(fixture, "/turn/x", 6);
+  REQUIRE(fixture.ended_upstreams() <= max_ended);
+}
+
+// Guards against the same for repeatable requests, which a daemon retries itself.
+TEST_CASE("a repeatable request that ends upstreams whose ports stay open reaches three of them at most") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 3);
+  fixture.port_after_end_ = port_after_end::held;
+  repeat(fixture, "/safe/a", 6);
+  REQUIRE(fixture.ended_upstreams() <= max_ended);
+}
+
+// Guards against taking the next incarnation at the address, not listed yet, for the one that ended.
+TEST_CASE("a request that ends upstreams that are back at once reaches three of them at most") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 3);
+  fixture.port_after_end_ = port_after_end::reopens;
+  repeat(fixture, "/safe/a", 6);
+  REQUIRE(fixture.ended_upstreams() <= max_ended);
+}
+
+// Guards against counting anew for each attempt when attempts have nothing in common but their content.
+TEST_CASE("a request outside programs that ends its upstreams reaches three of them at most") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 3);
+  for (auto attempt = std::size_t{0}; attempt < 6; ++attempt) {
+    auto headers = headers_of("r" + std::to_string(attempt));
+    headers.erase("X-Program-Id");
+    headers.erase("X-Session-Id");
+    ask(fixture, attempt % 3, "/safe/a", headers, harmful);
+  }
+  REQUIRE(fixture.ended_upstreams() <= max_ended);
+}
+
+// Guards against counting anew when another program or session starts the same turn.
+TEST_CASE("a turn that other programs start again reaches three engines at most") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 3);
+  for (auto attempt = std::size_t{0}; attempt < 6; ++attempt) {
+    auto number = std::to_string(attempt);
+    auto headers = turn_headers("r" + number, "p" + number);
+    headers["X-Session-Id"] = "s" + number;
+    ask(fixture, attempt % 3, "/turn/x", headers, harmful);
+  }
+  REQUIRE(fixture.ended_upstreams() <= max_ended);
+}
+
+// Guards against forgetting the upstreams that ended under a call when an equal call of its program is
+// served.
+TEST_CASE("an equal call that is served does not clear the history of a harmful one") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 3);
+  fixture.harmful_text_.clear();
+  for (auto attempt = std::size_t{0}; attempt < 6; ++attempt) {
+    auto number = std::to_string(attempt);
+    auto headers = headers_of("h" + number);
+    headers[harmful_header] = "1";
+    ask(fixture, attempt % 3, "/unsafe/a", headers, "body");
+    ask(fixture, (attempt + 1) % 3, "/unsafe/a", headers_of("i" + number), "body");
+  }
+  REQUIRE(fixture.ended_upstreams() <= max_ended);
+}
+
+// Guards against sends without end while it can't be known whether the upstreams ended: they are silent, and
+// callers leave before that shows.
+TEST_CASE("a request whose callers leave silent upstreams is sent to three of them at most") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 3);
+  fixture.patience_ = 200;
+  for (auto attempt = std::size_t{0}; attempt < 6; ++attempt) {
+    fixture.scripts_ = {{script::kind::no_response}};
+    ask(fixture, attempt % 3, "/unsafe/a", headers_of("r" + std::to_string(attempt)), "body");
+    fixture.run_for(100);  // Until the daemon has seen its caller leave and told its peers.
+  }
+  REQUIRE(fixture.seen_.size() <= max_ended);
+}
+
 }  // namespace birchlever::test
--- a/unit_tests/gateway/crash_detection_test.cpp
+++ b/unit_tests/gateway/crash_detection_test.cpp
@@ -110,4 +110,17 @@
   REQUIRE(ask(fixture, "r1").status_ == 200);
 }
 
+// Guards against clearing a lost send by the response of another incarnation at the same address.
+TEST_CASE("a rejection by the next incarnation does not show that the upstream lives") {
+  auto fixture = gateway_fixture{};
+  fixture.stop_listening("tool-2");
+  fixture.context_->upstreams_->remove("tool-2");
+  fixture.port_after_end_ = port_after_end::reopens;
+  fixture.answer_delay_ = 50;
+  lose(fixture, script::kind::end_process);
+  ask(fixture, "r2");
+  fixture.run_for(500);
+  REQUIRE(fixture.registers_.front()->history().crashes(fingerprint()) == 1);
+}
+
 }  // namespace birchlever::test
--- a/unit_tests/gateway/gateway_fixture.cpp
+++ b/unit_tests/gateway/gateway_fixture.cpp
@@ -48,6 +48,7 @@
                             make_route("/unsafe/", route_kind::unsafe, tool_service, false)};
   auto engines = service_description{};
   engines.name_ = engine_service;
+  engines.health_path_ = "/healthz";
   engines.engine_ = engine_capacity{8, 100000, 4};
   configuration_.services_[engine_service] = engines;
   configuration_.services_[tool_service] = service_description{tool_service, "/healthz", 8, std::nullopt};
@@ -202,9 +203,12 @@
   while (keep_open) {
     auto read = co_await connection->read_request(limits);
     auto* request = std::get_if<http_request>(&read);
-    if (request == nullptr) {
+    if (request == nullptr || upstreams_.at(name).held_) {
       break;
     }
+    if (co_await serve_without_running(upstreams_.at(name), *request, *connection)) {
+      continue;
+    }
     auto received = received_request{name, std::string{request->target()}, request->body(), {}};
     for (const auto& field : *request) {
       received.headers_[std::string{field.name_string()}] = std::string{field.value()};
@@ -212,7 +216,8 @@
     seen_.push_back(std::move(received));
     auto script_to_run = script{};
     script_to_run.kind_ = name[0] == 'e' ? script::kind::stream : script::kind::answer;
-    auto harmful = !harmful_text_.empty() && request->body().find(harmful_text_) != std::string::npos;
+    auto harmful = (!harmful_text_.empty() && request->body().find(harmful_text_) != std::string::npos) ||
+                   request->count(harmful_header) != 0;
     if (harmful) {
       script_to_run.kind_ = script::kind::end_process;
     } else if (!scripts_.empty()) {
@@ -237,7 +242,7 @@
     co_return received;
   }
   auto connection = std::get<0>(opened);
-  connection->send(std::make_shared<const http_request>(std::move(request)), 4000);
+  connection->send(std::make_shared<const http_request>(std::move(request)), patience_);
   auto head = co_await connection->read_head();
   if (std::holds_alternative<exchange_fault>(head)) {
     co_return received;
--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -54,6 +54,16 @@
   copy copy_ = copy::none;
 };
 
+/// What becomes of the port of an upstream that ended under a request.
+enum class port_after_end {
+  closes,
+  held,    ///< Accepts connections for another process, which answers nothing.
+  reopens  ///< The next incarnation answers there at once, under another id.
+};
+
+/// A header that makes a request end its upstream, and is no part of what it asks for.
+constexpr auto harmful_header = "Ends-Its-Server";
+
 /// A request as received by an upstream.
 struct received_request {
   std::string upstream_;
@@ -141,8 +151,10 @@
   std::string harmful_text_;  ///< An upstream ends when it gets a body that contains this; empty: none does.
   milliseconds answer_delay_ = 0;  ///< ms for which an upstream runs any other request before it responds.
   bool peers_connected_ = true;    ///< Daemons exchange records of the crash history directly, too.
-  milliseconds ends_after_ = 0;    ///< ms for which an upstream runs such a request before it ends.
-  std::deque<script> scripts_;     ///< For the next requests; when empty, a normal response or stream.
+  port_after_end port_after_end_ = port_after_end::closes;
+  milliseconds patience_ = 4000;  ///< ms after which a caller closes its connection.
+  milliseconds ends_after_ = 0;   ///< ms for which an upstream runs such a request before it ends.
+  std::deque<script> scripts_;    ///< For the next requests; when empty, a normal response or stream.
   std::vector<received_request> seen_;
   serving_configuration configuration_;
   std::vector<std::shared_ptr<crash_register>> registers_;  ///< By daemon.
@@ -173,8 +185,15 @@
     upstream_entry entry_;
     std::shared_ptr<http_listener> listener_;
     std::set<std::shared_ptr<server_connection>> connections_;
+    std::string id_;     ///< Of the incarnation that runs.
+    bool held_ = false;  ///< It ended, and its port stays open.
   };
 
+  /// Serves health checks, and rejects what is meant for another incarnation. Returns false if the request is
+  /// to be run.
+  auto serve_without_running(const scripted_upstream& upstream, const http_request& request,
+                             server_connection& connection) -> task<bool>;
+
   std::map<std::string, scripted_upstream> upstreams_;
   std::map<server_connection*, late_copy> late_copies_;
   std::vector<std::shared_ptr<gateway_server>> servers_;
--- a/unit_tests/gateway/gateway_fixture_fleet.cpp
+++ b/unit_tests/gateway/gateway_fixture_fleet.cpp
@@ -65,6 +65,26 @@
   REQUIRE(ok(listening));
   add_upstream(name, service, port);
   upstreams_[name].listener_ = value(listening);
+  upstreams_[name].id_ = name;
+}
+
+auto gateway_fixture::serve_without_running(const scripted_upstream& upstream, const http_request& request,
+                                            server_connection& connection) -> task<bool> {
+  auto answer = http_response{http::status::ok, 11};
+  answer.keep_alive(true);
+  auto expected = std::string{field_of(request, "X-Expect-Instance")};
+  if (!expected.empty() && expected != upstream.id_) {
+    answer.result(http::status::misdirected_request);
+    answer.set("X-Request-Id", std::string{field_of(request, "X-Request-Id")});
+    answer.set("X-Not-Executed", "1");
+  } else if (request.target() == "/healthz") {
+    answer.set("X-Instance-Id", upstream.id_);
+  } else {
+    co_return false;
+  }
+  answer.prepare_payload();
+  co_await connection.write(std::move(answer));
+  co_return true;
 }
 
 auto gateway_fixture::set_born(const std::string& name, std::int64_t born) -> void {
@@ -77,7 +97,17 @@
 
 auto gateway_fixture::end_upstream(const std::string& name) -> void {
   auto& ended = upstreams_.at(name);
-  ended.listener_->stop();
+  switch (port_after_end_) {
+    case port_after_end::closes:
+      ended.listener_->stop();
+      break;
+    case port_after_end::held:
+      ended.held_ = true;
+      break;
+    case port_after_end::reopens:
+      ended.id_ += "-next";
+      break;
+  }
   for (const auto& connection : std::exchange(ended.connections_, {})) {
     connection->close();
   }
