Join sends of the same content, whoever makes them

Cause: sends were joined by a fingerprint that has the program and session, or the id for requests outside programs. What ends a server is what it is sent, not who sends it.

Change: a second fingerprint of the content alone (account, method, host, target, cookie, previous turn, model, body, parts of the prompt) has a history of its own, with the same limit. It counts what the work's history counts, but a caller that left only once the upstream has given no sign of life for 500 ms; a whole answer to anyone clears it; it is forgotten after 60 s; before the last upstream that may end, one request of the content is sent at a time. Else popular requests would be refused to everyone because upstreams ended, or callers left, while copies of them ran.

Two tests keep popular content served.

--- a/birchlever/controllers/crash_register.cpp
+++ b/birchlever/controllers/crash_register.cpp
@@ -176,13 +176,23 @@
 }
 
 auto crash_register::record(send_record record, record_wait wait) -> task<bool> {
+  auto records = std::vector<send_record>{std::move(record)};
+  auto stored = co_await record_all(std::move(records), wait);
+  co_return stored;
+}
+
+auto crash_register::record_all(std::vector<send_record> records, record_wait wait) -> task<bool> {
   auto self = shared_from_this();
   auto started_at = clock_.now();
-  share_crashes(record.fingerprint_);
-  announce(record);
+  auto number = std::int64_t{0};
+  for (const auto& record : records) {
+    wait = record.state_ == send_state::crashed ? record_wait::spread : wait;
+    share_crashes(record.fingerprint_);
+    announce(record);
+    number = table_full() ? 0 : enqueue(record, false);
+  }
   auto stored = false;
-  if (!table_full()) {
-    auto number = enqueue(record, false);
+  if (number > 0) {
     stored = co_await wait_until_written(number, started_at + settings_.record_limit_);
   }
   auto spread_left = started_at + settings_.spread_time_ - clock_.now();
@@ -280,6 +290,7 @@
 
 auto crash_register::write_pending() -> task<> {
   auto self = shared_from_this();
+  co_await pause_for(*loop_, 0);  // Records of the same moment share a transaction.
   while (!pending_.empty()) {
     auto count = std::min(pending_.size(), max_changes);
     auto last = pending_[count - 1].number_;
@@ -325,8 +336,7 @@
     if (!record) {
       continue;
     }
-    auto open = record->state_ == send_state::open;
-    auto lifetime = open ? settings_.history_.max_open_ : settings_.history_.max_age_;
+    auto lifetime = history_.lifetime_of(*record);
     auto age = now - since;
     auto responsible = owns_(record->fingerprint_) || age > 2 * lifetime;  // The owner may be gone.
     if (age > lifetime && responsible) {
--- a/birchlever/controllers/crash_register.h
+++ b/birchlever/controllers/crash_register.h
@@ -41,7 +41,7 @@
 /// How long `crash_register::record` takes at least.
 enum class record_wait {
   store,  ///< Until the store acknowledged the record.
-  spread  ///< Also until all daemons know of it: the caller may repeat the request then.
+  spread  ///< Also until all daemons know of it: the caller may repeat the request then. Always for crashes.
 };
 
 /// Used by coroutines of one event loop.
@@ -76,6 +76,9 @@
   /// store acknowledged it within the limit; it is written later otherwise.
   auto record(send_record record, record_wait wait = record_wait::store) -> task<bool>;
 
+  /// Likewise for several records.
+  auto record_all(std::vector<send_record> records, record_wait wait = record_wait::store) -> task<bool>;
+
   /// Records an open send here and with peers only.
   auto announce(const send_record& record) -> void;
 
--- a/birchlever/coordination/crash_history.cpp
+++ b/birchlever/coordination/crash_history.cpp
@@ -123,14 +123,21 @@
   return at_risk;
 }
 
+auto crash_history::lifetime_of(const send_record& record) const -> milliseconds {
+  if (record.state_ == send_state::open) {
+    return settings_.max_open_;
+  }
+  return is_content(record.fingerprint_) ? settings_.max_content_age_ : settings_.max_age_;
+}
+
 auto crash_history::expire(milliseconds now) -> std::vector<send_record> {
   auto expired = std::vector<send_record>{};
   for (const auto& [fingerprint, work] : works_) {
-    auto work_expired = now - work.changed_at_ > settings_.max_age_;
     for (const auto& [upstream, send] : work.sends_) {
-      auto send_expired = send.state_ == send_state::open && now - send.changed_at_ > settings_.max_open_;
-      if (work_expired || send_expired) {
-        expired.push_back({fingerprint, upstream, send.state_});
+      auto record = send_record{fingerprint, upstream, send.state_};
+      auto changed_at = send.state_ == send_state::open ? send.changed_at_ : work.changed_at_;
+      if (now - changed_at > lifetime_of(record)) {
+        expired.push_back(std::move(record));
       }
     }
   }
--- a/birchlever/coordination/crash_history.h
+++ b/birchlever/coordination/crash_history.h
@@ -19,6 +19,13 @@
 
 namespace birchlever {
 
+/// Fingerprints that begin with this are shared by all requests of the same content, whoever sends them.
+inline constexpr auto content_prefix = std::string_view{"content-"};
+
+[[nodiscard]] inline auto is_content(std::string_view fingerprint) -> bool {
+  return fingerprint.substr(0, content_prefix.size()) == content_prefix;
+}
+
 /// What is known about a send of suspected work.
 enum class send_state {
   open,     ///< Sent, or about to be; no outcome known.
@@ -44,6 +51,8 @@
   int max_crashes_ = 3;
   std::size_t max_works_ = 4096;    ///< The least recently changed work is evicted.
   milliseconds max_age_ = 600'000;  ///< Work without change for this long is forgotten.
+  /// Content without change for this long is forgotten: many callers may need it.
+  milliseconds max_content_age_ = 60'000;
   milliseconds max_open_ = 60'000;  ///< Open sends without change for this long are forgotten; longer than a
                                     ///< request may take.
 };
@@ -70,6 +79,14 @@
   /// Returns the number of upstreams that ended under a piece of work for certain.
   [[nodiscard]] auto confirmed_crashes(const std::string& fingerprint) const -> int;
 
+  /// Returns true if a send is known to be open.
+  [[nodiscard]] auto is_open(const std::string& fingerprint, const std::string& upstream) const -> bool {
+    return open_.count({upstream, fingerprint}) != 0;
+  }
+
+  /// Returns how long records like this one are kept without change.
+  [[nodiscard]] auto lifetime_of(const send_record& record) const -> milliseconds;
+
   /// Returns the crashes of a piece of work.
   [[nodiscard]] auto crash_records(const std::string& fingerprint) const -> std::vector<send_record>;
 
--- a/birchlever/gateway/crash_guard.cpp
+++ b/birchlever/gateway/crash_guard.cpp
@@ -59,28 +59,36 @@
 }
 
 auto crash_guard::counted_sends(const gateway_request& request) const -> int {
-  return crashes_->history().crashes(request.fingerprint_);
+  const auto& history = crashes_->history();
+  return std::max(history.crashes(request.fingerprint_), history.crashes(request.content_fingerprint_));
 }
 
 auto crash_guard::refusal(const gateway_request& request) const -> std::optional<error> {
   const auto& history = crashes_->history();
   auto crashes = history.crashes(request.fingerprint_);
-  if (crashes == 0 || crashes < max_crashes()) {
-    return std::nullopt;
+  if (crashes > 0 && crashes >= max_crashes()) {
+    return make_refusal(request, request.fingerprint_, crashes);
+  }
+  // Many callers may need the same content: it is not limited further while a daemon may have been lost.
+  auto content_crashes = history.crashes(request.content_fingerprint_);
+  if (content_crashes >= history.settings().max_crashes_) {
+    return make_refusal(request, request.content_fingerprint_, content_crashes);
   }
-  return make_refusal(request, crashes);
+  return std::nullopt;
 }
 
-auto crash_guard::make_refusal(const gateway_request& request, int crashes) const -> error {
+auto crash_guard::make_refusal(const gateway_request& request, const std::string& fingerprint,
+                               int crashes) const -> error {
   const auto& history = crashes_->history();
-  auto confirmed = history.confirmed_crashes(request.fingerprint_);
+  auto confirmed = history.confirmed_crashes(fingerprint);
   auto ran = request.relayed_.reached_upstream_ ? ran_state::outcome_unknown : ran_state::not_run;
+  auto subject = std::string{is_content(fingerprint) ? "requests of this content" : "this request"};
   if (confirmed >= history.settings().max_crashes_) {
     return {error_code::upstreams_crashed,
-            "not sent: " + std::to_string(confirmed) + " upstreams ended while they ran this request", ran};
+            "not sent: " + std::to_string(confirmed) + " upstreams ended while they ran " + subject, ran};
   }
   return {error_code::sends_unresolved,
-          "not sent: " + std::to_string(confirmed) + " upstreams ended while they ran this request, " +
+          "not sent: " + std::to_string(confirmed) + " upstreams ended while they ran " + subject + ", " +
               std::to_string(crashes) + " may have",
           ran, settings_.unresolved_retry_};
 }
@@ -103,45 +111,72 @@
 
 auto crash_guard::prepare_send(const gateway_request& request, const upstream& target) -> task<status> {
   const auto& history = crashes_->history();
-  const auto& fingerprint = request.fingerprint_;
-  if (history.crashes(fingerprint) == 0) {
-    co_return success;
-  }
   auto incarnation = incarnation_of(target.entry());
-  auto open_send = send_record{fingerprint, incarnation, send_state::open};
-  auto stored = co_await crashes_->record(std::move(open_send));
-  auto crashes = history.crashes(fingerprint);  // With this send, and those of other daemons meanwhile.
-  if (crashes > max_crashes()) {
-    crashes_->settle(fingerprint, incarnation);
-    co_return make_refusal(request, crashes - 1);
+  auto limits = limits_of(request);
+  auto records = std::vector<send_record>{};
+  for (const auto& limit : limits) {
+    records.push_back({limit.fingerprint_, incarnation, send_state::open});
   }
-  if (!stored && crashes == history.settings().max_crashes_) {
-    crashes_->settle(fingerprint, incarnation);
-    co_return error{error_code::store_unavailable,
-                    "not sent: " + std::to_string(crashes - 1) +
-                        " upstreams ended or may have ended while they ran this request, and this send can't "
-                        "be recorded now",
-                    ran_state::not_run, settings_.retry_after_};
+  if (records.empty()) {
+    co_return success;
+  }
+  auto stored = co_await crashes_->record_all(records);
+  for (const auto& limit : limits) {
+    auto crashes =
+        history.crashes(limit.fingerprint_);  // With this send, and those of other daemons meanwhile.
+    auto unrecorded = !stored && crashes == history.settings().max_crashes_;
+    if (crashes > limit.max_crashes_ || unrecorded) {
+      settle(request, incarnation);
+      co_return crashes > limit.max_crashes_ ? make_refusal(request, limit.fingerprint_, crashes - 1)
+                                             : make_store_error(crashes - 1);
+    }
   }
   co_return success;
 }
 
+auto crash_guard::limits_of(const gateway_request& request) const -> std::vector<send_limit> {
+  const auto& history = crashes_->history();
+  auto limits = std::vector<send_limit>{};
+  if (history.crashes(request.fingerprint_) > 0) {
+    limits.push_back({request.fingerprint_, max_crashes()});
+  }
+  auto most = history.settings().max_crashes_;
+  if (history.crashes(request.content_fingerprint_) >= most - 1) {
+    limits.push_back({request.content_fingerprint_, most});
+  }
+  return limits;
+}
+
+auto crash_guard::make_store_error(int crashes) const -> error {
+  return error{error_code::store_unavailable,
+               "not sent: " + std::to_string(crashes) +
+                   " upstreams ended or may have ended while they ran this request, and this send can't "
+                   "be recorded now",
+               ran_state::not_run, settings_.retry_after_};
+}
+
+auto crash_guard::settle(const gateway_request& request, const std::string& incarnation) -> void {
+  crashes_->settle(request.fingerprint_, incarnation);
+  crashes_->settle(request.content_fingerprint_, incarnation);
+}
+
 auto crash_guard::conclude_send(const gateway_request& request, upstream_pointer target,
                                 attempt_outcome outcome) -> task<std::optional<identity_state>> {
   const auto& fingerprint = request.fingerprint_;
   if (is_lost(outcome, request)) {
     auto closed_by_upstream = is_closed_by_upstream(outcome, request);
     auto now = context_->clock_.now();
-    auto send =
-        lost_send{fingerprint, std::move(target), now, std::max(now, request.deadline_), closed_by_upstream};
+    auto send = lost_send{fingerprint, request.content_fingerprint_,     std::move(target),
+                          now,         std::max(now, request.deadline_), closed_by_upstream};
     auto probed = co_await lost_sends_->examine(std::move(send));
     co_return probed;
   }
   auto served = outcome == attempt_outcome::relayed && request.relayed_.complete_;
   if (served) {
     crashes_->clear(fingerprint);
+    crashes_->clear(request.content_fingerprint_);
   } else {
-    crashes_->settle(fingerprint, incarnation_of(target->entry()));
+    settle(request, incarnation_of(target->entry()));
   }
   co_return std::nullopt;
 }
--- a/birchlever/gateway/lost_send_watch.cpp
+++ b/birchlever/gateway/lost_send_watch.cpp
@@ -12,12 +12,14 @@
 
 constexpr auto probe_poll_interval = milliseconds{5};
 
-auto open_record_of(const lost_send& send) -> send_record {
-  return {send.fingerprint_, incarnation_of(send.target_->entry()), send_state::open};
+auto records_of(const lost_send& send, send_state state) -> std::vector<send_record> {
+  auto incarnation = incarnation_of(send.target_->entry());
+  return {{send.fingerprint_, incarnation, state}, {send.content_fingerprint_, incarnation, state}};
 }
 
-auto record_in_background(std::shared_ptr<crash_register> crashes, send_record record) -> task<> {
-  co_await crashes->record(std::move(record));
+auto record_in_background(std::shared_ptr<crash_register> crashes, std::vector<send_record> records)
+    -> task<> {
+  co_await crashes->record_all(std::move(records));
 }
 
 }  // namespace
@@ -34,13 +36,15 @@
 auto lost_send_watch::examine(lost_send send) -> task<std::optional<identity_state>> {
   auto self = shared_from_this();
   if (!send.closed_by_upstream_) {
-    crashes_->announce(open_record_of(send));
+    // Callers that leave say little about the content. It counts only if the upstream is silent, too.
+    crashes_->announce(records_of(send, send_state::open).front());
     watch(std::move(send), false);
     co_return std::nullopt;
   }
   co_await pause_for(*context_->loop_, settings_.probe_delay_);
   if (replaced(send)) {
-    co_await record_crash(std::move(send), "replaced");
+    auto crashes = records_of(send, send_state::crashed);
+    co_await record_crash(std::move(send), std::move(crashes), "replaced");
     co_return std::nullopt;
   }
   auto state = identity_state::alive;
@@ -50,14 +54,15 @@
   context_->metrics_->count("lost_responses_total{port=\"" + std::string{name_of(state)} + "\"}");
   if (has_ended(state)) {
     auto evidence = state == identity_state::closed ? "port_closed" : "replaced";
-    co_await record_crash(std::move(send), evidence);
+    auto crashes = records_of(send, send_state::crashed);
+    co_await record_crash(std::move(send), std::move(crashes), evidence);
     co_return state;
   }
   if (state == identity_state::alive) {
     settle(send, "alive");
   } else {
-    auto record = open_record_of(send);
-    co_await crashes_->record(std::move(record), record_wait::spread);
+    auto records = records_of(send, send_state::open);
+    co_await crashes_->record_all(std::move(records), record_wait::spread);
   }
   watch(std::move(send), state != identity_state::alive);
   co_return state;
@@ -65,6 +70,7 @@
 
 auto lost_send_watch::settle(const lost_send& send, const char* grounds) -> void {
   auto incarnation = incarnation_of(send.target_->entry());
+  crashes_->settle(send.content_fingerprint_, incarnation);
   if (crashes_->settle(send.fingerprint_, incarnation)) {
     log_event(log_level::info, "lost_send_settled",
               {{"fingerprint", send.fingerprint_},
@@ -136,15 +142,26 @@
          at_address->known_since() >= send.since_;
 }
 
-auto lost_send_watch::record_crash(lost_send send, const char* evidence) -> task<> {
+auto lost_send_watch::late_crashes_of(const watched_send& watched) const -> std::vector<send_record> {
+  auto crashes = records_of(watched.send_, send_state::crashed);
+  // Content that was served since it was counted, whoever sent it, did not end the upstream.
+  const auto& content = crashes.back();
+  if (watched.stored_ && !crashes_->history().is_open(content.fingerprint_, content.upstream_)) {
+    crashes.pop_back();
+  }
+  return crashes;
+}
+
+auto lost_send_watch::record_crash(lost_send send, std::vector<send_record> crashes, const char* evidence)
+    -> task<> {
   auto self = shared_from_this();
   auto incarnation = incarnation_of(send.target_->entry());
   auto started_at = context_->clock_.now();
-  auto crash = send_record{send.fingerprint_, incarnation, send_state::crashed};
-  auto stored = co_await crashes_->record(std::move(crash), record_wait::spread);
+  auto stored = co_await crashes_->record_all(std::move(crashes), record_wait::spread);
   context_->metrics_->count("upstream_crashes_total{evidence=\"" + std::string{evidence} + "\"}");
   log_event(log_level::warning, "upstream_ended_under_request",
             {{"fingerprint", send.fingerprint_},
+             {"content", send.content_fingerprint_},
              {"upstream", incarnation},
              {"evidence", std::string{evidence}},
              {"crashes", std::int64_t{crashes_->history().crashes(send.fingerprint_)}},
@@ -199,7 +216,7 @@
   const auto& send = watched.send_;
   auto now = context_->clock_.now();
   if (const auto* evidence = end_evidence(send)) {
-    start(*context_->loop_, "record_crash", record_crash(send, evidence));
+    start(*context_->loop_, "record_crash", record_crash(send, late_crashes_of(watched), evidence));
     return true;
   }
   auto over = now >= send.may_run_until_;
@@ -208,6 +225,8 @@
   auto survived = send.target_->health().alive_at() >= needed;
   if (survived) {
     settle(send, "alive");
+  } else if (send.target_->health().alive_at() >= send.since_) {
+    crashes_->settle(send.content_fingerprint_, incarnation_of(send.target_->entry()));
   }
   // A process that ends may answer for a moment after it closed connections.
   auto probe_again = send.closed_by_upstream_ && !watched.probed_again_;
@@ -229,7 +248,8 @@
              send.target_->health().alive_at() < send.since_;
   if (due) {
     watched.stored_ = true;
-    start(*context_->loop_, "record_open_send", record_in_background(crashes_, open_record_of(send)));
+    start(*context_->loop_, "record_open_send",
+          record_in_background(crashes_, records_of(send, send_state::open)));
   }
 }
 
--- a/birchlever/gateway/lost_send_watch.h
+++ b/birchlever/gateway/lost_send_watch.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "birchlever/controllers/crash_register.h"
 #include "birchlever/gateway/identity_probe.h"
@@ -41,6 +42,7 @@
 /// A send without a complete response.
 struct lost_send {
   std::string fingerprint_;
+  std::string content_fingerprint_;
   upstream_pointer target_;
   milliseconds since_ = 0;  ///< When it was lost.
   /// Until when the request may run there, on the local clock. A life sign from before does not show that the
@@ -65,7 +67,8 @@
  private:
   struct watched_send {
     lost_send send_;
-    bool stored_ = false;        ///< The store was asked to keep the open send.
+    bool stored_ = false;        ///< The store was asked to keep the open send, which also counts for its
+                                 ///< content since then.
     bool probed_again_ = false;  ///< A second probe was asked for.
   };
 
@@ -92,7 +95,9 @@
   [[nodiscard]] auto end_evidence(const lost_send& send) const -> const char*;
   /// Returns true if another incarnation took the place of the one that got the send.
   [[nodiscard]] auto replaced(const lost_send& send) const -> bool;
-  auto record_crash(lost_send send, const char* evidence) -> task<>;
+  /// Returns the records of a crash that was recognized after the caller learned of the failure.
+  [[nodiscard]] auto late_crashes_of(const watched_send& watched) const -> std::vector<send_record>;
+  auto record_crash(lost_send send, std::vector<send_record> crashes, const char* evidence) -> task<>;
   /// Probes an upstream, or uses a probe that started at or after `since`.
   auto probe(upstream_pointer target, milliseconds since) -> task<identity_state>;
   auto run_probe(upstream_pointer target) -> task<>;
--- a/birchlever/gateway/request_fingerprint.cpp
+++ b/birchlever/gateway/request_fingerprint.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdio>
 
+#include "birchlever/coordination/crash_history.h"
 #include "birchlever/core/hashing.h"
 #include "birchlever/gateway/gateway_request.h"
 
@@ -56,7 +57,7 @@
 }
 
 auto content_fingerprint_of(const gateway_request& request) -> std::string {
-  return "content-" + digest_of(content_text(request));
+  return std::string{content_prefix} + digest_of(content_text(request));
 }
 
 }  // namespace birchlever
--- a/unit_tests/gateway/crash_containment_test.cpp
+++ b/unit_tests/gateway/crash_containment_test.cpp
@@ -282,4 +282,33 @@
   REQUIRE(fixture.seen_.size() <= max_ended);
 }
 
+// Guards against rejecting a popular request for everyone: others of its content are served meanwhile.
+TEST_CASE("content that is served is sent again after upstreams ended while they ran it") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 3);
+  fixture.harmful_text_.clear();
+  for (auto attempt = std::size_t{0}; attempt < 5; ++attempt) {
+    auto number = std::to_string(attempt);
+    auto headers = headers_of("h" + number, "harmful " + number);
+    headers[harmful_header] = "1";
+    ask(fixture, attempt % 3, "/unsafe/a", headers, "body");
+    REQUIRE(ask(fixture, (attempt + 1) % 3, "/unsafe/a", headers_of("i" + number, number), "body").status_ ==
+            200);
+  }
+}
+
+// Guards against rejecting everyone's request of a content because some callers left.
+TEST_CASE("callers that leave a sound upstream do not limit others that ask for the same") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 2);
+  fixture.patience_ = 100;
+  fixture.answer_delay_ = 200;
+  for (auto attempt = std::size_t{0}; attempt < 6; ++attempt) {
+    auto number = std::to_string(attempt);
+    ask(fixture, attempt % 2, "/unsafe/a", headers_of("r" + number, "p" + number), "body");
+  }
+  fixture.patience_ = 1000;
+  REQUIRE(ask(fixture, 0, "/unsafe/a", headers_of("r9", "p9"), "body").status_ == 200);
+}
+
 }  // namespace birchlever::test
--- a/unit_tests/gateway/request_fingerprint_test.cpp
+++ b/unit_tests/gateway/request_fingerprint_test.cpp
@@ -64,4 +64,17 @@
   }
 }
 
+// Guards against counting anew when another program sends what ended its upstreams before.
+TEST_CASE("the content of a request does not depend on who sends it") {
+  auto first = example();
+  auto other = example();
+  other.metadata_.request_id_ = "r2";
+  other.metadata_.program_ = "p2";
+  other.metadata_.session_ = "s2";
+  REQUIRE(content_fingerprint_of(first) == content_fingerprint_of(other));
+  REQUIRE(fingerprint_of(first) != fingerprint_of(other));
+  other.metadata_.previous_turn_ = "t1";
+  REQUIRE(content_fingerprint_of(first) != content_fingerprint_of(other));
+}
+
 }  // namespace birchlever
