Keep the history of a harmful call when an equal call is served

What callers saw: a call that had ended servers was sent to further ones after an equal call of its program (a tool with the same target and no body) was served in between.

Cause: both have one fingerprint, and a whole answer cleared its history. An answer shows that this send did no harm; it says nothing about the sends before.

Change: when work is served, its open sends end; its crashes count for 60 s more, instead of ten minutes since the last one, and a further crash ends that. Each is removed from the table by its owner then. Content, which many callers share, is cleared as before.

The test "records of served work are removed everywhere" asked for removal at once; it now sets a time of 100 ms and asks for the same after it, and for content a second one asks for removal at once.

--- a/birchlever/controllers/crash_register.cpp
+++ b/birchlever/controllers/crash_register.cpp
@@ -236,26 +236,33 @@
     return false;
   }
   publish({fingerprint, upstream, send_state::settled});
-  auto key = key_of(open_send);
-  if (open_rows_.count(key) != 0 || stored_rows_.count(key) != 0) {
-    enqueue(open_send, true);
-  }
+  remove_row(open_send);
   return true;
 }
 
-auto crash_register::clear(const std::string& fingerprint) -> void {
-  auto cleared = history_.clear(fingerprint);
-  if (cleared.empty()) {
+auto crash_register::conclude_served(const std::string& fingerprint) -> void {
+  if (history_.crashes(fingerprint) == 0) {
     return;
   }
+  auto removed =
+      is_content(fingerprint) ? history_.clear(fingerprint) : history_.mark_served(fingerprint, clock_.now());
   log_event(log_level::info, "crash_records_cleared",
-            {{"fingerprint", fingerprint}, {"records", static_cast<std::int64_t>(cleared.size())}});
-  for (const auto& record : cleared) {
-    enqueue(record, true);
+            {{"fingerprint", fingerprint},
+             {"records", static_cast<std::int64_t>(removed.size())},
+             {"crashes", std::int64_t{history_.crashes(fingerprint)}}});
+  for (const auto& record : removed) {
+    remove_row(record);
   }
   publish({fingerprint, "", send_state::served});
 }
 
+auto crash_register::remove_row(const send_record& record) -> void {
+  auto key = key_of(record);
+  if (open_rows_.count(key) != 0 || stored_rows_.count(key) != 0 || record.state_ == send_state::crashed) {
+    enqueue(record, true);
+  }
+}
+
 auto crash_register::transaction_of(std::size_t count) const -> row_transaction {
   auto final_changes = std::map<std::string, bool>{};  // By key; true: removed. A row occurs once only.
   for (auto next = std::size_t{0}; next < count; ++next) {
@@ -323,6 +330,10 @@
 auto crash_register::forget_expired() -> void {
   for (const auto& record : history_.expire(clock_.now())) {
     log_removed(record, "expired");
+    // A row of served work would else be kept for as long as that of other work.
+    if (stored_rows_.count(key_of(record)) != 0 && owns_(record.fingerprint_)) {
+      enqueue(record, true);
+    }
   }
 }
 
--- a/birchlever/controllers/crash_register.h
+++ b/birchlever/controllers/crash_register.h
@@ -85,8 +85,8 @@
   /// Removes an open send whose upstream did not end. Returns true if it was known.
   auto settle(const std::string& fingerprint, const std::string& upstream) -> bool;
 
-  /// Removes all records of a piece of work that was served.
-  auto clear(const std::string& fingerprint) -> void;
+  /// Records that a piece of work, or a request of some content, was served.
+  auto conclude_served(const std::string& fingerprint) -> void;
 
  private:
   /// A change of the table that was not written yet.
@@ -107,6 +107,8 @@
   auto finish_scan() -> void;
   auto merge(const send_record& record, const char* source) -> void;
   auto remove(const send_record& record, const char* cause) -> void;
+  /// Removes the row of a record that is no longer in the history, if there is one.
+  auto remove_row(const send_record& record) -> void;
   auto log_removed(const send_record& record, const char* cause) const -> void;
   auto publish(const send_record& record) -> void;
   /// Tells peers and the store of all known crashes of a piece of work. Those that learn of its next send may
--- a/birchlever/coordination/crash_history.cpp
+++ b/birchlever/coordination/crash_history.cpp
@@ -37,7 +37,9 @@
 
 auto crash_history::record(const send_record& record, milliseconds now) -> bool {
   if (record.state_ == send_state::served) {
-    return !clear(record.fingerprint_).empty();
+    auto removed =
+        is_content(record.fingerprint_) ? clear(record.fingerprint_) : mark_served(record.fingerprint_, now);
+    return !removed.empty();
   }
   if (record.state_ == send_state::settled) {
     return erase({record.fingerprint_, record.upstream_, send_state::open});
@@ -54,6 +56,7 @@
   if (record.state_ == send_state::open) {
     open_.insert({record.upstream_, record.fingerprint_});
   } else {
+    work.served_at_.reset();
     open_.erase({record.upstream_, record.fingerprint_});
   }
   return true;
@@ -77,6 +80,25 @@
   return true;
 }
 
+auto crash_history::mark_served(const std::string& fingerprint, milliseconds now)
+    -> std::vector<send_record> {
+  auto ended = std::vector<send_record>{};
+  auto found = works_.find(fingerprint);
+  if (found == works_.end()) {
+    return ended;
+  }
+  found->second.served_at_ = now;
+  for (const auto& [upstream, send] : found->second.sends_) {
+    if (send.state_ == send_state::open) {
+      ended.push_back({fingerprint, upstream, send.state_});
+    }
+  }
+  for (const auto& record : ended) {
+    erase(record);
+  }
+  return ended;
+}
+
 auto crash_history::clear(const std::string& fingerprint) -> std::vector<send_record> {
   auto cleared = std::vector<send_record>{};
   auto found = works_.find(fingerprint);
@@ -130,21 +152,29 @@
   return is_content(record.fingerprint_) ? settings_.max_content_age_ : settings_.max_age_;
 }
 
+auto crash_history::expired(const send_record& record, const known_send& send, const known_work& work,
+                            milliseconds now) const -> bool {
+  if (send.state_ == send_state::open) {
+    return now - send.changed_at_ > lifetime_of(record);
+  }
+  auto served_long_ago = work.served_at_ && now - *work.served_at_ > settings_.max_served_age_;
+  return served_long_ago || now - work.changed_at_ > lifetime_of(record);
+}
+
 auto crash_history::expire(milliseconds now) -> std::vector<send_record> {
-  auto expired = std::vector<send_record>{};
+  auto removed = std::vector<send_record>{};
   for (const auto& [fingerprint, work] : works_) {
     for (const auto& [upstream, send] : work.sends_) {
       auto record = send_record{fingerprint, upstream, send.state_};
-      auto changed_at = send.state_ == send_state::open ? send.changed_at_ : work.changed_at_;
-      if (now - changed_at > lifetime_of(record)) {
-        expired.push_back(std::move(record));
+      if (expired(record, send, work, now)) {
+        removed.push_back(std::move(record));
       }
     }
   }
-  for (const auto& record : expired) {
+  for (const auto& record : removed) {
     erase(record);
   }
-  return expired;
+  return removed;
 }
 
 auto crash_history::crashes_known_for(milliseconds min_age, milliseconds now) const
--- a/birchlever/coordination/crash_history.h
+++ b/birchlever/coordination/crash_history.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -31,7 +32,7 @@
   open,     ///< Sent, or about to be; no outcome known.
   crashed,  ///< The upstream ended while it ran the work.
   settled,  ///< It did not end. Not kept.
-  served    ///< The work was served: no record of it counts any more. Not kept.
+  served    ///< The work, or content, was served. Not kept.
 };
 
 /// Returns the name of a state in rows, messages and logs.
@@ -53,6 +54,9 @@
   milliseconds max_age_ = 600'000;  ///< Work without change for this long is forgotten.
   /// Content without change for this long is forgotten: many callers may need it.
   milliseconds max_content_age_ = 60'000;
+  /// Crashes of work that was served since are forgotten after this long. They count until then: an equal
+  /// request of the same program may have been served in its place.
+  milliseconds max_served_age_ = 60'000;
   milliseconds max_open_ = 60'000;  ///< Open sends without change for this long are forgotten; longer than a
                                     ///< request may take.
 };
@@ -70,7 +74,11 @@
   /// true if it was removed.
   auto erase(const send_record& record) -> bool;
 
-  /// Removes all records of a piece of work that was served. Returns them.
+  /// Ends the open sends of a piece of work that was served, and keeps its crashes for less long. Returns
+  /// what was removed.
+  auto mark_served(const std::string& fingerprint, milliseconds now) -> std::vector<send_record>;
+
+  /// Removes all records of content that was served. Returns them.
   auto clear(const std::string& fingerprint) -> std::vector<send_record>;
 
   /// Returns the number of upstreams that ended, or may end, under a piece of work.
@@ -116,10 +124,14 @@
   struct known_work {
     std::map<std::string, known_send> sends_;  ///< By incarnation.
     milliseconds changed_at_ = 0;
+    std::optional<milliseconds> served_at_;  ///< Since the last crash.
     std::list<std::string>::iterator order_;
   };
 
   auto work_of(const std::string& fingerprint) -> known_work&;
+  /// Returns true if a record is older than the settings allow.
+  [[nodiscard]] auto expired(const send_record& record, const known_send& send, const known_work& work,
+                             milliseconds now) const -> bool;
   auto forget(const std::string& fingerprint) -> void;
 
   crash_history_settings settings_;
--- a/birchlever/gateway/crash_guard.cpp
+++ b/birchlever/gateway/crash_guard.cpp
@@ -173,8 +173,8 @@
   }
   auto served = outcome == attempt_outcome::relayed && request.relayed_.complete_;
   if (served) {
-    crashes_->clear(fingerprint);
-    crashes_->clear(request.content_fingerprint_);
+    crashes_->conclude_served(fingerprint);
+    crashes_->conclude_served(request.content_fingerprint_);
   } else {
     settle(request, incarnation_of(target->entry()));
   }
--- a/unit_tests/controllers/crash_register_test.cpp
+++ b/unit_tests/controllers/crash_register_test.cpp
@@ -79,17 +79,34 @@
 // Guards against rows and memory of work that was served in the end.
 TEST_CASE("records of served work are removed everywhere") {
   auto fleet = register_fleet{};
-  auto first = fleet.add_daemon();
+  auto history = crash_history_settings{};
+  history.max_served_age_ = 100;
+  auto first = fleet.add_daemon(history, true);
   auto second = fleet.add_daemon();
   REQUIRE(fleet.record(*first, {work, "u1", send_state::crashed}));
   REQUIRE(fleet.record(*first, {work, "u2", send_state::open}));
-  first->clear(work);
+  first->conclude_served(work);
+  REQUIRE(first->history().crashes(work) == 1);
   REQUIRE(run_loop_until(fleet.loop_, [&] { return second->history().size() == 0; }));
   run_loop_for(fleet.loop_, 300);
   REQUIRE(fleet.rows_->size() == 0);
   REQUIRE(first->history().size() == 0);
 }
 
+// Guards against rejecting content that was served: its records end at once.
+TEST_CASE("records of served content are removed everywhere at once") {
+  auto fleet = register_fleet{};
+  auto first = fleet.add_daemon();
+  auto second = fleet.add_daemon();
+  auto content = std::string{content_prefix} + work;
+  REQUIRE(fleet.record(*first, {content, "u1", send_state::crashed}));
+  REQUIRE(fleet.record(*first, {content, "u2", send_state::open}));
+  first->conclude_served(content);
+  REQUIRE(first->history().size() == 0);
+  REQUIRE(run_loop_until(fleet.loop_, [&] { return second->history().size() == 0; }));
+  REQUIRE(fleet.rows_->size() == 0);
+}
+
 // Guards against rows that stay for ever because no daemon remembers their work any more.
 TEST_CASE("expired rows are removed although their work was evicted from memory") {
   auto fleet = register_fleet{};
--- a/unit_tests/coordination/crash_history_test.cpp
+++ b/unit_tests/coordination/crash_history_test.cpp
@@ -76,4 +76,31 @@
   REQUIRE(history.size() == 0);
 }
 
+// Guards against forgetting the crashes of one request because an equal one of the program was served.
+TEST_CASE("crashes of served work count for a while, and for longer after another crash") {
+  auto settings = crash_history_settings{};
+  auto history = crash_history{settings};
+  history.record(crash("a", "u1"), 0);
+  history.record(open_send("a", "u2"), 0);
+  history.record({"a", "", send_state::served}, 10);
+  REQUIRE(history.crashes("a") == 1);
+  history.record(crash("a", "u3"), 20);
+  REQUIRE(history.expire(20 + settings.max_served_age_ + 1).empty());
+  history.record({"a", "", send_state::served}, 30);
+  REQUIRE(history.expire(30 + settings.max_served_age_ + 1).size() == 2);
+  REQUIRE(history.size() == 0);
+}
+
+// Guards against rejecting a content for long, which many callers may need.
+TEST_CASE("crashes of a content are forgotten sooner than those of work") {
+  auto settings = crash_history_settings{};
+  auto history = crash_history{settings};
+  auto content = std::string{content_prefix} + "a";
+  history.record(crash("a", "u1"), 0);
+  history.record(crash(content, "u1"), 0);
+  history.expire(settings.max_content_age_ + 1);
+  REQUIRE(history.crashes("a") == 1);
+  REQUIRE(history.crashes(content) == 0);
+}
+
 }  // namespace birchlever
