Soak: requests that end their upstreams in all forms; content counts when callers leave silent upstreams

--harmful_forms: three harmful requests at once; the port closes, is held, is reused by another process, the server goes silent, or ends 2.5 s after the request arrived; requests outside programs or from another program each time; callers that leave after 200 to 900 ms. The stand-in answers health checks with the id of its incarnation.

It counts at once now if the upstream has answered nothing that was sent after the request, and such an upstream is probed at once. "content whose callers leave silent upstreams is sent to three of them at most" fails without it.

--- a/birchlever/gateway/crash_guard.cpp
+++ b/birchlever/gateway/crash_guard.cpp
@@ -161,13 +161,18 @@
 }
 
 auto crash_guard::conclude_send(const gateway_request& request, upstream_pointer target,
-                                attempt_outcome outcome) -> task<std::optional<identity_state>> {
+                                attempt_outcome outcome, milliseconds sent_at)
+    -> task<std::optional<identity_state>> {
   const auto& fingerprint = request.fingerprint_;
   if (is_lost(outcome, request)) {
-    auto closed_by_upstream = is_closed_by_upstream(outcome, request);
-    auto now = context_->clock_.now();
-    auto send = lost_send{fingerprint, request.content_fingerprint_,     std::move(target),
-                          now,         std::max(now, request.deadline_), closed_by_upstream};
+    auto send = lost_send{};
+    send.fingerprint_ = fingerprint;
+    send.content_fingerprint_ = request.content_fingerprint_;
+    send.target_ = std::move(target);
+    send.sent_at_ = sent_at;
+    send.since_ = context_->clock_.now();
+    send.may_run_until_ = std::max(send.since_, request.deadline_);
+    send.closed_by_upstream_ = is_closed_by_upstream(outcome, request);
     auto probed = co_await lost_sends_->examine(std::move(send));
     co_return probed;
   }
--- a/birchlever/gateway/crash_guard.h
+++ b/birchlever/gateway/crash_guard.h
@@ -60,10 +60,10 @@
   auto prepare_send(const gateway_request& request, const upstream& target) -> task<status>;
 
   /// Records what became of a send before the caller learns of a failure. A send without a complete response
-  /// counts until its upstream is known to have survived it. Returns what a probe of the upstream showed, if
-  /// one was made.
-  auto conclude_send(const gateway_request& request, upstream_pointer target, attempt_outcome outcome)
-      -> task<std::optional<identity_state>>;
+  /// counts until its upstream is known to have survived it. `sent_at` is when it was made. Returns what a
+  /// probe of the upstream showed, if one was made.
+  auto conclude_send(const gateway_request& request, upstream_pointer target, attempt_outcome outcome,
+                     milliseconds sent_at) -> task<std::optional<identity_state>>;
 
  private:
   crash_guard(gateway_context& context, std::shared_ptr<crash_register> crashes,
--- a/birchlever/gateway/lost_send_watch.cpp
+++ b/birchlever/gateway/lost_send_watch.cpp
@@ -36,9 +36,7 @@
 auto lost_send_watch::examine(lost_send send) -> task<std::optional<identity_state>> {
   auto self = shared_from_this();
   if (!send.closed_by_upstream_) {
-    // Callers that leave say little about the content. It counts only if the upstream is silent, too.
-    crashes_->announce(records_of(send, send_state::open).front());
-    watch(std::move(send), false);
+    announce_unanswered(std::move(send));
     co_return std::nullopt;
   }
   co_await pause_for(*context_->loop_, settings_.probe_delay_);
@@ -64,10 +62,26 @@
     auto records = records_of(send, send_state::open);
     co_await crashes_->record_all(std::move(records), record_wait::spread);
   }
-  watch(std::move(send), state != identity_state::alive);
+  auto unknown = state != identity_state::alive;
+  watch({std::move(send), unknown, unknown, false});
   co_return state;
 }
 
+auto lost_send_watch::announce_unanswered(lost_send send) -> void {
+  auto records = records_of(send, send_state::open);
+  crashes_->announce(records.front());
+  // Callers that leave an upstream at work say nothing about the content.
+  auto silent = send.target_->health().alive_at() < send.sent_at_;
+  if (silent) {
+    crashes_->announce(records.back());
+  }
+  auto watched = watched_send{std::move(send), false, silent, false};
+  if (silent) {
+    request_probe(watched);
+  }
+  watch(std::move(watched));
+}
+
 auto lost_send_watch::settle(const lost_send& send, const char* grounds) -> void {
   auto incarnation = incarnation_of(send.target_->entry());
   crashes_->settle(send.content_fingerprint_, incarnation);
@@ -146,7 +160,7 @@
   auto crashes = records_of(watched.send_, send_state::crashed);
   // Content that was served since it was counted, whoever sent it, did not end the upstream.
   const auto& content = crashes.back();
-  if (watched.stored_ && !crashes_->history().is_open(content.fingerprint_, content.upstream_)) {
+  if (watched.content_counted_ && !crashes_->history().is_open(content.fingerprint_, content.upstream_)) {
     crashes.pop_back();
   }
   return crashes;
@@ -169,14 +183,14 @@
              {"took_ms", context_->clock_.now() - started_at}});
 }
 
-auto lost_send_watch::watch(lost_send send, bool stored) -> void {
+auto lost_send_watch::watch(watched_send watched) -> void {
   if (watched_.size() >= settings_.max_watched_) {
     const auto& oldest = watched_.front().send_;
     log_event(log_level::warning, "lost_send_unwatched",
               {{"fingerprint", oldest.fingerprint_}, {"upstream", incarnation_of(oldest.target_->entry())}});
     watched_.pop_front();
   }
-  watched_.push_back({std::move(send), stored, false});
+  watched_.push_back(std::move(watched));
   if (!std::exchange(watching_, true)) {
     start(*context_->loop_, "watch_lost_sends", check_watched());
   }
@@ -248,6 +262,7 @@
              send.target_->health().alive_at() < send.since_;
   if (due) {
     watched.stored_ = true;
+    watched.content_counted_ = true;
     start(*context_->loop_, "record_open_send",
           record_in_background(crashes_, records_of(send, send_state::open)));
   }
--- a/birchlever/gateway/lost_send_watch.h
+++ b/birchlever/gateway/lost_send_watch.h
@@ -44,6 +44,7 @@
   std::string fingerprint_;
   std::string content_fingerprint_;
   upstream_pointer target_;
+  milliseconds sent_at_ = 0;
   milliseconds since_ = 0;  ///< When it was lost.
   /// Until when the request may run there, on the local clock. A life sign from before does not show that the
   /// upstream survived it.
@@ -67,9 +68,9 @@
  private:
   struct watched_send {
     lost_send send_;
-    bool stored_ = false;        ///< The store was asked to keep the open send, which also counts for its
-                                 ///< content since then.
-    bool probed_again_ = false;  ///< A second probe was asked for.
+    bool stored_ = false;           ///< The store was asked to keep the open send.
+    bool content_counted_ = false;  ///< It counted for its content, too.
+    bool probed_again_ = false;     ///< A second probe was asked for.
   };
 
   /// The latest probe of an incarnation.
@@ -82,7 +83,9 @@
   lost_send_watch(gateway_context& context, std::shared_ptr<crash_register> crashes,
                   const lost_send_settings& settings);
 
-  auto watch(lost_send send, bool stored) -> void;
+  /// Counts a send whose caller left, or whose deadline passed.
+  auto announce_unanswered(lost_send send) -> void;
+  auto watch(watched_send watched) -> void;
   auto check_watched() -> task<>;
   /// Checks one send. Returns true if it needs not be watched any more.
   auto resolve(watched_send& watched) -> bool;
--- a/birchlever/gateway/upstream_dispatch.cpp
+++ b/birchlever/gateway/upstream_dispatch.cpp
@@ -150,7 +150,7 @@
                               static_cast<double>(duration));
   auto probed = std::optional<identity_state>{};
   if (context_->crash_guard_) {
-    probed = co_await context_->crash_guard_->conclude_send(request, target, outcome);
+    probed = co_await context_->crash_guard_->conclude_send(request, target, outcome, sent_at);
   }
   log_event(log_level::info, "request_offered",
             {{"request", request.metadata_.request_id_},
--- a/soak/harmful_programs.h
+++ b/soak/harmful_programs.h
@@ -15,15 +15,30 @@
  public:
   harmful_programs(event_loop& loop, const soak_settings& settings, soak_fleet& fleet, soak_ledger& ledger);
 
-  /// Sends one harmful request after the other until stopped.
-  auto run() -> task<>;
+  /// Starts to send harmful requests, one after the other or some at once, until stopped.
+  auto start_lines() -> void;
 
   auto stop() -> void { stopped_ = true; }
-  [[nodiscard]] auto running() const -> bool { return running_; }
+  [[nodiscard]] auto running() const -> bool { return running_ > 0; }
 
  private:
-  auto repeat(int number) -> task<>;
-  auto send(http_request request, int gateway) -> task<int>;
+  /// What all attempts of one harmful request have in common.
+  struct harmful_work {
+    std::string text_;
+    std::string path_;
+    int number_ = 0;
+    harmful_form form_ = harmful_form::closes;
+    bool in_program_ = true;
+    bool same_program_ = true;
+    milliseconds patience_ = 0;  ///< After which its callers leave, in ms.
+  };
+
+  /// Sends every `lines`-th harmful request, beginning with number `line`.
+  auto run(int line, int lines) -> task<>;
+  auto draw_work(int number) -> harmful_work;
+  auto repeat(harmful_work work) -> task<>;
+  [[nodiscard]] auto make_request(const harmful_work& work, int attempt) const -> http_request;
+  auto send(http_request request, int gateway, milliseconds patience) -> task<int>;
   auto draw(int most) -> int { return std::uniform_int_distribution<int>{0, most}(random_); }
 
   event_loop* loop_;
@@ -32,7 +47,7 @@
   soak_ledger* ledger_;
   std::mt19937_64 random_;
   bool stopped_ = false;
-  bool running_ = false;
+  int running_ = 0;  ///< Lines.
 };
 
 }  // namespace birchlever::soak
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -21,6 +21,8 @@
 DEFINE_string(faults, "usual", "kinds of faults: usual, silent or usual_changes");
 DEFINE_bool(accounts, true, "callers belong to client accounts");
 DEFINE_bool(harmful, false, "some requests end the upstreams that run them");
+DEFINE_bool(harmful_forms, false, "they do so in all forms, some at once, from impatient callers");
+DEFINE_int32(services, 3, "stand-ins of plain services");
 DEFINE_string(known_red, "", "a promise that a known fault breaks: reported, but no failure of the run");
 DEFINE_int32(rounds, 1, "of faults, each followed by planned work in calm");
 
@@ -49,7 +51,9 @@
   settings.callers_ = FLAGS_callers;
   settings.duration_ = static_cast<milliseconds>(FLAGS_seconds * ms_per_second);
   settings.accounts_ = FLAGS_accounts;
-  settings.harmful_ = FLAGS_harmful;
+  settings.harmful_ = FLAGS_harmful || FLAGS_harmful_forms;
+  settings.harmful_forms_ = FLAGS_harmful_forms;
+  settings.services_ = FLAGS_services;
   settings.faults_ = fault_set_of(FLAGS_faults).value_or(fault_set::usual);
   return settings;
 }
@@ -130,7 +134,7 @@
       start(loop_, "run_hot_account", callers_->run_hot_account());
     }
     if (settings_.harmful_) {
-      start(loop_, "harmful_programs", harmful_->run());
+      harmful_->start_lines();
     }
     for (auto round = 0; round < FLAGS_rounds; ++round) {
       co_await schedule_->harm(settings_.duration_, *callers_);
--- a/soak/soak_settings.h
+++ b/soak/soak_settings.h
@@ -16,6 +16,17 @@
   usual_changes,  ///< All kinds; configurations change meanwhile.
 };
 
+/// How an upstream ends under a harmful request.
+enum class harmful_form {
+  closes,  ///< Its port and its connections close.
+  held,    ///< Its connections close; the port accepts, and closes what it accepts.
+  reused,  ///< Its connections close; another process answers at the port.
+  silent,  ///< Nothing closes, nothing answers.
+  late     ///< As `closes`, long after the request arrived, whether its caller waits or not.
+};
+
+constexpr auto harmful_forms = 5;
+
 /// Sizes and times of a run. Times in ms.
 struct soak_settings {
   std::string binary_ = "out/release/birchlever";  ///< The program under test.
@@ -27,6 +38,7 @@
   int engines_ = 4;
   int services_ = 3;
   bool harmful_ = false;           ///< Some requests end the upstreams that run them.
+  bool harmful_forms_ = false;     ///< They do so in all forms, several at once, from impatient callers.
   int callers_ = 12;               ///< Programs under way at once.
   milliseconds duration_ = 12000;  ///< Of faults and load; healing and the last checks come after it.
   milliseconds heal_ = 4000;       ///< From the last fault's end until the last checks begin.
--- a/soak/upstream_stand_in.cpp
+++ b/soak/upstream_stand_in.cpp
@@ -10,8 +10,12 @@
 namespace names = platform::names;
 
 constexpr auto longest_harmful_run_ms = 120;
+constexpr auto late_end_ms = milliseconds{2500};
+constexpr auto hold_look_ms = milliseconds{100};
+constexpr auto hold_limit_ms = milliseconds{20000};
 constexpr auto first_event_ms = milliseconds{10};  // A short prompt on an idle engine.
 constexpr auto event_gap_ms = milliseconds{8};
+constexpr auto health_path = "/healthz";
 constexpr auto work_ms = milliseconds{15};  // Of a plain service.
 
 auto event_bytes(const std::string& id, int number) -> std::string {
@@ -31,7 +35,11 @@
 
 upstream_stand_in::upstream_stand_in(event_loop& loop, upstream_identity identity, soak_ledger& ledger,
                                      std::uint64_t seed)
-    : loop_{&loop}, identity_{std::move(identity)}, ledger_{&ledger}, random_{seed} {}
+    : loop_{&loop},
+      identity_{std::move(identity)},
+      ledger_{&ledger},
+      random_{seed},
+      running_id_{identity_.id_} {}
 
 auto upstream_stand_in::create(event_loop& loop, upstream_identity identity, soak_ledger& ledger,
                                std::uint64_t seed) -> result<std::unique_ptr<upstream_stand_in>> {
@@ -69,6 +77,9 @@
   while (keep && !dead_) {
     auto read = co_await connection->read_request(limits);
     auto* request = std::get_if<http_request>(&read);
+    if (silent_) {
+      co_await hold(*connection);
+    }
     if (request == nullptr || dead_) {
       break;
     }
@@ -78,15 +89,35 @@
   connection->close();
 }
 
+auto upstream_stand_in::hold(server_connection& connection) -> task<> {
+  auto give_up_at = clock_.now() + hold_limit_ms;
+  while (!connection.gone() && clock_.now() < give_up_at) {
+    co_await pause_for(*loop_, hold_look_ms);
+  }
+}
+
+auto upstream_stand_in::answer_health(server_connection& connection) -> task<bool> {
+  auto answer = http_response{http::status::ok, 11};
+  answer.set(names::upstream_identity, running_id_);
+  answer.prepare_payload();
+  auto written = co_await connection.write(std::move(answer));
+  co_return written;
+}
+
 auto upstream_stand_in::handle(const http_request& request, server_connection& connection) -> task<bool> {
   auto id = std::string{field_of(request, names::request_id)};
   auto expected = std::string{field_of(request, names::expected_upstream)};
   auto answer = http_response{http::status::ok, 11};
   answer.set(names::request_id, id);
   answer.keep_alive(true);
+  auto another = expected != running_id_;
+  if (!another && request.target() == health_path) {
+    auto kept = co_await answer_health(connection);
+    co_return kept;
+  }
   auto fault = draw_fault();
-  if (expected != identity_.id_ || fault == upstream_fault::refuses) {
-    answer.result(expected != identity_.id_ ? 421 : 503);
+  if (another || fault == upstream_fault::refuses) {
+    answer.result(another ? 421 : 503);
     answer.set(names::not_executed, "1");
     answer.prepare_payload();
     co_return co_await connection.write(std::move(answer));
@@ -101,7 +132,12 @@
   }
   auto harmful = request.body().find(harmful_text);
   if (harmful != std::string::npos) {
-    co_await end_under(request.body().substr(harmful));
+    auto number = parse_count(field_of(request, form_header)).value_or(0);
+    auto work = request.body().substr(harmful);
+    co_await end_under(std::move(work), static_cast<harmful_form>(number));
+    if (silent_) {
+      co_await hold(connection);
+    }
     co_return false;
   }
   answer.set(names::response_signature, "proof-" + id);
@@ -122,16 +158,25 @@
   co_return co_await connection.write(std::move(answer));
 }
 
-auto upstream_stand_in::end_under(const std::string& work) -> task<> {
-  co_await pause_for(*loop_, std::uniform_int_distribution<int>{0, longest_harmful_run_ms}(random_));
-  if (std::exchange(dead_, true)) {
+auto upstream_stand_in::end_under(std::string work, harmful_form form) -> task<> {
+  auto run_ms = std::uniform_int_distribution<int>{0, longest_harmful_run_ms}(random_);
+  co_await pause_for(*loop_, form == harmful_form::late ? late_end_ms : milliseconds{run_ms});
+  auto id = identity_.id_;
+  if (dead_ || silent_ || running_id_ != id) {
     co_return;
   }
   ledger_->ended_under(work);
-  std::cout << "upstream " << identity_.id_ << " ended under " << work << "\n";
-  listener_->stop();
-  for (const auto& connection : std::exchange(connections_, {})) {
-    connection->close();
+  std::cout << "upstream " << id << " ended under " << work << ", form " << static_cast<int>(form) << "\n";
+  dead_ = form != harmful_form::reused && form != harmful_form::silent;
+  silent_ = form == harmful_form::silent;
+  running_id_ = form == harmful_form::reused ? "process-after-" + id : id;
+  if (form == harmful_form::closes || form == harmful_form::late) {
+    listener_->stop();
+  }
+  if (!silent_) {
+    for (const auto& connection : std::exchange(connections_, {})) {
+      connection->close();
+    }
   }
   if (on_ended_) {
     on_ended_();
--- a/soak/upstream_stand_in.h
+++ b/soak/upstream_stand_in.h
@@ -35,6 +35,9 @@
   /// A request whose body contains this ends the upstream that runs it.
   static constexpr std::string_view harmful_text = "harmful work ";
 
+  /// A header that holds the number of the form in which it ends.
+  static constexpr auto form_header = "Soak-Harmful-Form";
+
   /// Serves at its address. Failures: invalid_setting.
   static auto create(event_loop& loop, upstream_identity identity, soak_ledger& ledger, std::uint64_t seed)
       -> result<std::unique_ptr<upstream_stand_in>>;
@@ -65,7 +68,10 @@
   auto stream(const std::string& id, int events, bool breaks, http_response head,
               server_connection& connection) -> task<bool>;
   auto draw_fault() -> upstream_fault;
-  auto end_under(const std::string& work) -> task<>;
+  auto end_under(std::string work, harmful_form form) -> task<>;
+  auto answer_health(server_connection& connection) -> task<bool>;
+  /// Holds a connection open without answering.
+  auto hold(server_connection& connection) -> task<>;
 
   event_loop* loop_;
   upstream_identity identity_;
@@ -78,6 +84,8 @@
   std::optional<milliseconds> left_at_;
   milliseconds reached_at_ = 0;
   bool dead_ = false;
+  bool silent_ = false;
+  std::string running_id_;  ///< Of the process at the port.
   std::set<std::shared_ptr<server_connection>> connections_;
   std::function<void()> on_ended_;
 };
--- a/unit_tests/gateway/crash_containment_test.cpp
+++ b/unit_tests/gateway/crash_containment_test.cpp
@@ -311,4 +311,18 @@
   REQUIRE(ask(fixture, 0, "/unsafe/a", headers_of("r9", "p9"), "body").status_ == 200);
 }
 
+// Guards against the same when, besides, each attempt comes from another program.
+TEST_CASE("content whose callers leave silent upstreams is sent to three of them at most") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 3);
+  fixture.patience_ = 200;
+  fixture.port_after_end_ = port_after_end::silent;
+  for (auto attempt = std::size_t{0}; attempt < 6; ++attempt) {
+    auto number = std::to_string(attempt);
+    ask(fixture, attempt % 3, "/turn/x", turn_headers("r" + number, "p" + number), harmful);
+    fixture.run_for(100);
+  }
+  REQUIRE(fixture.ended_upstreams() <= max_ended);
+}
+
 }  // namespace birchlever::test
--- a/unit_tests/gateway/gateway_fixture.cpp
+++ b/unit_tests/gateway/gateway_fixture.cpp
@@ -10,6 +10,7 @@
 
 constexpr auto engine_service = "chat";
 constexpr auto tool_service = "tool";
+constexpr auto silence = milliseconds{3000};
 constexpr auto max_body_bytes = std::size_t{1U << 22U};
 
 auto make_route(const std::string& prefix, route_kind kind, const std::string& service, bool retains_turns)
@@ -145,13 +146,14 @@
       answer.erase("X-Response-Signature");
       break;
     case script::kind::no_response:
-      co_await pause_for(loop_, 3000);
+      co_await pause_for(loop_, silence);
       co_return false;
     case script::kind::reset:
       co_return false;
     case script::kind::end_process:
       co_await pause_for(loop_, ends_after_);
       end_upstream(name);
+      co_await pause_for(loop_, upstreams_.at(name).silent_ ? silence : 0);
       co_return false;
     case script::kind::garbage:
       co_await connection.write_piece("this is no answer");
@@ -203,7 +205,10 @@
   while (keep_open) {
     auto read = co_await connection->read_request(limits);
     auto* request = std::get_if<http_request>(&read);
-    if (request == nullptr || upstreams_.at(name).held_) {
+    if (request != nullptr && upstreams_.at(name).silent_) {
+      co_await pause_for(loop_, silence);
+    }
+    if (request == nullptr || upstreams_.at(name).held_ || upstreams_.at(name).silent_) {
       break;
     }
     if (co_await serve_without_running(upstreams_.at(name), *request, *connection)) {
--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -57,8 +57,9 @@
 /// What becomes of the port of an upstream that ended under a request.
 enum class port_after_end {
   closes,
-  held,    ///< Accepts connections for another process, which answers nothing.
-  reopens  ///< The next incarnation answers there at once, under another id.
+  held,     ///< Accepts connections for another process, which answers nothing.
+  reopens,  ///< The next incarnation answers there at once, under another id.
+  silent    ///< Nothing closes, and nothing is answered.
 };
 
 /// A header that makes a request end its upstream, and is no part of what it asks for.
@@ -187,6 +188,7 @@
     std::set<std::shared_ptr<server_connection>> connections_;
     std::string id_;  ///< Of the incarnation that runs.
     std::set<std::string> former_ids_;
+    bool silent_ = false;
     bool held_ = false;  ///< It ended, and its port stays open.
   };
 
--- a/unit_tests/gateway/gateway_fixture_fleet.cpp
+++ b/unit_tests/gateway/gateway_fixture_fleet.cpp
@@ -108,6 +108,10 @@
       ended.former_ids_.insert(ended.id_);
       ended.id_ += "-next";
       break;
+    case port_after_end::silent:
+      ended.silent_ = true;
+      ++ended_;
+      return;
   }
   for (const auto& connection : std::exchange(ended.connections_, {})) {
     connection->close();
