Limit the sends of a content as those of work, and count ends that come after the caller left

Cause: sends of a content were recorded before they were made only before the last upstream that may end, and without the lower limit that holds while a daemon may have been lost, so what daemons knew that were killed with their sends was missing. Ends that came after the content had been settled were taken as those of served content.

A late end counts for the content unless it was served since the loss.

--- a/birchlever/controllers/crash_register.cpp
+++ b/birchlever/controllers/crash_register.cpp
@@ -244,8 +244,8 @@
   if (history_.crashes(fingerprint) == 0) {
     return;
   }
-  auto removed =
-      is_content(fingerprint) ? history_.clear(fingerprint) : history_.mark_served(fingerprint, clock_.now());
+  auto removed = is_content(fingerprint) ? history_.clear(fingerprint, clock_.now())
+                                         : history_.mark_served(fingerprint, clock_.now());
   log_event(log_level::info, "crash_records_cleared",
             {{"fingerprint", fingerprint},
              {"records", static_cast<std::int64_t>(removed.size())},
--- a/birchlever/coordination/crash_history.cpp
+++ b/birchlever/coordination/crash_history.cpp
@@ -37,8 +37,8 @@
 
 auto crash_history::record(const send_record& record, milliseconds now) -> bool {
   if (record.state_ == send_state::served) {
-    auto removed =
-        is_content(record.fingerprint_) ? clear(record.fingerprint_) : mark_served(record.fingerprint_, now);
+    auto removed = is_content(record.fingerprint_) ? clear(record.fingerprint_, now)
+                                                   : mark_served(record.fingerprint_, now);
     return !removed.empty();
   }
   if (record.state_ == send_state::settled) {
@@ -99,7 +99,7 @@
   return ended;
 }
 
-auto crash_history::clear(const std::string& fingerprint) -> std::vector<send_record> {
+auto crash_history::clear(const std::string& fingerprint, milliseconds now) -> std::vector<send_record> {
   auto cleared = std::vector<send_record>{};
   auto found = works_.find(fingerprint);
   if (found != works_.end()) {
@@ -107,10 +107,16 @@
       cleared.push_back({fingerprint, upstream, send.state_});
     }
     forget(fingerprint);
+    served_content_[fingerprint] = now;
   }
   return cleared;
 }
 
+auto crash_history::served_since(const std::string& content, milliseconds time) const -> bool {
+  auto found = served_content_.find(content);
+  return found != served_content_.end() && found->second >= time;
+}
+
 auto crash_history::crashes(const std::string& fingerprint) const -> int {
   auto found = works_.find(fingerprint);
   return found == works_.end() ? 0 : static_cast<int>(found->second.sends_.size());
@@ -174,6 +180,10 @@
   for (const auto& record : removed) {
     erase(record);
   }
+  for (auto next = served_content_.begin(); next != served_content_.end();) {
+    auto old = now - next->second > settings_.max_content_age_;
+    next = old ? served_content_.erase(next) : std::next(next);
+  }
   return removed;
 }
 
--- a/birchlever/coordination/crash_history.h
+++ b/birchlever/coordination/crash_history.h
@@ -79,7 +79,7 @@
   auto mark_served(const std::string& fingerprint, milliseconds now) -> std::vector<send_record>;
 
   /// Removes all records of content that was served. Returns them.
-  auto clear(const std::string& fingerprint) -> std::vector<send_record>;
+  auto clear(const std::string& fingerprint, milliseconds now) -> std::vector<send_record>;
 
   /// Returns the number of upstreams that ended, or may end, under a piece of work.
   [[nodiscard]] auto crashes(const std::string& fingerprint) const -> int;
@@ -87,10 +87,8 @@
   /// Returns the number of upstreams that ended under a piece of work for certain.
   [[nodiscard]] auto confirmed_crashes(const std::string& fingerprint) const -> int;
 
-  /// Returns true if a send is known to be open.
-  [[nodiscard]] auto is_open(const std::string& fingerprint, const std::string& upstream) const -> bool {
-    return open_.count({upstream, fingerprint}) != 0;
-  }
+  /// Returns true if content was served at or after `time`, as far as its records were cleared by that.
+  [[nodiscard]] auto served_since(const std::string& content, milliseconds time) const -> bool;
 
   /// Returns how long records like this one are kept without change.
   [[nodiscard]] auto lifetime_of(const send_record& record) const -> milliseconds;
@@ -135,8 +133,9 @@
   auto forget(const std::string& fingerprint) -> void;
 
   crash_history_settings settings_;
-  std::unordered_map<std::string, known_work> works_;   ///< By fingerprint.
-  std::list<std::string> order_;                        ///< Fingerprints, least recently changed first.
+  std::unordered_map<std::string, known_work> works_;  ///< By fingerprint.
+  std::list<std::string> order_;                       ///< Fingerprints, least recently changed first.
+  std::unordered_map<std::string, milliseconds> served_content_;  ///< When content was cleared.
   std::set<std::pair<std::string, std::string>> open_;  ///< Incarnation and fingerprint of the open sends.
 };
 
--- a/birchlever/gateway/crash_guard.cpp
+++ b/birchlever/gateway/crash_guard.cpp
@@ -64,15 +64,11 @@
 }
 
 auto crash_guard::refusal(const gateway_request& request) const -> std::optional<error> {
-  const auto& history = crashes_->history();
-  auto crashes = history.crashes(request.fingerprint_);
-  if (crashes > 0 && crashes >= max_crashes()) {
-    return make_refusal(request, request.fingerprint_, crashes);
-  }
-  // Many callers may need the same content: it is not limited further while a daemon may have been lost.
-  auto content_crashes = history.crashes(request.content_fingerprint_);
-  if (content_crashes >= history.settings().max_crashes_) {
-    return make_refusal(request, request.content_fingerprint_, content_crashes);
+  for (const auto& fingerprint : {request.fingerprint_, request.content_fingerprint_}) {
+    auto crashes = crashes_->history().crashes(fingerprint);
+    if (crashes > 0 && crashes >= max_crashes()) {
+      return make_refusal(request, fingerprint, crashes);
+    }
   }
   return std::nullopt;
 }
@@ -112,41 +108,29 @@
 auto crash_guard::prepare_send(const gateway_request& request, const upstream& target) -> task<status> {
   const auto& history = crashes_->history();
   auto incarnation = incarnation_of(target.entry());
-  auto limits = limits_of(request);
   auto records = std::vector<send_record>{};
-  for (const auto& limit : limits) {
-    records.push_back({limit.fingerprint_, incarnation, send_state::open});
+  for (const auto& fingerprint : {request.fingerprint_, request.content_fingerprint_}) {
+    if (history.crashes(fingerprint) > 0) {
+      records.push_back({fingerprint, incarnation, send_state::open});
+    }
   }
   if (records.empty()) {
     co_return success;
   }
   auto stored = co_await crashes_->record_all(records);
-  for (const auto& limit : limits) {
-    auto crashes =
-        history.crashes(limit.fingerprint_);  // With this send, and those of other daemons meanwhile.
+  for (const auto& record : records) {
+    // With this send, and those of other daemons meanwhile.
+    auto crashes = history.crashes(record.fingerprint_);
     auto unrecorded = !stored && crashes == history.settings().max_crashes_;
-    if (crashes > limit.max_crashes_ || unrecorded) {
+    if (crashes > max_crashes() || unrecorded) {
       settle(request, incarnation);
-      co_return crashes > limit.max_crashes_ ? make_refusal(request, limit.fingerprint_, crashes - 1)
-                                             : make_store_error(crashes - 1);
+      co_return crashes > max_crashes() ? make_refusal(request, record.fingerprint_, crashes - 1)
+                                        : make_store_error(crashes - 1);
     }
   }
   co_return success;
 }
 
-auto crash_guard::limits_of(const gateway_request& request) const -> std::vector<send_limit> {
-  const auto& history = crashes_->history();
-  auto limits = std::vector<send_limit>{};
-  if (history.crashes(request.fingerprint_) > 0) {
-    limits.push_back({request.fingerprint_, max_crashes()});
-  }
-  auto most = history.settings().max_crashes_;
-  if (history.crashes(request.content_fingerprint_) >= most - 1) {
-    limits.push_back({request.content_fingerprint_, most});
-  }
-  return limits;
-}
-
 auto crash_guard::make_store_error(int crashes) const -> error {
   return error{error_code::store_unavailable,
                "not sent: " + std::to_string(crashes) +
--- a/birchlever/gateway/crash_guard.h
+++ b/birchlever/gateway/crash_guard.h
@@ -69,16 +69,6 @@
   crash_guard(gateway_context& context, std::shared_ptr<crash_register> crashes,
               const crash_guard_settings& settings);
 
-  /// A fingerprint whose sends must be recorded before they are made, and the number that may count.
-  struct send_limit {
-    std::string fingerprint_;
-    int max_crashes_ = 0;
-  };
-
-  /// Returns the limits that hold for a request. Content is limited to one send at a time before the last
-  /// upstream that may end; before, its sends are counted when they are lost, since any number of callers may
-  /// send it.
-  [[nodiscard]] auto limits_of(const gateway_request& request) const -> std::vector<send_limit>;
   [[nodiscard]] auto make_refusal(const gateway_request& request, const std::string& fingerprint,
                                   int crashes) const -> error;
   [[nodiscard]] auto make_store_error(int crashes) const -> error;
--- a/birchlever/gateway/lost_send_watch.cpp
+++ b/birchlever/gateway/lost_send_watch.cpp
@@ -63,7 +63,7 @@
     co_await crashes_->record_all(std::move(records), record_wait::spread);
   }
   auto unknown = state != identity_state::alive;
-  watch({std::move(send), unknown, unknown, false});
+  watch({std::move(send), unknown, false});
   co_return state;
 }
 
@@ -75,7 +75,7 @@
   if (silent) {
     crashes_->announce(records.back());
   }
-  auto watched = watched_send{std::move(send), false, silent, false};
+  auto watched = watched_send{std::move(send), false, false};
   if (silent) {
     request_probe(watched);
   }
@@ -158,9 +158,9 @@
 
 auto lost_send_watch::late_crashes_of(const watched_send& watched) const -> std::vector<send_record> {
   auto crashes = records_of(watched.send_, send_state::crashed);
-  // Content that was served since it was counted, whoever sent it, did not end the upstream.
-  const auto& content = crashes.back();
-  if (watched.content_counted_ && !crashes_->history().is_open(content.fingerprint_, content.upstream_)) {
+  // Content that was served since the loss, whoever sent it, did not end the upstream.
+  const auto& content = crashes.back().fingerprint_;
+  if (crashes_->history().served_since(content, watched.send_.since_)) {
     crashes.pop_back();
   }
   return crashes;
@@ -262,7 +262,6 @@
              send.target_->health().alive_at() < send.since_;
   if (due) {
     watched.stored_ = true;
-    watched.content_counted_ = true;
     start(*context_->loop_, "record_open_send",
           record_in_background(crashes_, records_of(send, send_state::open)));
   }
--- a/birchlever/gateway/lost_send_watch.h
+++ b/birchlever/gateway/lost_send_watch.h
@@ -68,9 +68,8 @@
  private:
   struct watched_send {
     lost_send send_;
-    bool stored_ = false;           ///< The store was asked to keep the open send.
-    bool content_counted_ = false;  ///< It counted for its content, too.
-    bool probed_again_ = false;     ///< A second probe was asked for.
+    bool stored_ = false;        ///< The store was asked to keep the open send.
+    bool probed_again_ = false;  ///< A second probe was asked for.
   };
 
   /// The latest probe of an incarnation.
--- a/soak/harmful_programs.cpp
+++ b/soak/harmful_programs.cpp
@@ -1,6 +1,7 @@
 #include "soak/harmful_programs.h"
 
 #include <array>
+#include <iostream>
 
 #include "birchlever/http/outgoing_connection.h"
 #include "platform/names.h"
@@ -52,6 +53,10 @@
     work.in_program_ = turn || draw(2) > 0;
     work.same_program_ = draw(2) > 0;
     work.patience_ = draw(1) == 0 ? time_limit_ms : milliseconds{200 + draw(500)};
+    std::cout << work.text_ << ": form " << static_cast<int>(work.form_) << ", " << work.path_
+              << (work.in_program_ ? "" : ", outside programs")
+              << (work.same_program_ ? "" : ", each attempt from another program") << ", patience "
+              << work.patience_ << " ms\n";
   }
   return work;
 }
