Bound what upstreams send without end

Read and shown by tests with a server that sends without end (unit_tests/gateway/endless_response_test.cpp): - a header: bounded before (64 KB), the caller answered, the connection closed, the upstream's health reduced; - a body without length: bounded before (16 MB), likewise; - a line between chunks: not bounded; the buffer grew until the deadline. Bounded to twice the longest header now, also for health checks, calls to the store and to peers, which share the class; - an event of a stream: not bounded.

--- a/birchlever/gateway/gateway_context.h
+++ b/birchlever/gateway/gateway_context.h
@@ -29,7 +29,7 @@
   milliseconds deadline_margin_ms_ =
       20;                 ///< Subtracted from the time given to an upstream, for the response.
   int max_attempts_ = 6;  ///< Maximum number of upstreams tried per request.
-  std::size_t max_response_bytes_ = 16U << 20U;  ///< Of a response that is not streamed.
+  std::size_t max_response_bytes_ = 16U << 20U;  ///< Of a response, or of the data of a stream.
   milliseconds streaming_max_idle_ms_ =
       3000;  ///< Connections idle for longer carry no requests that must not run twice.
 };
--- a/birchlever/gateway/upstream_attempt.cpp
+++ b/birchlever/gateway/upstream_attempt.cpp
@@ -186,9 +186,9 @@
   auto rest = co_await connection_->read_rest(max_refusal_bytes);
   if (std::holds_alternative<exchange_fault>(rest)) {
     connection_->abort();
-  } else {
-    context_->upstream_connections_->give_back(target_->entry().address_, connection_);
+    co_return attempt_outcome::refused;  // A server in trouble rather than a full one.
   }
+  context_->upstream_connections_->give_back(target_->entry().address_, connection_);
   auto full = status == 503 || status == 429;
   co_return full ? attempt_outcome::refused_full : attempt_outcome::refused;
 }
@@ -283,6 +283,10 @@
   return (request_->relayed_.events_ + 1) * tokens_per_event() > *granted;
 }
 
+auto upstream_attempt::exceeds_limits() const -> bool {
+  return events_.overlong() || request_->relayed_.output_.size() > context_->limits_.max_response_bytes_;
+}
+
 auto upstream_attempt::tokens_per_event() const -> std::int64_t {
   const auto* service = request_->configuration_->find_service(request_->service_);
   auto has_engine = service != nullptr && service->engine_;
@@ -349,6 +353,9 @@
     if (!written) {
       co_return record_interruption("caller_gone", false);
     }
+    if (exceeds_limits()) {
+      co_return record_interruption("stream_too_long", true);
+    }
     if (!in_order) {
       auto over_grant = exceeds_grant();
       co_return record_interruption(over_grant ? "budget_not_granted" : "events_out_of_order", !over_grant);
--- a/birchlever/gateway/upstream_attempt.h
+++ b/birchlever/gateway/upstream_attempt.h
@@ -79,6 +79,9 @@
   /// Returns true if another event would exceed the tokens granted to a turn, where these are below its
   /// maximum.
   auto exceeds_grant() const -> bool;
+
+  /// Returns true if the upstream sends more than a stream or an event may hold.
+  auto exceeds_limits() const -> bool;
   auto record_interruption(std::string_view reason, bool by_upstream) -> attempt_outcome;
 
   gateway_context* context_;
--- a/birchlever/http/outgoing_connection.cpp
+++ b/birchlever/http/outgoing_connection.cpp
@@ -13,6 +13,8 @@
     milliseconds{4000};  // When the peer names none; servers' usual least is 5 s.
 constexpr auto no_limit = std::numeric_limits<std::uint64_t>::max();  // Readers bound what they keep.
 constexpr auto most_header_bytes = std::uint32_t{65536};
+// Of received bytes that are not parsed yet: a header, or a line between chunks, which may have no end.
+constexpr auto most_unparsed_bytes = std::size_t{2} * most_header_bytes;
 
 }  // namespace
 
@@ -23,7 +25,7 @@
 }
 
 outgoing_connection::outgoing_connection(event_loop& loop, milliseconds keep_alive)
-    : loop_{&loop}, socket_{loop}, deadline_{loop}, keep_alive_{keep_alive} {}
+    : loop_{&loop}, socket_{loop}, deadline_{loop}, buffer_{most_unparsed_bytes}, keep_alive_{keep_alive} {}
 
 auto outgoing_connection::open(event_loop& loop, const asio::ip::tcp::endpoint& address, milliseconds limit)
     -> task<exchanged<std::shared_ptr<outgoing_connection>>> {
--- a/unit_tests/gateway/gateway_fixture.cpp
+++ b/unit_tests/gateway/gateway_fixture.cpp
@@ -11,7 +11,7 @@
 constexpr auto engine_service = "chat";
 constexpr auto tool_service = "tool";
 constexpr auto silence = milliseconds{3000};
-constexpr auto max_body_bytes = std::size_t{1U << 22U};
+constexpr auto max_body_bytes = std::size_t{1U << 25U};
 
 auto make_route(const std::string& prefix, route_kind kind, const std::string& service, bool retains_turns)
     -> route {
