Store lost sends that may still run after 200 ms, also when their upstream is alive

Cause: an open send was stored only if its upstream gave no sign of life; else only peers knew of it, and all were killed.

Change: each open send that is not settled within 200 ms is stored.

In the soak, requests that end their upstream long after their callers left have one program: the end of an upstream that serves others meanwhile is joined by program only.

--- a/birchlever/gateway/lost_send_watch.cpp
+++ b/birchlever/gateway/lost_send_watch.cpp
@@ -258,13 +258,17 @@
 
 auto lost_send_watch::store_if_due(watched_send& watched) -> void {
   const auto& send = watched.send_;
-  auto due = !watched.stored_ && context_->clock_.now() - send.since_ >= settings_.store_after_ &&
-             send.target_->health().alive_at() < send.since_;
-  if (due) {
-    watched.stored_ = true;
-    start(*context_->loop_, "record_open_send",
-          record_in_background(crashes_, records_of(send, send_state::open)));
+  auto due = !watched.stored_ && context_->clock_.now() - send.since_ >= settings_.store_after_;
+  if (!due) {
+    return;
   }
+  watched.stored_ = true;
+  auto records = records_of(send, send_state::open);
+  auto alive = send.target_->health().alive_at() >= send.since_;
+  if (alive) {
+    records.pop_back();  // It does not count for the content then.
+  }
+  start(*context_->loop_, "record_open_send", record_in_background(crashes_, std::move(records)));
 }
 
 auto lost_send_watch::request_probe(watched_send& watched) -> void {
--- a/birchlever/gateway/lost_send_watch.h
+++ b/birchlever/gateway/lost_send_watch.h
@@ -34,8 +34,9 @@
   /// than the time after which the entry of a server that ended is removed.
   milliseconds unlisted_after_ = 15'000;
   milliseconds watch_duration_ = 60'000;  ///< Time after which a send is not watched any more.
-  /// Time after which a send without a sign of life of its upstream is stored; peers hear of it at once.
-  milliseconds store_after_ = 500;
+  /// Time after which a send that may still run is stored, since all daemons may end together. Peers hear of
+  /// it at once; many are settled sooner.
+  milliseconds store_after_ = 200;
   std::size_t max_watched_ = 1024;  ///< Of lost sends; beyond it the oldest stays counted, unwatched.
 };
 
@@ -90,7 +91,7 @@
   auto resolve(watched_send& watched) -> bool;
   /// Settles a send whose upstream was alive when the request could no longer run there.
   auto settle(const lost_send& send, const char* grounds) -> void;
-  /// Has the open send written if its upstream gives no sign of life.
+  /// Has the open send written if it was not settled soon.
   auto store_if_due(watched_send& watched) -> void;
   auto request_probe(watched_send& watched) -> void;
   /// Returns why the upstream of a send is known to have ended, or null.
--- a/soak/harmful_programs.cpp
+++ b/soak/harmful_programs.cpp
@@ -50,8 +50,10 @@
   if (settings_.harmful_forms_) {
     work.form_ = static_cast<harmful_form>(draw(harmful_forms - 1));
     auto turn = work.path_ == paths.front();
-    work.in_program_ = turn || draw(2) > 0;
-    work.same_program_ = draw(2) > 0;
+    // What ends long after its callers left, while its upstream serves others, is joined by its program only.
+    auto joined_by_program = work.form_ == harmful_form::late;
+    work.in_program_ = turn || joined_by_program || draw(2) > 0;
+    work.same_program_ = joined_by_program || draw(2) > 0;
     work.patience_ = draw(1) == 0 ? time_limit_ms : milliseconds{200 + draw(500)};
     std::cout << work.text_ << ": form " << static_cast<int>(work.form_) << ", " << work.path_
               << (work.in_program_ ? "" : ", outside programs")
