--- a/unit_tests/gateway/gateway_fixture.cpp
+++ b/unit_tests/gateway/gateway_fixture.cpp
@@ -211,7 +211,8 @@
     if (request == nullptr || upstreams_.at(name).held_ || upstreams_.at(name).silent_) {
       break;
     }
-    if (co_await serve_without_running(upstreams_.at(name), *request, *connection)) {
+    auto served = co_await serve_without_running(upstreams_.at(name), *request, *connection);
+    if (served) {
       continue;
     }
     auto received = received_request{name, std::string{request->target()}, request->body(), {}};
