Keep an open send when a later one does not reach the same upstream

What callers saw: found by reading: a request whose earlier send to a silent upstream was open was sent to it again through another daemon; the connection failed, and the record of the earlier send was removed with that of the later one. Each such attempt allowed one more send.

Cause: sends are recorded by work and incarnation, so both have one record, and a send that did not run settled it.

Change: whether a send to the selected upstream counted before is remembered when a send is prepared; then a send that does not run settles nothing.

--- a/birchlever/coordination/crash_history.cpp
+++ b/birchlever/coordination/crash_history.cpp
@@ -112,6 +112,11 @@
   return cleared;
 }
 
+auto crash_history::counts(const std::string& fingerprint, const std::string& upstream) const -> bool {
+  auto found = works_.find(fingerprint);
+  return found != works_.end() && found->second.sends_.count(upstream) != 0;
+}
+
 auto crash_history::served_since(const std::string& content, milliseconds time) const -> bool {
   auto found = served_content_.find(content);
   return found != served_content_.end() && found->second >= time;
--- a/birchlever/coordination/crash_history.h
+++ b/birchlever/coordination/crash_history.h
@@ -87,6 +87,9 @@
   /// Returns the number of upstreams that ended under a piece of work for certain.
   [[nodiscard]] auto confirmed_crashes(const std::string& fingerprint) const -> int;
 
+  /// Returns true if a send to an incarnation counts.
+  [[nodiscard]] auto counts(const std::string& fingerprint, const std::string& upstream) const -> bool;
+
   /// Returns true if content was served at or after `time`, as far as its records were cleared by that.
   [[nodiscard]] auto served_since(const std::string& content, milliseconds time) const -> bool;
 
--- a/birchlever/gateway/crash_guard.cpp
+++ b/birchlever/gateway/crash_guard.cpp
@@ -105,9 +105,10 @@
   return levels;
 }
 
-auto crash_guard::prepare_send(const gateway_request& request, const upstream& target) -> task<status> {
+auto crash_guard::prepare_send(gateway_request& request, const upstream& target) -> task<status> {
   const auto& history = crashes_->history();
   auto incarnation = incarnation_of(target.entry());
+  request.counted_before_ = history.counts(request.fingerprint_, incarnation);
   auto records = std::vector<send_record>{};
   for (const auto& fingerprint : {request.fingerprint_, request.content_fingerprint_}) {
     if (history.crashes(fingerprint) > 0) {
@@ -123,7 +124,7 @@
     auto crashes = history.crashes(record.fingerprint_);
     auto unrecorded = !stored && crashes == history.settings().max_crashes_;
     if (crashes > max_crashes() || unrecorded) {
-      settle(request, incarnation);
+      settle_unsent(request, incarnation);
       co_return crashes > max_crashes() ? make_refusal(request, record.fingerprint_, crashes - 1)
                                         : make_store_error(crashes - 1);
     }
@@ -139,7 +140,10 @@
                ran_state::not_run, settings_.retry_after_};
 }
 
-auto crash_guard::settle(const gateway_request& request, const std::string& incarnation) -> void {
+auto crash_guard::settle_unsent(const gateway_request& request, const std::string& incarnation) -> void {
+  if (request.counted_before_) {
+    return;  // What did not reach the upstream says nothing about an earlier send that did.
+  }
   crashes_->settle(request.fingerprint_, incarnation);
   crashes_->settle(request.content_fingerprint_, incarnation);
 }
@@ -165,7 +169,7 @@
     crashes_->conclude_served(fingerprint);
     crashes_->conclude_served(request.content_fingerprint_);
   } else {
-    settle(request, incarnation_of(target->entry()));
+    settle_unsent(request, incarnation_of(target->entry()));
   }
   co_return std::nullopt;
 }
--- a/birchlever/gateway/crash_guard.h
+++ b/birchlever/gateway/crash_guard.h
@@ -57,7 +57,7 @@
 
   /// Records a send before it is made. Yields an error if it must not be made. Requests that are not
   /// suspected need no I/O. Failures: upstreams_crashed, sends_unresolved, store_unavailable.
-  auto prepare_send(const gateway_request& request, const upstream& target) -> task<status>;
+  auto prepare_send(gateway_request& request, const upstream& target) -> task<status>;
 
   /// Records what became of a send before the caller learns of a failure. A send without a complete response
   /// counts until its upstream is known to have survived it. `sent_at` is when it was made. Returns what a
@@ -72,7 +72,8 @@
   [[nodiscard]] auto make_refusal(const gateway_request& request, const std::string& fingerprint,
                                   int crashes) const -> error;
   [[nodiscard]] auto make_store_error(int crashes) const -> error;
-  auto settle(const gateway_request& request, const std::string& incarnation) -> void;
+  /// Settles a send that did not run.
+  auto settle_unsent(const gateway_request& request, const std::string& incarnation) -> void;
 
   gateway_context* context_;
   std::shared_ptr<crash_register> crashes_;
--- a/unit_tests/gateway/crash_detection_test.cpp
+++ b/unit_tests/gateway/crash_detection_test.cpp
@@ -123,4 +123,14 @@
   REQUIRE(fixture.registers_.front()->history().crashes(fingerprint()) == 1);
 }
 
+// Guards against forgetting a send because a later one to the same upstream did not reach it.
+TEST_CASE("a send that does not reach its upstream does not settle an earlier one") {
+  auto fixture = gateway_fixture{};
+  fixture.context_->upstreams_->remove("tool-2");
+  fixture.stop_listening("tool-1");
+  fixture.registers_.front()->apply_peer_record({fingerprint(), "tool-1", send_state::open});
+  REQUIRE(ask(fixture, "r1").status_ == 503);
+  REQUIRE(fixture.registers_.front()->history().crashes(fingerprint()) == 1);
+}
+
 }  // namespace birchlever::test
