Count sends of a content by rounds, so that a failed service does not lock its content out

When all upstreams of a service ended at once, every request for one content that was under way counted for it: eight callers' equal requests made eight ends, and the content was refused with 502 upstreams_crashed for 60 s after the service was back. Nothing could clear it, since nothing of it was sent.

Cause: requests of a content are joined because attempts outside programs share nothing else. But what makes them repeats of each other is that one follows the other's failure. Requests that are under way together say nothing about a content.

Change: a send of a content carries its round, one more than the highest round that is known to count when it is made. What counts is the number of different rounds. What counts for a piece of work is as before: each upstream.

Why it works: attempts of one request follow each other, so each has its own round. Requests of many callers that fail together have the same one, and the next request for the content is sent.

--- a/birchlever/controllers/crash_register.cpp
+++ b/birchlever/controllers/crash_register.cpp
@@ -1,6 +1,7 @@
 #include "birchlever/controllers/crash_register.h"
 
 #include <algorithm>
+#include <charconv>
 #include <map>
 #include <optional>
 
@@ -19,6 +20,13 @@
   return record.fingerprint_ + separator + std::string{name_of(record.state_)} + separator + record.upstream_;
 }
 
+/// Returns the round that a row has as its value.
+auto round_of(const std::string& value) -> int {
+  auto round = 1;
+  std::from_chars(value.data(), value.data() + value.size(), round);
+  return round;
+}
+
 auto parse_key(const std::string& key) -> std::optional<send_record> {
   auto first = key.find(separator);
   auto second = first == std::string::npos ? first : key.find(separator, first + 1);
@@ -87,6 +95,7 @@
       remove(*record, "row_removed");
       continue;
     }
+    record->round_ = round_of(row.value_);
     stored_rows_.try_emplace(key, clock_.now());
     if (!removal_pending(key)) {
       merge(*record, "store");
@@ -264,24 +273,26 @@
 }
 
 auto crash_register::transaction_of(std::size_t count) const -> row_transaction {
-  auto final_changes = std::map<std::string, bool>{};  // By key; true: removed. A row occurs once only.
+  auto values =
+      std::map<std::string, std::optional<int>>{};  // By key; none: removed. A row occurs once only.
   for (auto next = std::size_t{0}; next < count; ++next) {
     const auto& change = pending_[next];
-    final_changes[key_of(change.record_)] = change.removal_;
-    if (change.record_.state_ == send_state::crashed) {
-      auto open = change.record_;
+    const auto& record = change.record_;
+    values[key_of(record)] = change.removal_ ? std::nullopt : std::optional{record.round_};
+    if (record.state_ == send_state::crashed) {
+      auto open = record;
       open.state_ = send_state::open;
-      final_changes[key_of(open)] = true;
+      values[key_of(open)] = std::nullopt;
     }
   }
   auto transaction = row_transaction{};
   transaction.priority_ = write_priority::ends_turn;
-  for (const auto& [key, removed] : final_changes) {
+  for (const auto& [key, round] : values) {
     auto row = row_key{settings_.table_, "", key};
-    if (removed) {
-      transaction.removals_.push_back(std::move(row));
+    if (round) {
+      transaction.puts_.push_back({std::move(row), std::to_string(*round)});
     } else {
-      transaction.puts_.push_back({std::move(row), "1"});
+      transaction.removals_.push_back(std::move(row));
     }
   }
   return transaction;
--- a/birchlever/coordination/crash_history.cpp
+++ b/birchlever/coordination/crash_history.cpp
@@ -1,5 +1,6 @@
 #include "birchlever/coordination/crash_history.h"
 
+#include <algorithm>
 #include <array>
 
 namespace birchlever {
@@ -51,7 +52,8 @@
   if (!changed) {
     return false;
   }
-  send = {record.state_, now};
+  // A later send to the same upstream is no further round.
+  send = {record.state_, added ? record.round_ : send.round_, now};
   work.changed_at_ = now;
   if (record.state_ == send_state::open) {
     open_.insert({record.upstream_, record.fingerprint_});
@@ -124,11 +126,41 @@
 
 auto crash_history::crashes(const std::string& fingerprint) const -> int {
   auto found = works_.find(fingerprint);
-  return found == works_.end() ? 0 : static_cast<int>(found->second.sends_.size());
+  if (found == works_.end()) {
+    return 0;
+  }
+  const auto& sends = found->second.sends_;
+  if (!is_content(fingerprint)) {
+    return static_cast<int>(sends.size());
+  }
+  auto rounds = std::set<int>{};
+  for (const auto& [upstream, send] : sends) {
+    rounds.insert(send.round_);
+  }
+  return static_cast<int>(rounds.size());
 }
 
 auto crash_history::confirmed_crashes(const std::string& fingerprint) const -> int {
-  return static_cast<int>(crash_records(fingerprint).size());
+  auto crashes = crash_records(fingerprint);
+  if (!is_content(fingerprint)) {
+    return static_cast<int>(crashes.size());
+  }
+  auto rounds = std::set<int>{};
+  for (const auto& crash : crashes) {
+    rounds.insert(crash.round_);
+  }
+  return static_cast<int>(rounds.size());
+}
+
+auto crash_history::next_round(const std::string& content) const -> int {
+  auto last = 0;
+  auto found = works_.find(content);
+  if (found != works_.end()) {
+    for (const auto& [upstream, send] : found->second.sends_) {
+      last = std::max(last, send.round_);
+    }
+  }
+  return last + 1;
 }
 
 auto crash_history::crash_records(const std::string& fingerprint) const -> std::vector<send_record> {
@@ -139,7 +171,7 @@
   }
   for (const auto& [upstream, send] : found->second.sends_) {
     if (send.state_ == send_state::crashed) {
-      records.push_back({fingerprint, upstream, send.state_});
+      records.push_back({fingerprint, upstream, send.state_, send.round_});
     }
   }
   return records;
@@ -198,7 +230,7 @@
   for (const auto& [fingerprint, work] : works_) {
     for (const auto& [upstream, send] : work.sends_) {
       if (send.state_ == send_state::crashed && now - send.changed_at_ >= min_age) {
-        known.push_back({fingerprint, upstream, send.state_});
+        known.push_back({fingerprint, upstream, send.state_, send.round_});
       }
     }
   }
--- a/birchlever/coordination/crash_history.h
+++ b/birchlever/coordination/crash_history.h
@@ -4,6 +4,11 @@
 /// reach any daemon, so their sends are recorded by a fingerprint of the work. A send counts once its
 /// upstream ended, and while it is open: its outcome may be unknown because the daemon that made it ended
 /// too. Records of daemons are merged as a set, so their order does not matter.
+///
+/// Requests of the same content are counted together as well, since attempts outside programs share nothing
+/// else. But many callers may ask for the same at once, and lose their upstreams together when a whole
+/// service fails. So what counts for a content is the number of its sends that were made one after the
+/// other, each when the one before was known to count.
 #pragma once
 
 #include <cstdint>
@@ -43,6 +48,7 @@
   std::string fingerprint_;
   std::string upstream_;  ///< Incarnation.
   send_state state_ = send_state::open;
+  int round_ = 1;  ///< Of content: one more than that of any send known to count when this one was made.
 };
 
 /// Settings of crash_history.
@@ -81,12 +87,17 @@
   /// Removes all records of content that was served. Returns them.
   auto clear(const std::string& fingerprint, milliseconds now) -> std::vector<send_record>;
 
-  /// Returns the number of upstreams that ended, or may end, under a piece of work.
+  /// Returns the number of upstreams that ended, or may end, under a piece of work; of content, the number of
+  /// rounds of these sends.
   [[nodiscard]] auto crashes(const std::string& fingerprint) const -> int;
 
-  /// Returns the number of upstreams that ended under a piece of work for certain.
+  /// Returns the number of upstreams that ended under a piece of work for certain; of content, the number of
+  /// rounds in which some ended.
   [[nodiscard]] auto confirmed_crashes(const std::string& fingerprint) const -> int;
 
+  /// Returns the round of the next send of a content.
+  [[nodiscard]] auto next_round(const std::string& content) const -> int;
+
   /// Returns true if a send to an incarnation counts.
   [[nodiscard]] auto counts(const std::string& fingerprint, const std::string& upstream) const -> bool;
 
@@ -119,6 +130,7 @@
  private:
   struct known_send {
     send_state state_ = send_state::open;
+    int round_ = 1;
     milliseconds changed_at_ = 0;
   };
 
--- a/birchlever/gateway/gateway_request.h
+++ b/birchlever/gateway/gateway_request.h
@@ -33,6 +33,7 @@
   std::string service_;
   std::string fingerprint_;                     ///< Equal for all attempts of one piece of work.
   std::string content_fingerprint_;             ///< Equal for all requests of the same content.
+  int content_round_ = 1;                       ///< Of the latest send, see send_record.
   bool counted_before_ = false;                 ///< An earlier send to the selected upstream counts.
   std::string last_upstream_;                   ///< Upstream that ran the previous turn.
   std::string reservation_;                     ///< Id of the reservation of the turn's budget.
--- a/birchlever/gateway/lost_send_watch.h
+++ b/birchlever/gateway/lost_send_watch.h
@@ -44,6 +44,7 @@
 struct lost_send {
   std::string fingerprint_;
   std::string content_fingerprint_;
+  int content_round_ = 1;
   upstream_pointer target_;
   milliseconds sent_at_ = 0;
   milliseconds since_ = 0;  ///< When it was lost.
--- a/unit_tests/coordination/crash_history_test.cpp
+++ b/unit_tests/coordination/crash_history_test.cpp
@@ -76,6 +76,38 @@
   REQUIRE(history.size() == 0);
 }
 
+// Guards against rejecting a content for everyone because a service failed under many requests for it.
+TEST_CASE("sends of a content that were under way together count once") {
+  auto history = crash_history{};
+  auto content = std::string{content_prefix} + "a";
+  for (const auto* upstream : {"u1", "u2", "u3", "u4"}) {
+    history.record(crash(content, upstream), 0);
+  }
+  REQUIRE(history.crashes(content) == 1);
+  REQUIRE(history.confirmed_crashes(content) == 1);
+  history.record({content, "u5", send_state::open, 2}, 1);
+  REQUIRE(history.crashes(content) == 2);
+  REQUIRE(history.confirmed_crashes(content) == 1);
+  history.record({content, "u5", send_state::crashed, 2}, 2);
+  REQUIRE(history.confirmed_crashes(content) == 2);
+  REQUIRE_FALSE(history.record({content, "u5", send_state::crashed, 3}, 3));
+  REQUIRE(history.crashes(content) == 2);
+  REQUIRE(history.next_round(content) == 3);
+}
+
+// Guards against rejecting a content for sends that turned out harmless while later ones were made.
+TEST_CASE("settled rounds of a content do not count") {
+  auto history = crash_history{};
+  auto content = std::string{content_prefix} + "a";
+  for (auto round = 1; round <= 6; ++round) {
+    auto upstream = "u" + std::to_string(round);
+    REQUIRE(history.next_round(content) == round);
+    history.record({content, upstream, send_state::open, history.next_round(content)}, round);
+    history.record({content, "u" + std::to_string(round - 1), send_state::settled}, round);
+    REQUIRE(history.crashes(content) == 1);
+  }
+}
+
 // Guards against forgetting the crashes of one request because an equal one of the program was served.
 TEST_CASE("crashes of served work count for a while, and for longer after another crash") {
   auto settings = crash_history_settings{};
--- a/unit_tests/gateway/crash_containment_test.cpp
+++ b/unit_tests/gateway/crash_containment_test.cpp
@@ -297,6 +297,27 @@
   }
 }
 
+// Guards against rejecting a popular request for everyone after a service failed as a whole: none of its
+// requests is served then that would clear the content.
+TEST_CASE("content is sent again after all upstreams of its service ended at once") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 3);
+  constexpr auto callers = std::size_t{8};
+  fixture.scripts_.assign(callers, {script::kind::end_process});
+  auto pending = std::vector<std::shared_ptr<std::optional<received_response>>>{};
+  for (auto caller = std::size_t{0}; caller < callers; ++caller) {
+    auto number = std::to_string(caller);
+    pending.push_back(
+        fixture.send_to(caller % 3, "/unsafe/a", headers_of("r" + number, "p" + number), "body"));
+  }
+  REQUIRE(fixture.run_until([&] {
+    return std::all_of(pending.begin(), pending.end(), [](const auto& one) { return one->has_value(); });
+  }));
+  REQUIRE(fixture.ended_upstreams() > max_ended);
+  fixture.start_upstream("tool-9", "tool");
+  REQUIRE(ask(fixture, 0, "/unsafe/a", headers_of("r9", "p9"), "body").status_ == 200);
+}
+
 // Guards against rejecting everyone's request of a content because some callers left.
 TEST_CASE("callers that leave a sound upstream do not limit others that ask for the same") {
   auto fixture = gateway_fixture{};
