Evict work with one lost send before work with more, and allow one upstream fewer while sends were evicted

When many requests lose their upstreams at once, as when a data hall fails, the memory of 4,096 pieces of work is full, and the oldest are forgotten: also a request under which two or three upstreams have ended, which is then sent to three more.

Cause: eviction went by age alone, and what was evicted counted for nothing.

Change: work with one send is evicted first. While sends were evicted within the lifetime of an open send, one upstream fewer may end under a request, as after the loss of a daemon.

Why it works: a request that is near its limit stays known as long as there is any other; what an evicted record may have said, one send, is assumed of all.

--- a/birchlever/coordination/crash_history.cpp
+++ b/birchlever/coordination/crash_history.cpp
@@ -10,20 +10,31 @@
   return names.at(static_cast<std::size_t>(state));
 }
 
-auto crash_history::work_of(const std::string& fingerprint) -> known_work& {
+auto crash_history::work_of(const std::string& fingerprint, milliseconds now) -> known_work& {
   auto found = works_.find(fingerprint);
   if (found != works_.end()) {
-    order_.splice(order_.end(), order_, found->second.order_);
     return found->second;
   }
   if (works_.size() >= settings_.max_works_) {
-    forget(std::string{order_.front()});
+    evict_one(now);
   }
   auto& created = works_[fingerprint];
-  created.order_ = order_.insert(order_.end(), fingerprint);
+  created.order_ = order_.front().insert(order_.front().end(), fingerprint);
   return created;
 }
 
+auto crash_history::evict_one(milliseconds now) -> void {
+  const auto& candidates = order_.front().empty() ? order_.back() : order_.front();
+  forget(std::string{candidates.front()});
+  evicted_at_ = now;
+}
+
+auto crash_history::update_order(known_work& work) -> void {
+  auto rank = std::size_t{work.sends_.size() > 1 ? 1U : 0U};
+  order_.at(rank).splice(order_.at(rank).end(), order_.at(work.rank_), work.order_);
+  work.rank_ = rank;
+}
+
 auto crash_history::forget(const std::string& fingerprint) -> void {
   auto found = works_.find(fingerprint);
   if (found == works_.end()) {
@@ -32,7 +43,7 @@
   for (const auto& [upstream, send] : found->second.sends_) {
     open_.erase({upstream, fingerprint});
   }
-  order_.erase(found->second.order_);
+  order_.at(found->second.rank_).erase(found->second.order_);
   works_.erase(found);
 }
 
@@ -45,8 +56,9 @@
   if (record.state_ == send_state::settled) {
     return erase({record.fingerprint_, record.upstream_, send_state::open});
   }
-  auto& work = work_of(record.fingerprint_);
+  auto& work = work_of(record.fingerprint_, now);
   auto [entry, added] = work.sends_.try_emplace(record.upstream_);
+  update_order(work);
   auto& send = entry->second;
   auto changed = added || (send.state_ == send_state::open && record.state_ == send_state::crashed);
   if (!changed) {
@@ -78,6 +90,8 @@
   sends.erase(send);
   if (sends.empty()) {
     forget(record.fingerprint_);
+  } else {
+    update_order(found->second);
   }
   return true;
 }
--- a/birchlever/coordination/crash_history.h
+++ b/birchlever/coordination/crash_history.h
@@ -11,6 +11,7 @@
 /// other, each when the one before was known to count.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <list>
 #include <map>
@@ -56,7 +57,7 @@
   /// Upstreams that may end under a piece of work. Work that ran beside a harmful request, or on upstreams
   /// that ended for other reasons, may see more than one.
   int max_crashes_ = 3;
-  std::size_t max_works_ = 4096;    ///< The least recently changed work is evicted.
+  std::size_t max_works_ = 4096;  ///< Work with one send is evicted first, the least recently changed of it.
   milliseconds max_age_ = 600'000;  ///< Work without change for this long is forgotten.
   /// Content without change for this long is forgotten: many callers may need it.
   milliseconds max_content_age_ = 60'000;
@@ -124,6 +125,11 @@
 
   [[nodiscard]] auto settings() const -> const crash_history_settings& { return settings_; }
 
+  /// Returns true if sends were forgotten for lack of room within `window` ms.
+  [[nodiscard]] auto evicted_within(milliseconds window, milliseconds now) const -> bool {
+    return evicted_at_ && now - *evicted_at_ < window;
+  }
+
   /// Returns the number of works in memory.
   [[nodiscard]] auto size() const -> std::size_t { return works_.size(); }
 
@@ -138,10 +144,14 @@
     std::map<std::string, known_send> sends_;  ///< By incarnation.
     milliseconds changed_at_ = 0;
     std::optional<milliseconds> served_at_;  ///< Since the last crash.
+    std::size_t rank_ = 0;                   ///< 0 with one send, 1 with more.
     std::list<std::string>::iterator order_;
   };
 
-  auto work_of(const std::string& fingerprint) -> known_work&;
+  auto work_of(const std::string& fingerprint, milliseconds now) -> known_work&;
+  auto evict_one(milliseconds now) -> void;
+  /// Makes a piece of work the most recently changed one of its rank.
+  auto update_order(known_work& work) -> void;
   /// Returns true if a record is older than the settings allow.
   [[nodiscard]] auto expired(const send_record& record, const known_send& send, const known_work& work,
                              milliseconds now) const -> bool;
@@ -149,7 +159,8 @@
 
   crash_history_settings settings_;
   std::unordered_map<std::string, known_work> works_;  ///< By fingerprint.
-  std::list<std::string> order_;                       ///< Fingerprints, least recently changed first.
+  std::array<std::list<std::string>, 2> order_;  ///< Fingerprints by rank, least recently changed first.
+  std::optional<milliseconds> evicted_at_;       ///< When sends were last forgotten for lack of room.
   std::unordered_map<std::string, milliseconds> served_content_;  ///< When content was cleared.
   std::set<std::pair<std::string, std::string>> open_;  ///< Incarnation and fingerprint of the open sends.
 };
--- a/birchlever/gateway/crash_guard.cpp
+++ b/birchlever/gateway/crash_guard.cpp
@@ -90,8 +90,10 @@
 }
 
 auto crash_guard::max_crashes() const -> int {
-  auto unseen = daemon_lost_ && daemon_lost_() ? 1 : 0;
-  return crashes_->history().settings().max_crashes_ - unseen;
+  const auto& history = crashes_->history();
+  auto daemon_lost = daemon_lost_ && daemon_lost_();
+  auto evicted = history.evicted_within(history.settings().max_open_, context_->clock_.now());
+  return history.settings().max_crashes_ - (daemon_lost || evicted ? 1 : 0);
 }
 
 auto crash_guard::avoided_upstreams(const gateway_request& request) const
--- a/unit_tests/coordination/crash_history_test.cpp
+++ b/unit_tests/coordination/crash_history_test.cpp
@@ -76,6 +76,23 @@
   REQUIRE(history.size() == 0);
 }
 
+// Guards against forgetting a request that ended several upstreams while many others lose theirs.
+TEST_CASE("work with several sends outlasts work with one") {
+  auto settings = crash_history_settings{};
+  settings.max_works_ = 8;
+  auto history = crash_history{settings};
+  history.record(crash("a", "u1"), 0);
+  history.record(crash("a", "u2"), 0);
+  REQUIRE_FALSE(history.evicted_within(settings.max_open_, 1));
+  for (auto number = 0; number < 20; ++number) {
+    history.record(open_send("w" + std::to_string(number), "u3"), 1);
+  }
+  REQUIRE(history.crashes("a") == 2);
+  REQUIRE(history.size() == settings.max_works_);
+  REQUIRE(history.evicted_within(settings.max_open_, 1));
+  REQUIRE_FALSE(history.evicted_within(settings.max_open_, 1 + settings.max_open_));
+}
+
 // Guards against rejecting a content for everyone because a service failed under many requests for it.
 TEST_CASE("sends of a content that were under way together count once") {
   auto history = crash_history{};
