Do not send suspected requests where neither the store nor all peers learn of the send

What callers saw: a request under which three upstreams had ended was sent to further ones while daemons could not hear each other and the store was away.

Without the store's acknowledgement a send was still made unless it was the last one allowed, on the assumption that peers hear of it. During a partition each side counts alone. And while the store answers, a daemon that was cut off from its peers may learn late of what they wrote.

Change: a daemon estimates which share of the fleet it hears, from the regular messages, as for allotments. One that does not hear more than half does not send requests under which an upstream ended or may have ended: 503 with a short Retry-After, since others know more. One that hears more than half but not all needs the store's acknowledgement for each such send. All other requests are sent as before. peer_contact_changed and the gauge peer_contact show the estimate.

Why it works: at most one side of a partition has a majority, and what it sends beyond the first is in the store; every other side sends once at most.

What remains: each side of a partition may send a request once before it suspects it, so four sides without a store allow four.

--- a/birchlever/gateway/crash_guard.cpp
+++ b/birchlever/gateway/crash_guard.cpp
@@ -1,6 +1,7 @@
 #include "birchlever/gateway/crash_guard.h"
 
 #include <algorithm>
+#include <array>
 
 #include "birchlever/telemetry/log.h"
 #include "birchlever/telemetry/metrics.h"
@@ -46,6 +47,11 @@
 
 }  // namespace
 
+auto name_of(peer_contact contact) -> std::string_view {
+  constexpr auto names = std::array<std::string_view, 3>{"all", "most", "few"};
+  return names.at(static_cast<std::size_t>(contact));
+}
+
 crash_guard::crash_guard(gateway_context& context, std::shared_ptr<crash_register> crashes,
                          const crash_guard_settings& settings)
     : context_{&context},
@@ -123,18 +129,33 @@
   }
   auto stored = co_await crashes_->record_all(records);
   for (const auto& record : records) {
-    // With this send, and those of other daemons meanwhile.
-    auto crashes = history.crashes(record.fingerprint_);
-    auto unrecorded = !stored && crashes == history.settings().max_crashes_;
-    if (crashes > max_crashes() || unrecorded) {
+    auto reason = send_refusal(request, record.fingerprint_, stored);
+    if (reason) {
       settle_unsent(request, incarnation);
-      co_return crashes > max_crashes() ? make_refusal(request, record.fingerprint_, crashes - 1)
-                                        : make_store_error(crashes - 1);
+      co_return *reason;
     }
   }
   co_return success;
 }
 
+auto crash_guard::send_refusal(const gateway_request& request, const std::string& fingerprint,
+                               bool stored) const -> std::optional<error> {
+  const auto& history = crashes_->history();
+  // With this send, and those of other daemons meanwhile.
+  auto crashes = history.crashes(fingerprint);
+  auto earlier = crashes - 1;
+  if (crashes > max_crashes()) {
+    return make_refusal(request, fingerprint, earlier);
+  }
+  auto reached = contact();
+  if (reached == peer_contact::few) {
+    return make_contact_error(earlier);
+  }
+  auto known_elsewhere =
+      stored || (reached == peer_contact::all && crashes < history.settings().max_crashes_);
+  return known_elsewhere ? std::nullopt : std::optional{make_store_error(earlier)};
+}
+
 auto crash_guard::make_store_error(int crashes) const -> error {
   return error{error_code::store_unavailable,
                "not sent: " + std::to_string(crashes) +
@@ -143,6 +164,14 @@
                ran_state::not_run, settings_.retry_after_};
 }
 
+auto crash_guard::make_contact_error(int crashes) const -> error {
+  return error{error_code::sends_unresolved,
+               "not sent: " + std::to_string(crashes) +
+                   " upstreams ended or may have ended while they ran this request, and most other daemons, "
+                   "which may know of more, can't be heard",
+               ran_state::not_run, settings_.elsewhere_retry_};
+}
+
 auto crash_guard::settle_unsent(const gateway_request& request, const std::string& incarnation) -> void {
   if (request.counted_before_) {
     return;  // What did not reach the upstream says nothing about an earlier send that did.
--- a/birchlever/gateway/crash_guard.h
+++ b/birchlever/gateway/crash_guard.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "birchlever/controllers/crash_register.h"
@@ -22,10 +23,21 @@
 
 struct gateway_request;
 
+/// How many of the other daemons hear of a send from this daemon directly.
+enum class peer_contact {
+  all,
+  most,  ///< More than half of the fleet, this daemon included.
+  few
+};
+
+/// Returns the name of a degree of contact in logs.
+[[nodiscard]] auto name_of(peer_contact contact) -> std::string_view;
+
 /// Settings of crash_guard. Times in ms.
 struct crash_guard_settings {
   milliseconds unresolved_retry_ = 1000;  ///< Retry-After while outcomes of earlier sends are unknown.
-  milliseconds retry_after_ = 3000;  ///< Retry-After of suspected requests while the store is unavailable.
+  milliseconds retry_after_ = 3000;     ///< Retry-After of suspected requests while the store is unavailable.
+  milliseconds elsewhere_retry_ = 100;  ///< Retry-After where only other daemons can know of all sends.
   lost_send_settings lost_sends_;
 };
 
@@ -41,6 +53,12 @@
   /// then be unknown, and one upstream fewer may end under a request.
   auto set_loss_check(loss_check_function callback) -> void { daemon_lost_ = std::move(callback); }
 
+  using contact_function = std::function<peer_contact()>;
+
+  /// Sets the function that returns this daemon's contact with its peers. Without it all of them hear of
+  /// each send.
+  auto set_contact_check(contact_function callback) -> void { contact_ = std::move(callback); }
+
   /// Returns the number of upstreams that may end under a piece of work now.
   [[nodiscard]] auto max_crashes() const -> int;
 
@@ -56,7 +74,9 @@
       -> std::vector<std::set<std::string>>;
 
   /// Records a send before it is made. Yields an error if it must not be made. Requests that are not
-  /// suspected need no I/O. Failures: upstreams_crashed, sends_unresolved, store_unavailable.
+  /// suspected need no I/O. Suspected ones are sent only by daemons that hear most of the fleet, since each
+  /// side of a partition may know of other sends, and only if the store or all peers learn of the send.
+  /// Failures: upstreams_crashed, sends_unresolved, store_unavailable.
   auto prepare_send(gateway_request& request, const upstream& target) -> task<status>;
 
   /// Records what became of a send before the caller learns of a failure. A send without a complete response
@@ -72,6 +92,11 @@
   [[nodiscard]] auto make_refusal(const gateway_request& request, const std::string& fingerprint,
                                   int crashes) const -> error;
   [[nodiscard]] auto make_store_error(int crashes) const -> error;
+  [[nodiscard]] auto make_contact_error(int crashes) const -> error;
+  [[nodiscard]] auto contact() const -> peer_contact { return contact_ ? contact_() : peer_contact::all; }
+  /// Returns why a recorded send must not be made, or nothing. `stored`: the store has the record.
+  [[nodiscard]] auto send_refusal(const gateway_request& request, const std::string& fingerprint,
+                                  bool stored) const -> std::optional<error>;
   /// Settles a send that did not run.
   auto settle_unsent(const gateway_request& request, const std::string& incarnation) -> void;
 
@@ -80,6 +105,7 @@
   std::shared_ptr<lost_send_watch> lost_sends_;
   crash_guard_settings settings_;
   loss_check_function daemon_lost_;
+  contact_function contact_;
 };
 
 }  // namespace birchlever
--- a/birchlever_daemon/gateway_daemon.h
+++ b/birchlever_daemon/gateway_daemon.h
@@ -8,9 +8,11 @@
 #include <random>
 #include <string>
 
+#include "birchlever/accounts/reachable_share.h"
 #include "birchlever/controllers/peer_exchange.h"
 #include "birchlever/controllers/table_follower.h"
 #include "birchlever/controllers/upstream_follower.h"
+#include "birchlever/gateway/crash_guard.h"
 #include "birchlever/gateway/gateway_server.h"
 #include "birchlever/gateway/gateway_settings.h"
 
@@ -54,6 +56,11 @@
   auto renew_configuration() -> task<>;
   auto keep_allotments() -> status;
   auto allotment_share() const -> double;
+  /// Returns what this daemon heard of its peers within `window` ms.
+  [[nodiscard]] auto reachability_within(milliseconds window) const -> peer_reachability;
+  /// Returns the mean time between two messages of a peer in ms: each goes to a sample of a large fleet.
+  [[nodiscard]] auto message_gap() const -> milliseconds;
+  [[nodiscard]] auto contact_with_peers() const -> peer_contact;
   auto join_peers() -> status;
   auto sweep_programs() -> status;
   auto kept_after_change() const -> milliseconds;
@@ -61,6 +68,8 @@
   auto track_crashes() -> void;
   auto watch_daemon_loss() -> task<>;
   [[nodiscard]] auto may_have_lost_daemon() const -> bool;
+  /// Logs a change of the contact with peers.
+  auto note_contact() -> void;
   auto share_upstream_feed() -> void;
   auto incarnation_name() const -> std::string;
   /// Returns the name of a peer's process that can witness leases; none if there is none.
@@ -113,6 +122,7 @@
   std::set<std::string> closed_halls_;  ///< Operators want no request there.
   std::int64_t logged_calls_ = 0;
   bool daemon_loss_possible_ = true;  ///< A daemon may have ended with crashes that only it knew.
+  peer_contact logged_contact_ = peer_contact::all;
   bool announced_ready_ = false;
   bool finished_all_ = true;
 };
--- a/birchlever_daemon/gateway_daemon_pages.cpp
+++ b/birchlever_daemon/gateway_daemon_pages.cpp
@@ -79,6 +79,7 @@
   counters.gauge("suspected_works", static_cast<double>(crashes_->history().size()));
   counters.gauge("crash_rows", static_cast<double>(crashes_->stored_rows()));
   counters.gauge("crash_limit", context_->crash_guard_->max_crashes());
+  counters.gauge("peer_contact", static_cast<double>(contact_with_peers()));
   counters.gauge("caller_connections", static_cast<double>(server_->connections()));
   const auto& usage = store_->usage();
   counters.gauge("store_calls", static_cast<double>(usage.calls()));
--- a/birchlever_daemon/gateway_daemon_peers.cpp
+++ b/birchlever_daemon/gateway_daemon_peers.cpp
@@ -37,6 +37,9 @@
 // Time within which the attempts of one piece of work follow each other.
 constexpr auto crash_memory = milliseconds{30000};
 constexpr auto missed_messages = std::int64_t{6};  // Of a peer, after which it may have ended.
+// Of each peer, within which it is heard unless the connection to it is cut.
+constexpr auto contact_messages = std::int64_t{3};
+constexpr auto majority = 0.5;  // Of the fleet; exactly half is no majority.
 constexpr auto ms_per_second = 1000.0;
 
 auto name_of_process(const std::string& vm, std::uint32_t incarnation) -> std::string {
@@ -133,14 +136,48 @@
 }
 
 auto gateway_daemon::allotment_share() const -> double {
+  return reachable_share(reachability_within(allotment_hearing));
+}
+
+auto gateway_daemon::reachability_within(milliseconds window) const -> peer_reachability {
   auto heard = peer_reachability{};
   heard.live_ = peers_->views().seen_within(peer_gone_after);
-  heard.window_ = allotment_hearing;
-  heard.seen_ = peers_->views().seen_within(allotment_hearing);
+  heard.window_ = window;
+  heard.seen_ = peers_->views().seen_within(window);
   heard.receiving_for_ = context_->clock_.now() - joined_at_;
   heard.send_interval_ = peers_->settings().send_interval_;
   heard.fanout_ = static_cast<std::size_t>(peers_->settings().max_receivers_);
-  return reachable_share(heard);
+  return heard;
+}
+
+auto gateway_daemon::message_gap() const -> milliseconds {
+  const auto& settings = peers_->settings();
+  auto fleet_per_message = static_cast<milliseconds>(peers_->listed_peers()) / settings.max_receivers_ + 1;
+  return settings.send_interval_ * fleet_per_message;
+}
+
+auto gateway_daemon::contact_with_peers() const -> peer_contact {
+  if (!peers_) {
+    return peer_contact::all;
+  }
+  auto share = reachable_share(reachability_within(contact_messages * message_gap()));
+  if (share >= 1) {
+    return peer_contact::all;
+  }
+  return share > majority ? peer_contact::most : peer_contact::few;
+}
+
+auto gateway_daemon::note_contact() -> void {
+  auto contact = contact_with_peers();
+  if (std::exchange(logged_contact_, contact) == contact) {
+    return;
+  }
+  auto heard = reachability_within(contact_messages * message_gap());
+  log_event(log_level::info, "peer_contact_changed",
+            {{"contact", std::string{name_of(contact)}},
+             {"peers_heard", static_cast<std::int64_t>(heard.seen_)},
+             {"peers", static_cast<std::int64_t>(heard.live_)},
+             {"window_ms", heard.window_}});
 }
 
 auto gateway_daemon::hold_allowances() -> status {
@@ -168,6 +205,7 @@
   crashes_ = crash_register::create(loop_, store_, {}, owns);
   context_->crash_guard_ = crash_guard::create(*context_, crashes_, {});
   context_->crash_guard_->set_loss_check([this] { return daemon_loss_possible_; });
+  context_->crash_guard_->set_contact_check([this] { return contact_with_peers(); });
   start(loop_, "watch_daemon_loss", watch_daemon_loss());
   if (peers_) {
     crashes_->on_publish([this](const send_record& record) { peers_->publish(record); });
@@ -177,6 +215,7 @@
 
 auto gateway_daemon::watch_daemon_loss() -> task<> {
   while (true) {
+    note_contact();
     auto possible = may_have_lost_daemon();
     if (std::exchange(daemon_loss_possible_, possible) != possible) {
       log_event(log_level::info, "crash_limit_changed",
@@ -196,10 +235,7 @@
   if (!peers_) {
     return false;
   }
-  // A peer sends each message to a sample of the fleet, so the gaps between them grow with it.
-  const auto& settings = peers_->settings();
-  auto fleet_per_message = static_cast<milliseconds>(peers_->listed_peers()) / settings.max_receivers_ + 1;
-  auto silence = missed_messages * settings.send_interval_ * fleet_per_message;
+  auto silence = missed_messages * message_gap();
   return peers_->views().may_have_lost_peer(crash_memory + silence, silence);
 }
 
--- a/unit_tests/gateway/crash_containment_test.cpp
+++ b/unit_tests/gateway/crash_containment_test.cpp
@@ -132,6 +132,44 @@
   REQUIRE(fixture.ended_upstreams() <= max_ended);
 }
 
+// Guards against counting separately on each side of a partition while the store, which would join the
+// counts, is away as well.
+TEST_CASE("without store and peers a harmful request reaches three upstreams at most") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 3);
+  fixture.rows_->faults().down_ = true;
+  fixture.peers_connected_ = false;
+  fixture.partition_side_ = GENERATE(peer_contact::few, peer_contact::most);
+  repeat(fixture, "/safe/a", 9);
+  REQUIRE(fixture.ended_upstreams() <= max_ended);
+}
+
+// Guards against the same while the store answers, but daemons that were cut off learn of its changes late.
+TEST_CASE("a daemon that hears few others does not send suspected work") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 1);
+  repeat(fixture, "/unsafe/a", 1);
+  fixture.peers_connected_ = false;
+  fixture.partition_side_ = peer_contact::few;
+  auto refused = ask(fixture, 0, "/unsafe/a", headers_of("r1"), harmful);
+  REQUIRE(refused.status_ == 503);
+  REQUIRE(refused.body_.find("sends_unresolved") != std::string::npos);
+  REQUIRE(refused.headers_.count("Retry-After") == 1);
+  REQUIRE(fixture.ended_upstreams() == 1);
+  REQUIRE(ask(fixture, 0, "/unsafe/a", headers_of("r2"), "body").status_ == 200);
+}
+
+// Guards against rejecting what lost its upstream during a partition although the store knows of all sends.
+TEST_CASE("most of the fleet sends suspected work during a partition while the store records it") {
+  auto fixture = gateway_fixture{};
+  start_fleet(fixture, 1);
+  repeat(fixture, "/unsafe/a", 1);
+  fixture.peers_connected_ = false;
+  fixture.partition_side_ = peer_contact::most;
+  fixture.harmful_text_.clear();
+  REQUIRE(ask(fixture, 0, "/unsafe/a", headers_of("r1"), harmful).status_ == 200);
+}
+
 // Guards against a daemon that joins and knows nothing of what its peers saw.
 TEST_CASE("a daemon that starts later knows of the upstreams that ended before") {
   auto fixture = gateway_fixture{};
--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -13,6 +13,7 @@
 #include "birchlever/controllers/crash_register.h"
 #include "birchlever/coordination/program_store.h"
 #include "birchlever/gateway/configuration_freshness.h"
+#include "birchlever/gateway/crash_guard.h"
 #include "birchlever/gateway/gateway_server.h"
 #include "birchlever/http/connection_pool.h"
 #include "birchlever/http/http_listener.h"
@@ -152,6 +153,7 @@
   std::string harmful_text_;  ///< An upstream ends when it gets a body that contains this; empty: none does.
   milliseconds answer_delay_ = 0;  ///< ms for which an upstream runs any other request before it responds.
   bool peers_connected_ = true;    ///< Daemons exchange records of the crash history directly, too.
+  peer_contact partition_side_ = peer_contact::all;  ///< What daemons observe while they are not connected.
   port_after_end port_after_end_ = port_after_end::closes;
   milliseconds patience_ = 4000;  ///< ms after which a caller closes its connection.
   milliseconds ends_after_ = 0;   ///< ms for which an upstream runs such a request before it ends.
--- a/unit_tests/gateway/gateway_fixture_fleet.cpp
+++ b/unit_tests/gateway/gateway_fixture_fleet.cpp
@@ -41,6 +41,8 @@
   });
   registers_.push_back(crashes);
   context->crash_guard_ = crash_guard::create(*context, crashes, {});
+  context->crash_guard_->set_contact_check(
+      [this] { return peers_connected_ ? peer_contact::all : partition_side_; });
   return context;
 }
 
