Store running and lost sends at once while a large part of the fleet may have been lost

Three kinds of sends were lost with all daemons: sends whose caller had left a silent upstream, which peers knew at once but the store after 200 ms only; sends whose connection had broken, while the upstream was probed; and sends still running. Each kill hides one of them, and the limit is lower by one only.

Then a lost send is stored before its upstream is probed, one whose caller left at once, and a send that still runs after 100 ms is recorded like one of suspected work. Nobody waits for these writes. Otherwise nothing changes, so large fleets with single restarts write nothing more.

Why it works: after the first mass loss, which the lower limit covers, what a second one may hide is the send of 100 ms at most, not that of seconds.

The three tests "while many daemons may be lost" fail without the change; "a running send is not recorded unless many daemons may be lost" bounds its cost.

--- a/birchlever/controllers/peer_views.cpp
+++ b/birchlever/controllers/peer_views.cpp
@@ -190,15 +190,16 @@
   }));
 }
 
-auto peer_views::may_have_lost_peer(milliseconds window, milliseconds silence) const -> bool {
+auto peer_views::possibly_lost_peers(milliseconds window, milliseconds silence) const -> std::size_t {
   auto now = clock_->now();
-  return std::any_of(states_.begin(), states_.end(), [&](const auto& entry) {
+  auto lost = std::count_if(states_.begin(), states_.end(), [&](const auto& entry) {
     auto age = now - entry.second.received_at_;
     const auto& uptime = entry.second.state_.uptime_;
     auto started = uptime && *uptime + age < window;
     auto silent = age > silence && age < window;
     return started || silent;
   });
+  return static_cast<std::size_t>(lost);
 }
 
 auto peer_views::recent_peers() const -> std::size_t {
--- a/birchlever/controllers/peer_views.h
+++ b/birchlever/controllers/peer_views.h
@@ -75,9 +75,9 @@
   /// Returns the number of peers seen within `window` ms.
   [[nodiscard]] auto seen_within(milliseconds window) const -> std::size_t;
 
-  /// Returns true if a peer may have ended within `window` ms: it has started since, or its messages stopped
-  /// for longer than `silence` ms.
-  [[nodiscard]] auto may_have_lost_peer(milliseconds window, milliseconds silence) const -> bool;
+  /// Returns the number of peers that may have ended within `window` ms: they have started since, or their
+  /// messages stopped for longer than `silence` ms.
+  [[nodiscard]] auto possibly_lost_peers(milliseconds window, milliseconds silence) const -> std::size_t;
 
   /// Returns the number of peers whose state is current.
   [[nodiscard]] auto recent_peers() const -> std::size_t;
--- a/birchlever/gateway/crash_guard.cpp
+++ b/birchlever/gateway/crash_guard.cpp
@@ -124,6 +124,11 @@
       records.push_back({fingerprint, incarnation, send_state::open, request.content_round_});
     }
   }
+  request.send_runs_ = std::make_shared<bool>(true);
+  if (records.empty() && mass_lost_ && mass_lost_()) {
+    start(*context_->loop_, "record_running_send",
+          record_running(request.fingerprint_, incarnation, request.send_runs_));
+  }
   if (records.empty()) {
     co_return success;
   }
@@ -156,6 +161,21 @@
   return known_elsewhere ? std::nullopt : std::optional{make_store_error(earlier)};
 }
 
+auto crash_guard::set_mass_loss_check(loss_check_function callback) -> void {
+  mass_lost_ = callback;
+  lost_sends_->set_mass_loss_check(std::move(callback));
+}
+
+auto crash_guard::record_running(std::string fingerprint, std::string incarnation,
+                                 std::shared_ptr<const bool> running) -> task<> {
+  auto crashes = crashes_;
+  co_await pause_for(*context_->loop_, settings_.record_running_after_);
+  if (*running) {
+    auto record = send_record{std::move(fingerprint), std::move(incarnation), send_state::open};
+    co_await crashes->record(std::move(record));
+  }
+}
+
 auto crash_guard::make_store_error(int crashes) const -> error {
   return error{error_code::store_unavailable,
                "not sent: " + std::to_string(crashes) +
@@ -184,6 +204,7 @@
                                 attempt_outcome outcome, milliseconds sent_at)
     -> task<std::optional<identity_state>> {
   const auto& fingerprint = request.fingerprint_;
+  *request.send_runs_ = false;
   if (is_lost(outcome, request)) {
     auto send = lost_send{};
     send.fingerprint_ = fingerprint;
--- a/birchlever/gateway/crash_guard.h
+++ b/birchlever/gateway/crash_guard.h
@@ -38,6 +38,9 @@
   milliseconds unresolved_retry_ = 1000;  ///< Retry-After while outcomes of earlier sends are unknown.
   milliseconds retry_after_ = 3000;     ///< Retry-After of suspected requests while the store is unavailable.
   milliseconds elsewhere_retry_ = 100;  ///< Retry-After where only other daemons can know of all sends.
+  /// Time after which a send that still runs is recorded while many daemons may have been lost. Shorter ones
+  /// cost no write.
+  milliseconds record_running_after_ = 100;
   lost_send_settings lost_sends_;
 };
 
@@ -53,6 +56,10 @@
   /// then be unknown, and one upstream fewer may end under a request.
   auto set_loss_check(loss_check_function callback) -> void { daemon_lost_ = std::move(callback); }
 
+  /// Sets the function that returns true if a large part of the fleet may have ended a short time ago. More
+  /// may end then, and with them what is known of running sends, so these are recorded, too.
+  auto set_mass_loss_check(loss_check_function callback) -> void;
+
   using contact_function = std::function<peer_contact()>;
 
   /// Sets the function that returns this daemon's contact with its peers. Without it all of them hear of
@@ -97,6 +104,9 @@
   /// Returns why a recorded send must not be made, or nothing. `stored`: the store has the record.
   [[nodiscard]] auto send_refusal(const gateway_request& request, const std::string& fingerprint,
                                   bool stored) const -> std::optional<error>;
+  /// Records a send of work that is not suspected if it still runs after a while.
+  auto record_running(std::string fingerprint, std::string incarnation, std::shared_ptr<const bool> running)
+      -> task<>;
   /// Settles a send that did not run.
   auto settle_unsent(const gateway_request& request, const std::string& incarnation) -> void;
 
@@ -105,6 +115,7 @@
   std::shared_ptr<lost_send_watch> lost_sends_;
   crash_guard_settings settings_;
   loss_check_function daemon_lost_;
+  loss_check_function mass_lost_;
   contact_function contact_;
 };
 
--- a/birchlever/gateway/gateway_request.h
+++ b/birchlever/gateway/gateway_request.h
@@ -34,6 +34,7 @@
   std::string fingerprint_;                     ///< Equal for all attempts of one piece of work.
   std::string content_fingerprint_;             ///< Equal for all requests of the same content.
   int content_round_ = 1;                       ///< Of the latest send, see send_record.
+  std::shared_ptr<bool> send_runs_;             ///< Whether the latest send has no outcome yet.
   bool counted_before_ = false;                 ///< An earlier send to the selected upstream counts.
   std::string last_upstream_;                   ///< Upstream that ran the previous turn.
   std::string reservation_;                     ///< Id of the reservation of the turn's budget.
--- a/birchlever/gateway/lost_send_watch.cpp
+++ b/birchlever/gateway/lost_send_watch.cpp
@@ -40,6 +40,10 @@
     announce_unanswered(std::move(send));
     co_return std::nullopt;
   }
+  if (many_daemons_lost()) {
+    auto records = records_of(send, send_state::open);
+    start(*context_->loop_, "record_open_send", record_in_background(crashes_, std::move(records)));
+  }
   co_await pause_for(*context_->loop_, settings_.probe_delay_);
   if (replaced(send)) {
     auto crashes = records_of(send, send_state::crashed);
@@ -77,6 +81,7 @@
     crashes_->announce(records.back());
   }
   auto watched = watched_send{std::move(send), false, false};
+  store_if_due(watched);
   if (silent) {
     request_probe(watched);
   }
@@ -259,8 +264,8 @@
 
 auto lost_send_watch::store_if_due(watched_send& watched) -> void {
   const auto& send = watched.send_;
-  auto due = !watched.stored_ && context_->clock_.now() - send.since_ >= settings_.store_after_;
-  if (!due) {
+  auto waited = context_->clock_.now() - send.since_ >= settings_.store_after_;
+  if (watched.stored_ || (!waited && !many_daemons_lost())) {
     return;
   }
   watched.stored_ = true;
--- a/birchlever/gateway/lost_send_watch.h
+++ b/birchlever/gateway/lost_send_watch.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -60,6 +61,10 @@
   static auto create(gateway_context& context, std::shared_ptr<crash_register> crashes,
                      const lost_send_settings& settings) -> std::shared_ptr<lost_send_watch>;
 
+  /// Sets the function that returns true if a large part of the fleet may have ended a short time ago. More
+  /// may end then, so lost sends are stored at once, before their upstream is probed.
+  auto set_mass_loss_check(std::function<bool()> callback) -> void { mass_lost_ = std::move(callback); }
+
   /// Counts a lost send, unless its upstream proves to be alive, and watches it. Must be awaited before the
   /// caller learns of the failure. Returns what a probe showed, if one was made.
   auto examine(lost_send send) -> task<std::optional<identity_state>>;
@@ -92,6 +97,7 @@
   auto resolve(watched_send& watched) -> bool;
   /// Settles a send whose upstream was alive when the request could no longer run there.
   auto settle(const lost_send& send, const char* grounds) -> void;
+  [[nodiscard]] auto many_daemons_lost() const -> bool { return mass_lost_ && mass_lost_(); }
   /// Has the open send written if it was not settled soon.
   auto store_if_due(watched_send& watched) -> void;
   auto request_probe(watched_send& watched) -> void;
@@ -114,6 +120,7 @@
   lost_send_settings settings_;
   std::map<std::string, probe_record> probes_;  ///< By incarnation; only recent ones.
   std::deque<watched_send> watched_;
+  std::function<bool()> mass_lost_;
   int background_probes_ = 0;
   bool watching_ = false;
 };
--- a/birchlever_daemon/gateway_daemon.h
+++ b/birchlever_daemon/gateway_daemon.h
@@ -67,7 +67,9 @@
   auto hold_allowances() -> status;
   auto track_crashes() -> void;
   auto watch_daemon_loss() -> task<>;
-  [[nodiscard]] auto may_have_lost_daemon() const -> bool;
+  /// Returns the number of daemons, this one included, that may have ended a short time ago.
+  [[nodiscard]] auto possibly_lost_daemons() const -> std::size_t;
+  auto note_loss(std::size_t lost) -> void;
   /// Logs a change of the contact with peers.
   auto note_contact() -> void;
   auto share_upstream_feed() -> void;
@@ -122,6 +124,7 @@
   std::set<std::string> closed_halls_;  ///< Operators want no request there.
   std::int64_t logged_calls_ = 0;
   bool daemon_loss_possible_ = true;  ///< A daemon may have ended with crashes that only it knew.
+  bool mass_loss_possible_ = true;    ///< A large part of the fleet may have ended a short time ago.
   peer_contact logged_contact_ = peer_contact::all;
   bool announced_ready_ = false;
   bool finished_all_ = true;
--- a/birchlever_daemon/gateway_daemon_peers.cpp
+++ b/birchlever_daemon/gateway_daemon_peers.cpp
@@ -6,11 +6,9 @@
 #include "birchlever/admission/program_admission.h"
 #include "birchlever/controllers/budget_transfer.h"
 #include "birchlever/controllers/central_grants.h"
-#include "birchlever/controllers/crash_register.h"
 #include "birchlever/controllers/peer_feed.h"
 #include "birchlever/coordination/allowance_ranges.h"
 #include "birchlever/coordination/program_store.h"
-#include "birchlever/gateway/crash_guard.h"
 #include "birchlever/telemetry/log.h"
 #include "birchlever/telemetry/metrics.h"
 #include "birchlever_daemon/gateway_daemon.h"
@@ -33,13 +31,6 @@
 constexpr auto peer_address_age = milliseconds{10000};  // Addresses stay; of a thousand peers half are heard
                                                         // within it. One that was lost does not answer.
 constexpr auto peer_clock_margin = milliseconds{150};   // Calls that were under way when the store went away.
-constexpr auto loss_check_interval = milliseconds{250};
-// Time within which the attempts of one piece of work follow each other.
-constexpr auto crash_memory = milliseconds{30000};
-constexpr auto missed_messages = std::int64_t{6};  // Of a peer, after which it may have ended.
-// Of each peer, within which it is heard unless the connection to it is cut.
-constexpr auto contact_messages = std::int64_t{3};
-constexpr auto majority = 0.5;  // Of the fleet; exactly half is no majority.
 constexpr auto ms_per_second = 1000.0;
 
 auto name_of_process(const std::string& vm, std::uint32_t incarnation) -> std::string {
@@ -150,36 +141,6 @@
   return heard;
 }
 
-auto gateway_daemon::message_gap() const -> milliseconds {
-  const auto& settings = peers_->settings();
-  auto fleet_per_message = static_cast<milliseconds>(peers_->listed_peers()) / settings.max_receivers_ + 1;
-  return settings.send_interval_ * fleet_per_message;
-}
-
-auto gateway_daemon::contact_with_peers() const -> peer_contact {
-  if (!peers_) {
-    return peer_contact::all;
-  }
-  auto share = reachable_share(reachability_within(contact_messages * message_gap()));
-  if (share >= 1) {
-    return peer_contact::all;
-  }
-  return share > majority ? peer_contact::most : peer_contact::few;
-}
-
-auto gateway_daemon::note_contact() -> void {
-  auto contact = contact_with_peers();
-  if (std::exchange(logged_contact_, contact) == contact) {
-    return;
-  }
-  auto heard = reachability_within(contact_messages * message_gap());
-  log_event(log_level::info, "peer_contact_changed",
-            {{"contact", std::string{name_of(contact)}},
-             {"peers_heard", static_cast<std::int64_t>(heard.seen_)},
-             {"peers", static_cast<std::int64_t>(heard.live_)},
-             {"window_ms", heard.window_}});
-}
-
 auto gateway_daemon::hold_allowances() -> status {
   if (settings_.allowances_ == 0) {
     return success;
@@ -198,47 +159,6 @@
   return success;
 }
 
-auto gateway_daemon::track_crashes() -> void {
-  auto owns = [this](const std::string& fingerprint) {
-    return !peers_ || peers_->views().preferred_for(fingerprint);
-  };
-  crashes_ = crash_register::create(loop_, store_, {}, owns);
-  context_->crash_guard_ = crash_guard::create(*context_, crashes_, {});
-  context_->crash_guard_->set_loss_check([this] { return daemon_loss_possible_; });
-  context_->crash_guard_->set_contact_check([this] { return contact_with_peers(); });
-  start(loop_, "watch_daemon_loss", watch_daemon_loss());
-  if (peers_) {
-    crashes_->on_publish([this](const send_record& record) { peers_->publish(record); });
-    peers_->on_send_record([this](const send_record& record) { crashes_->apply_peer_record(record); });
-  }
-}
-
-auto gateway_daemon::watch_daemon_loss() -> task<> {
-  while (true) {
-    note_contact();
-    auto possible = may_have_lost_daemon();
-    if (std::exchange(daemon_loss_possible_, possible) != possible) {
-      log_event(log_level::info, "crash_limit_changed",
-                {{"daemon_loss_possible", possible},
-                 {"limit", std::int64_t{context_->crash_guard_->max_crashes()}},
-                 {"uptime_ms", context_->clock_.now() - joined_at_}});
-    }
-    co_await pause_for(loop_, loss_check_interval);
-  }
-}
-
-auto gateway_daemon::may_have_lost_daemon() const -> bool {
-  auto uptime = context_->clock_.now() - joined_at_;
-  if (uptime < crash_memory) {
-    return true;  // An earlier process of this daemon may have ended.
-  }
-  if (!peers_) {
-    return false;
-  }
-  auto silence = missed_messages * message_gap();
-  return peers_->views().may_have_lost_peer(crash_memory + silence, silence);
-}
-
 auto gateway_daemon::share_upstream_feed() -> void {
   if (settings_.share_feed_ == 0 || settings_.control_address_.empty()) {
     return;
--- a/unit_tests/controllers/crash_messages_test.cpp
+++ b/unit_tests/controllers/crash_messages_test.cpp
@@ -54,15 +54,15 @@
   auto clock = std::make_shared<manual_clock>();
   clock->advance(100'000);
   auto views = peer_views{"vm-0", 1500, clock};
-  REQUIRE_FALSE(views.may_have_lost_peer(window, silence));
+  REQUIRE(views.possibly_lost_peers(window, silence) == 0);
   views.record_state(message_of("vm-1", 60'000));
-  REQUIRE_FALSE(views.may_have_lost_peer(window, silence));
+  REQUIRE(views.possibly_lost_peers(window, silence) == 0);
   clock->advance(silence + 1);
-  REQUIRE(views.may_have_lost_peer(window, silence));
+  REQUIRE(views.possibly_lost_peers(window, silence) == 1);
   views.record_state(message_of("vm-1", 500));
-  REQUIRE(views.may_have_lost_peer(window, silence));
+  REQUIRE(views.possibly_lost_peers(window, silence) == 1);
   views.record_state(message_of("vm-1", window));
-  REQUIRE_FALSE(views.may_have_lost_peer(window, silence));
+  REQUIRE(views.possibly_lost_peers(window, silence) == 0);
 }
 
 }  // namespace birchlever
--- a/unit_tests/gateway/crash_detection_test.cpp
+++ b/unit_tests/gateway/crash_detection_test.cpp
@@ -110,6 +110,57 @@
   REQUIRE(ask(fixture, "r1").status_ == 200);
 }
 
+// Guards against sends that are lost with all daemons, again and again, before anyone else knows of them.
+TEST_CASE("while many daemons may be lost a running send is recorded") {
+  auto fixture = gateway_fixture{};
+  fixture.add_gateway();
+  fixture.context_->crash_guard_->set_mass_loss_check([] { return true; });
+  fixture.answer_delay_ = 600;
+  auto response = fixture.send_to(0, "/unsafe/a", headers_of("r1"), "body");
+  const auto& peer = fixture.registers_.back()->history();
+  REQUIRE(fixture.run_until([&] { return peer.crashes(fingerprint()) == 1; }, 400));
+  REQUIRE(fixture.run_until([&] { return fixture.registers_.back()->stored_rows() == 1; }, 400));
+  REQUIRE(fixture.run_until([&] { return response->has_value(); }));
+  REQUIRE((*response)->status_ == 200);
+  REQUIRE(fixture.run_until([&] { return fixture.registers_.back()->stored_rows() == 0; }));
+  REQUIRE(peer.crashes(fingerprint()) == 0);
+}
+
+// Guards against the same while the daemon probes the upstream that closed the connection.
+TEST_CASE("while many daemons may be lost a lost send is recorded before its upstream is probed") {
+  auto fixture = gateway_fixture{};
+  fixture.add_gateway();
+  fixture.context_->crash_guard_->set_mass_loss_check([] { return true; });
+  fixture.scripts_ = {{script::kind::end_process}};
+  fixture.send_to(0, "/unsafe/a", headers_of("r1"), "body");
+  const auto& peer = fixture.registers_.back()->history();
+  REQUIRE(fixture.run_until([&] { return peer.crashes(fingerprint()) == 1; }));
+  REQUIRE(peer.confirmed_crashes(fingerprint()) == 0);
+  REQUIRE(fixture.run_until([&] { return peer.confirmed_crashes(fingerprint()) == 1; }));
+}
+
+// Guards against the same when a caller leaves a silent upstream.
+TEST_CASE("while many daemons may be lost a send whose caller left is stored at once") {
+  auto fixture = gateway_fixture{};
+  fixture.context_->crash_guard_->set_mass_loss_check([] { return true; });
+  fixture.patience_ = 50;
+  fixture.scripts_ = {{script::kind::no_response}};
+  fixture.send_to(0, "/unsafe/a", headers_of("r1"), "body");
+  const auto& crashes = *fixture.registers_.front();
+  REQUIRE(fixture.run_until([&] { return crashes.history().crashes(fingerprint()) == 1; }));
+  constexpr auto sooner_than_otherwise = milliseconds{100};
+  REQUIRE(fixture.run_until([&] { return crashes.stored_rows() > 0; }, sooner_than_otherwise));
+}
+
+// Guards against a write for each request in normal operation.
+TEST_CASE("a running send is not recorded unless many daemons may be lost") {
+  auto fixture = gateway_fixture{};
+  fixture.answer_delay_ = 600;
+  auto commits = fixture.rows_->commits();
+  REQUIRE(ask(fixture, "r1").status_ == 200);
+  REQUIRE(fixture.rows_->commits() == commits);
+}
+
 // Guards against clearing a lost send by the response of another incarnation at the same address.
 TEST_CASE("a rejection by the next incarnation does not show that the upstream lives") {
   auto fixture = gateway_fixture{};
