Do not take the first start of the system for a loss of daemons

Cause: a process that has started a short time ago was taken for the successor of one that ended with what only it knew, also at the first start of the whole system.

Such a process does not lower the limit and sends no uptime to its peers, which take its absence, as from earlier versions, for no loss. `start` in the log has it.

Why it works: before the first start there was no process that could know anything.

--- a/birchlever/controllers/peer_state.h
+++ b/birchlever/controllers/peer_state.h
@@ -41,7 +41,9 @@
   std::vector<reported_follower> followers_;  ///< Other followers, forwarded to spread the same set.
   std::vector<spent_report> spent_;           ///< Programs whose budgets were spent a short time ago.
   std::optional<pressure_report> pressure_;   ///< Only of daemons that limit new programs in a shortage.
-  std::optional<milliseconds> uptime_;        ///< ms since the process started; none from earlier versions.
+  /// ms since the process started; none if no earlier process of the daemon can have ended, and from earlier
+  /// versions.
+  std::optional<milliseconds> uptime_;
   std::optional<std::uint32_t> incarnation_;  ///< Of the process; none from earlier versions.
   std::vector<send_record> send_records_;     ///< Of the crash history; in messages with health reports only.
   std::vector<speed_report> speeds_;  ///< Speeds of upstreams that it observed recently, changed ones first.
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -394,7 +394,8 @@
   log_event(log_level::info, "start",
             {{"data_hall", settings_.data_hall_},
              {"caller_address", settings_.caller_address_},
-             {"store_address", settings_.store_address_}});
+             {"store_address", settings_.store_address_},
+             {"first_start", settings_.first_start_ != 0}});
   loop_.run();
   return finished_all_;
 }
--- a/birchlever_daemon/gateway_daemon_crashes.cpp
+++ b/birchlever_daemon/gateway_daemon_crashes.cpp
@@ -66,7 +66,8 @@
 
 auto gateway_daemon::possibly_lost_daemons() const -> std::size_t {
   // An earlier process of this daemon may have ended.
-  auto own = std::size_t{context_->clock_.now() - joined_at_ < crash_memory ? 1U : 0U};
+  auto restarted = settings_.first_start_ == 0 && context_->clock_.now() - joined_at_ < crash_memory;
+  auto own = std::size_t{restarted ? 1U : 0U};
   if (!peers_) {
     return own;
   }
--- a/birchlever_daemon/gateway_daemon_peers.cpp
+++ b/birchlever_daemon/gateway_daemon_peers.cpp
@@ -201,7 +201,9 @@
     state.pressure_ = context_->pressure_->report(context_->clock_.now());
   }
   state.speeds_ = context_->upstreams_->speed_reports();
-  state.uptime_ = context_->clock_.now() - joined_at_;
+  if (settings_.first_start_ == 0) {
+    state.uptime_ = context_->clock_.now() - joined_at_;
+  }
   state.incarnation_ = incarnation_;
   return state;
 }
