Keep an open send of a content when a later one does not reach the same upstream

Cause: traced in the logs. An attempt selected the upstream of an earlier, open send again and was withheld, since the store was away. What did not reach the upstream must not settle an earlier send that did, but that was remembered for the piece of work only. Outside programs each attempt is a piece of work of its own, and only the content has a history: its open send was removed, with peers, too, and the next attempts were made as if nothing had happened.

Change: it is remembered for work and content each. The detail of such an error counts the earlier send, too.

--- a/birchlever/gateway/crash_guard.cpp
+++ b/birchlever/gateway/crash_guard.cpp
@@ -116,10 +116,13 @@
 auto crash_guard::prepare_send(gateway_request& request, const upstream& target) -> task<status> {
   const auto& history = crashes_->history();
   auto incarnation = incarnation_of(target.entry());
-  request.counted_before_ = history.counts(request.fingerprint_, incarnation);
+  request.counted_before_.clear();
   request.content_round_ = history.next_round(request.content_fingerprint_);
   auto records = std::vector<send_record>{};
   for (const auto& fingerprint : {request.fingerprint_, request.content_fingerprint_}) {
+    if (history.counts(fingerprint, incarnation)) {
+      request.counted_before_.insert(fingerprint);
+    }
     if (history.crashes(fingerprint) > 0) {
       records.push_back({fingerprint, incarnation, send_state::open, request.content_round_});
     }
@@ -148,7 +151,7 @@
   const auto& history = crashes_->history();
   // With this send, and those of other daemons meanwhile.
   auto crashes = history.crashes(fingerprint);
-  auto earlier = crashes - 1;
+  auto earlier = request.counted_before_.count(fingerprint) != 0 ? crashes : crashes - 1;
   if (crashes > max_crashes()) {
     return make_refusal(request, fingerprint, earlier);
   }
@@ -193,11 +196,12 @@
 }
 
 auto crash_guard::settle_unsent(const gateway_request& request, const std::string& incarnation) -> void {
-  if (request.counted_before_) {
-    return;  // What did not reach the upstream says nothing about an earlier send that did.
+  for (const auto& fingerprint : {request.fingerprint_, request.content_fingerprint_}) {
+    // What did not reach the upstream says nothing about an earlier send that did.
+    if (request.counted_before_.count(fingerprint) == 0) {
+      crashes_->settle(fingerprint, incarnation);
+    }
   }
-  crashes_->settle(request.fingerprint_, incarnation);
-  crashes_->settle(request.content_fingerprint_, incarnation);
 }
 
 auto crash_guard::conclude_send(const gateway_request& request, upstream_pointer target,
--- a/birchlever/gateway/gateway_request.h
+++ b/birchlever/gateway/gateway_request.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "birchlever/coordination/serving_configuration.h"
@@ -35,7 +36,8 @@
   std::string content_fingerprint_;             ///< Equal for all requests of the same content.
   int content_round_ = 1;                       ///< Of the latest send, see send_record.
   std::shared_ptr<bool> send_runs_;             ///< Whether the latest send has no outcome yet.
-  bool counted_before_ = false;                 ///< An earlier send to the selected upstream counts.
+  std::set<std::string> counted_before_;        ///< Fingerprints of which an earlier send to the selected
+                                                ///< upstream counts.
   std::string last_upstream_;                   ///< Upstream that ran the previous turn.
   std::string reservation_;                     ///< Id of the reservation of the turn's budget.
   std::optional<std::int64_t> granted_tokens_;  ///< Limit of tokens sent to the caller. Below the turn's
--- a/unit_tests/gateway/crash_detection_test.cpp
+++ b/unit_tests/gateway/crash_detection_test.cpp
@@ -23,6 +23,15 @@
   return fingerprint_of(request);
 }
 
+/// Returns the fingerprint of their content.
+auto content() -> std::string {
+  auto request = gateway_request{};
+  request.message_ = http_request{http::verb::post, "/unsafe/a", 11};
+  request.message_.set(http::field::host, "h.example");
+  request.message_.body() = "body";
+  return content_fingerprint_of(request);
+}
+
 auto ask(gateway_fixture& fixture, const std::string& id) -> received_response {
   return fixture.send("/unsafe/a", headers_of(id), "body");
 }
@@ -184,4 +193,17 @@
   REQUIRE(fixture.registers_.front()->history().crashes(fingerprint()) == 1);
 }
 
+// Guards against the same for requests outside programs, whose sends only their content joins.
+TEST_CASE("a send that does not reach its upstream does not settle an earlier one of its content") {
+  auto fixture = gateway_fixture{};
+  fixture.context_->upstreams_->remove("tool-2");
+  fixture.stop_listening("tool-1");
+  fixture.registers_.front()->apply_peer_record({content(), "tool-1", send_state::open});
+  auto headers = headers_of("r1");
+  headers.erase("X-Program-Id");
+  headers.erase("X-Session-Id");
+  REQUIRE(fixture.send("/unsafe/a", headers, "body").status_ == 503);
+  REQUIRE(fixture.registers_.front()->history().crashes(content()) == 1);
+}
+
 }  // namespace birchlever::test
