Tell daemons that start, and the store, of open sends that only other daemons know

Two upstreams ended under a request while the store was away; their ports were held, so both sends stayed open. Two of four daemons were killed. The other two knew of both sends and refused the request, but nobody told the restarted ones: what the store misses is written by peers for crashes only, and a daemon that starts reads the store. It sent the request to two more.

Change: peers write open sends that the store misses like crashes, after 1 to 4 s; when a peer reports the end of such a send, the writer removes the row. And a daemon that hears a process of a peer for the first time sends it what it knows, 512 records at most, those of work near its limit first. The format of the rows has a file of its own.

Why it works: what any live daemon knows reaches one that starts with its first messages, before it is ready, whether the store answers or not.

--- a/birchlever/controllers/crash_register.cpp
+++ b/birchlever/controllers/crash_register.cpp
@@ -1,10 +1,10 @@
 #include "birchlever/controllers/crash_register.h"
 
 #include <algorithm>
-#include <charconv>
 #include <map>
 #include <optional>
 
+#include "birchlever/controllers/crash_rows.h"
 #include "birchlever/telemetry/log.h"
 
 namespace birchlever {
@@ -12,36 +12,6 @@
 
 constexpr auto max_changes = std::size_t{48};  // Per transaction, of 100 rows at most; a change may need two.
 constexpr auto max_pending = std::size_t{4096};
-constexpr auto separator = '/';
-
-/// Returns the key of a record's row. The state is part of the key: a write of an open send that the store
-/// applies late must not replace a crash.
-auto key_of(const send_record& record) -> std::string {
-  return record.fingerprint_ + separator + std::string{name_of(record.state_)} + separator + record.upstream_;
-}
-
-/// Returns the round that a row has as its value.
-auto round_of(const std::string& value) -> int {
-  auto round = 1;
-  std::from_chars(value.data(), value.data() + value.size(), round);
-  return round;
-}
-
-auto parse_key(const std::string& key) -> std::optional<send_record> {
-  auto first = key.find(separator);
-  auto second = first == std::string::npos ? first : key.find(separator, first + 1);
-  if (second == std::string::npos) {
-    return std::nullopt;
-  }
-  auto record = send_record{key.substr(0, first), key.substr(second + 1), send_state::open};
-  auto state = key.substr(first + 1, second - first - 1);
-  if (state == name_of(send_state::crashed)) {
-    record.state_ = send_state::crashed;
-  } else if (state != name_of(send_state::open)) {
-    return std::nullopt;
-  }
-  return record;
-}
 
 }  // namespace
 
@@ -84,7 +54,7 @@
 auto crash_register::apply_rows(const std::vector<stored_row>& rows) -> void {
   for (const auto& row : rows) {
     const auto& key = row.key_.key_;
-    auto record = parse_key(key);
+    auto record = parse_crash_row_key(key);
     if (!record) {
       log_event(log_level::warning, "crash_row_unreadable", {{"key", key}});
       continue;
@@ -95,7 +65,7 @@
       remove(*record, "row_removed");
       continue;
     }
-    record->round_ = round_of(row.value_);
+    record->round_ = parse_round(row.value_);
     stored_rows_.try_emplace(key, clock_.now());
     if (!removal_pending(key)) {
       merge(*record, "store");
@@ -105,7 +75,7 @@
 
 auto crash_register::removal_pending(const std::string& key) const -> bool {
   return std::any_of(pending_.begin(), pending_.end(), [&](const pending_change& change) {
-    return change.removal_ && key_of(change.record_) == key;
+    return change.removal_ && crash_row_key(change.record_) == key;
   });
 }
 
@@ -115,7 +85,7 @@
       ++next;
       continue;
     }
-    if (auto record = parse_key(next->first)) {
+    if (auto record = parse_crash_row_key(next->first)) {
       remove(*record, "row_removed");
     }
     next = stored_rows_.erase(next);
@@ -157,16 +127,47 @@
 }
 
 auto crash_register::apply_peer_record(const send_record& record) -> void {
+  if (record.state_ == send_state::settled || record.state_ == send_state::served) {
+    remove_open_rows(record);
+  }
   merge(record, "peer");
 }
 
+auto crash_register::remove_open_rows(const send_record& ended) -> void {
+  auto first = crash_row_key({ended.fingerprint_, ended.upstream_, send_state::open});
+  auto keys = std::vector<std::string>{};
+  for (auto next = open_rows_.lower_bound(first); next != open_rows_.end(); ++next) {
+    if (next->compare(0, first.size(), first) != 0) {
+      break;
+    }
+    keys.push_back(*next);
+  }
+  for (const auto& key : keys) {
+    auto record = parse_crash_row_key(key);
+    auto same = ended.state_ == send_state::served || record->upstream_ == ended.upstream_;
+    if (same) {
+      enqueue(*record, true);
+    }
+  }
+}
+
+auto crash_register::known_records() const -> std::vector<send_record> {
+  auto records = history_.records_known_for(0, clock_.now());
+  // Those of work near its limit come first.
+  std::stable_partition(records.begin(), records.end(), [this](const send_record& record) {
+    return history_.crashes(record.fingerprint_) > 1;
+  });
+  records.resize(std::min(records.size(), settings_.max_introduced_));
+  return records;
+}
+
 auto crash_register::enqueue(const send_record& record, bool removal) -> std::int64_t {
   if (pending_.size() >= max_pending) {
     log_event(log_level::warning, "crash_record_dropped", {{"reason", std::string{"queue_full"}}});
     dropped_ = pending_.front().number_;
     remove_pending(dropped_);
   }
-  auto open_key = key_of({record.fingerprint_, record.upstream_, send_state::open});
+  auto open_key = crash_row_key({record.fingerprint_, record.upstream_, send_state::open});
   if (record.state_ == send_state::open && !removal) {
     open_rows_.insert(open_key);
   } else {
@@ -230,7 +231,7 @@
 auto crash_register::share_crashes(const std::string& fingerprint) -> void {
   for (const auto& crash : history_.crash_records(fingerprint)) {
     publish(crash);
-    auto missing = stored_rows_.count(key_of(crash)) == 0;
+    auto missing = stored_rows_.count(crash_row_key(crash)) == 0;
     if (missing && !table_full()) {
       enqueue(crash, false);
     }
@@ -266,7 +267,7 @@
 }
 
 auto crash_register::remove_row(const send_record& record) -> void {
-  auto key = key_of(record);
+  auto key = crash_row_key(record);
   if (open_rows_.count(key) != 0 || stored_rows_.count(key) != 0 || record.state_ == send_state::crashed) {
     enqueue(record, true);
   }
@@ -278,11 +279,11 @@
   for (auto next = std::size_t{0}; next < count; ++next) {
     const auto& change = pending_[next];
     const auto& record = change.record_;
-    values[key_of(record)] = change.removal_ ? std::nullopt : std::optional{record.round_};
+    values[crash_row_key(record)] = change.removal_ ? std::nullopt : std::optional{record.round_};
     if (record.state_ == send_state::crashed) {
       auto open = record;
       open.state_ = send_state::open;
-      values[key_of(open)] = std::nullopt;
+      values[crash_row_key(open)] = std::nullopt;
     }
   }
   auto transaction = row_transaction{};
@@ -342,7 +343,7 @@
   for (const auto& record : history_.expire(clock_.now())) {
     log_removed(record, "expired");
     // A row of served work would else be kept for as long as that of other work.
-    if (stored_rows_.count(key_of(record)) != 0 && owns_(record.fingerprint_)) {
+    if (stored_rows_.count(crash_row_key(record)) != 0 && owns_(record.fingerprint_)) {
       enqueue(record, true);
     }
   }
@@ -354,7 +355,7 @@
   }
   auto now = clock_.now();
   for (const auto& [key, since] : stored_rows_) {
-    auto record = parse_key(key);
+    auto record = parse_crash_row_key(key);
     if (!record) {
       continue;
     }
@@ -372,13 +373,13 @@
     return;
   }
   auto now = clock_.now();
-  auto anyone = history_.crashes_known_for(settings_.repair_by_any_after_, now);
+  auto anyone = history_.records_known_for(settings_.repair_by_any_after_, now);
   auto overdue = std::set<std::string>{};
   for (const auto& record : anyone) {
-    overdue.insert(key_of(record));
+    overdue.insert(crash_row_key(record));
   }
-  for (const auto& record : history_.crashes_known_for(settings_.repair_after_, now)) {
-    auto key = key_of(record);
+  for (const auto& record : history_.records_known_for(settings_.repair_after_, now)) {
+    auto key = crash_row_key(record);
     auto responsible = overdue.count(key) != 0 || owns_(record.fingerprint_);
     if (responsible && stored_rows_.count(key) == 0) {
       log_event(log_level::info, "crash_record_repaired",
--- a/birchlever/controllers/crash_register.h
+++ b/birchlever/controllers/crash_register.h
@@ -35,6 +35,7 @@
   milliseconds repair_by_any_after_ = 4000;
   /// Rows from which on daemons add no more: while upstreams end all the time, each request leaves some.
   std::size_t max_rows_ = 8192;
+  std::size_t max_introduced_ = 512;  ///< Records that a daemon tells a peer that has started.
   crash_history_settings history_;
 };
 
@@ -72,6 +73,9 @@
   /// Applies a record of a peer.
   auto apply_peer_record(const send_record& record) -> void;
 
+  /// Returns what a peer that has started should know: the store may miss some of it.
+  [[nodiscard]] auto known_records() const -> std::vector<send_record>;
+
   /// Records an open send or a crash, here at once, then with peers and in the store. Returns true if the
   /// store acknowledged it within the limit; it is written later otherwise.
   auto record(send_record record, record_wait wait = record_wait::store) -> task<bool>;
@@ -107,6 +111,8 @@
   auto finish_scan() -> void;
   auto merge(const send_record& record, const char* source) -> void;
   auto remove(const send_record& record, const char* cause) -> void;
+  /// Removes the rows that this daemon wrote for open sends which a peer has seen end.
+  auto remove_open_rows(const send_record& ended) -> void;
   /// Removes the row of a record that is no longer in the history, if there is one.
   auto remove_row(const send_record& record) -> void;
   auto log_removed(const send_record& record, const char* cause) const -> void;
--- a/birchlever/controllers/peer_exchange.cpp
+++ b/birchlever/controllers/peer_exchange.cpp
@@ -155,7 +155,7 @@
       continue;
     }
     add_receiver(sender);
-    handle_message(std::move(value(decoded)));
+    handle_message(std::move(value(decoded)), sender);
   }
 }
 
@@ -165,10 +165,27 @@
   }
 }
 
-auto peer_exchange::handle_message(peer_state state) -> void {
+auto peer_exchange::introduce(const asio::ip::udp::endpoint& peer) -> void {
+  auto records = introduce_ ? introduce_() : std::vector<send_record>{};
+  for (auto first = records.begin(); first != records.end();) {
+    auto count = std::min<std::ptrdiff_t>(records.end() - first, max_records);
+    auto state = peer_state{};
+    state.vm_ = settings_.vm_;
+    state.send_records_.assign(first, first + count);
+    first += count;
+    auto ignored = boost::system::error_code{};  // Others introduce the peer, too.
+    socket_.send_to(asio::buffer(encode(state)), peer, 0, ignored);
+  }
+}
+
+auto peer_exchange::handle_message(peer_state state, const asio::ip::udp::endpoint& sender) -> void {
   if (state.health_reports_.empty() && state.send_records_.empty()) {
     auto vm = state.vm_;
+    auto started = views_.is_new_process(state);
     views_.record_state(std::move(state));
+    if (started) {
+      introduce(sender);
+    }
     if (on_peer_seen_) {
       on_peer_seen_(vm);
     }
--- a/birchlever/controllers/peer_exchange.h
+++ b/birchlever/controllers/peer_exchange.h
@@ -83,6 +83,10 @@
   using send_record_function = std::function<void(const send_record&)>;
   auto on_send_record(send_record_function callback) -> void { on_send_record_ = std::move(callback); }
 
+  /// Sets the function that returns the records that a peer gets when it has started.
+  using introduce_function = std::function<std::vector<send_record>()>;
+  auto on_peer_started(introduce_function callback) -> void { introduce_ = std::move(callback); }
+
   /// Sends a record of the crash history to peers, together with health reports. Sent twice, since datagrams
   /// may be lost.
   auto publish(const send_record& record) -> void;
@@ -103,7 +107,9 @@
   auto take_send_records() -> std::vector<send_record>;
   auto send(const peer_state& state, int max_receivers) -> void;
   auto receive_all() -> task<>;
-  auto handle_message(peer_state state) -> void;
+  auto handle_message(peer_state state, const asio::ip::udp::endpoint& sender) -> void;
+  /// Sends the known records to a peer.
+  auto introduce(const asio::ip::udp::endpoint& peer) -> void;
   auto add_receiver(const asio::ip::udp::endpoint& peer) -> void;
   auto follow_list() -> task<>;
   auto announce() -> task<bool>;
@@ -132,6 +138,7 @@
   bool list_known_ = false;
   health_report_function on_health_report_;
   send_record_function on_send_record_;
+  introduce_function introduce_;
   list_function on_list_;
   peer_seen_function on_peer_seen_;
   peer_views views_;
--- a/birchlever/controllers/peer_views.cpp
+++ b/birchlever/controllers/peer_views.cpp
@@ -35,6 +35,11 @@
   states_[vm] = {std::move(state), clock_->now()};
 }
 
+auto peer_views::is_new_process(const peer_state& state) const -> bool {
+  auto known = states_.find(state.vm_);
+  return known == states_.end() || known->second.state_.incarnation_ != state.incarnation_;
+}
+
 auto peer_views::record_speeds(const peer_state& state) -> void {
   auto fresh = state.speeds_;
   auto previous = states_.find(state.vm_);
--- a/birchlever/controllers/peer_views.h
+++ b/birchlever/controllers/peer_views.h
@@ -28,6 +28,9 @@
   /// Records a state received now.
   auto record_state(peer_state state) -> void;
 
+  /// Returns true if a state is the first one of a peer's process.
+  [[nodiscard]] auto is_new_process(const peer_state& state) const -> bool;
+
   /// Returns when a peer was last seen, on the local clock; none if never.
   [[nodiscard]] auto last_seen(const std::string& vm) const -> std::optional<milliseconds>;
 
--- a/birchlever/coordination/crash_history.cpp
+++ b/birchlever/coordination/crash_history.cpp
@@ -238,12 +238,12 @@
   return removed;
 }
 
-auto crash_history::crashes_known_for(milliseconds min_age, milliseconds now) const
+auto crash_history::records_known_for(milliseconds min_age, milliseconds now) const
     -> std::vector<send_record> {
   auto known = std::vector<send_record>{};
   for (const auto& [fingerprint, work] : works_) {
     for (const auto& [upstream, send] : work.sends_) {
-      if (send.state_ == send_state::crashed && now - send.changed_at_ >= min_age) {
+      if (now - send.changed_at_ >= min_age) {
         known.push_back({fingerprint, upstream, send.state_, send.round_});
       }
     }
--- a/birchlever/coordination/crash_history.h
+++ b/birchlever/coordination/crash_history.h
@@ -119,8 +119,8 @@
   /// Removes and returns what is older than the settings allow.
   auto expire(milliseconds now) -> std::vector<send_record>;
 
-  /// Returns the crashes that have been known for at least `min_age` ms.
-  [[nodiscard]] auto crashes_known_for(milliseconds min_age, milliseconds now) const
+  /// Returns the records that have been known for at least `min_age` ms.
+  [[nodiscard]] auto records_known_for(milliseconds min_age, milliseconds now) const
       -> std::vector<send_record>;
 
   [[nodiscard]] auto settings() const -> const crash_history_settings& { return settings_; }
--- a/birchlever_daemon/gateway_daemon_crashes.cpp
+++ b/birchlever_daemon/gateway_daemon_crashes.cpp
@@ -33,6 +33,7 @@
   start(loop_, "watch_daemon_loss", watch_daemon_loss());
   if (peers_) {
     crashes_->on_publish([this](const send_record& record) { peers_->publish(record); });
+    peers_->on_peer_started([this] { return crashes_->known_records(); });
     peers_->on_send_record([this](const send_record& record) { crashes_->apply_peer_record(record); });
   }
 }
--- a/unit_tests/controllers/crash_register_test.cpp
+++ b/unit_tests/controllers/crash_register_test.cpp
@@ -65,6 +65,47 @@
   REQUIRE(fleet.add_daemon()->history().crashes(work) == 1);
 }
 
+// Guards against open sends that live daemons know, but not those that start after the store was away.
+TEST_CASE("an open send known from a peer is written by another daemon when the store returns") {
+  auto fleet = register_fleet{};
+  auto peer = fleet.add_daemon();
+  fleet.rows_->faults().down_ = true;
+  peer->apply_peer_record({work, "u1", send_state::open});
+  auto commits = fleet.rows_->commits();
+  REQUIRE(run_loop_until(fleet.loop_, [&] { return fleet.rows_->commits() > commits; }));
+  fleet.rows_->faults().down_ = false;
+  REQUIRE(run_loop_until(fleet.loop_, [&] { return fleet.rows_->size() == 1; }));
+  auto late = fleet.add_daemon();
+  REQUIRE(late->history().crashes(work) == 1);
+}
+
+// Guards against open sends that stay counted because another daemon wrote them after they were settled.
+TEST_CASE("an open send written for a peer is removed when the peer settles it") {
+  auto ended = GENERATE(send_state::settled, send_state::served);
+  auto fleet = register_fleet{};
+  auto peer = fleet.add_daemon();
+  peer->apply_peer_record({work, "u1", send_state::open});
+  REQUIRE(run_loop_until(fleet.loop_, [&] { return fleet.rows_->size() == 1; }));
+  peer->apply_peer_record({work, ended == send_state::settled ? "u1" : "", ended});
+  REQUIRE(run_loop_until(fleet.loop_, [&] { return fleet.rows_->size() == 0; }));
+  REQUIRE(peer->history().crashes(work) == 0);
+}
+
+// Guards against a daemon that starts and learns nothing of what only its peers know.
+TEST_CASE("a daemon tells what it knows, records of work near its limit first") {
+  auto fleet = register_fleet{};
+  auto daemon = fleet.add_daemon();
+  for (auto number = 0; number < 600; ++number) {
+    daemon->apply_peer_record({"w" + std::to_string(number), "u1", send_state::open});
+  }
+  daemon->apply_peer_record({work, "u1", send_state::crashed});
+  daemon->apply_peer_record({work, "u2", send_state::open});
+  auto records = daemon->known_records();
+  REQUIRE(records.size() == crash_register_settings{}.max_introduced_);
+  REQUIRE(records.at(0).fingerprint_ == work);
+  REQUIRE(records.at(1).fingerprint_ == work);
+}
+
 // Guards against a daemon that starts between two sends and learns of the second one only.
 TEST_CASE("the record of a send brings the crashes of its work that the store misses") {
   auto fleet = register_fleet{};
--- a/unit_tests/controllers/peer_exchange_test.cpp
+++ b/unit_tests/controllers/peer_exchange_test.cpp
@@ -157,4 +157,34 @@
   REQUIRE(received[1].id_ == "u2");
 }
 
+// Guards against a daemon that starts while the store misses what its peers know of lost sends.
+TEST_CASE("a peer gets the known records when it has started") {
+  auto loop = event_loop{1};
+  auto rows = std::make_shared<memory_row_store>(loop);
+  auto knowing = join(loop, rows, "vm-1", {});
+  constexpr auto known = std::size_t{100};  // More than a message holds.
+  auto introductions = 0;
+  knowing->on_peer_started([&] {
+    ++introductions;
+    return std::vector<send_record>(known, {"work", "u1", send_state::open});
+  });
+  for (auto incarnation = std::uint32_t{1}; incarnation <= 2; ++incarnation) {
+    auto state = peer_state{};
+    state.incarnation_ = incarnation;
+    auto started = join(loop, rows, "vm-2", state);
+    auto received = std::size_t{0};
+    started->on_send_record([&](const send_record& /*record*/) { ++received; });
+    auto clock = steady_clock{};
+    auto deadline = clock.now() + 4000;
+    while (received < known && clock.now() < deadline) {
+      loop.run_for(std::chrono::milliseconds{20});
+      loop.restart();
+    }
+    REQUIRE(received == known);
+    started->on_send_record(nullptr);
+  }
+  loop.run_for(std::chrono::milliseconds{100});
+  REQUIRE(introductions >= 2);
+}
+
 }  // namespace birchlever
