Order the sends of a content by when they were lost, not by when daemons heard of it

A caller left a silent upstream and repeated its request at another daemon at once. The second send was made 13 ms before the news of the first arrived, so both got the same round and counted once.

Cause: the round of a send was decided when it was made, from what the daemon knew then.

Change: messages carry the age of a record. What a lost send's round is, is decided when it is recorded: one more than that of any send that counted when it was made, whenever the news came. 5 ms are allowed for a daemon to notice that its caller left.

Why it works: requests that are under way together when their service fails are still one round, since none was made after another was lost; repeats follow the loss of the attempt before.

Result: "a send of a content made after another one was lost is a later round" has no counterpart in the code before.

--- a/birchlever/controllers/peer_exchange.cpp
+++ b/birchlever/controllers/peer_exchange.cpp
@@ -93,7 +93,7 @@
                {"waiting", static_cast<std::int64_t>(pending_records_.size())}});
     pending_records_.erase(pending_records_.begin());
   }
-  pending_records_.push_back({record});
+  pending_records_.push_back({record, clock_.now()});
   start_reports();
 }
 
@@ -109,6 +109,7 @@
   for (auto& pending : pending_records_) {
     if (taken.size() < max_records) {
       taken.push_back(pending.record_);
+      taken.back().age_ += clock_.now() - pending.since_;
       --pending.messages_;
     }
     if (pending.messages_ > 0) {
--- a/birchlever/controllers/peer_exchange.h
+++ b/birchlever/controllers/peer_exchange.h
@@ -128,6 +128,7 @@
   /// A record with the number of messages that it is still to be sent in.
   struct pending_record {
     send_record record_;
+    milliseconds since_ = 0;
     int messages_ = 2;
   };
 
--- a/birchlever/controllers/peer_state.cpp
+++ b/birchlever/controllers/peer_state.cpp
@@ -93,8 +93,8 @@
 auto pack_send_records(const std::vector<send_record>& records) -> json {
   auto packed = json::array();
   for (const auto& record : records) {
-    packed.push_back(json::array(
-        {record.fingerprint_, record.upstream_, static_cast<std::size_t>(record.state_), record.round_}));
+    packed.push_back(json::array({record.fingerprint_, record.upstream_,
+                                  static_cast<std::size_t>(record.state_), record.round_, record.age_}));
   }
   return packed;
 }
@@ -103,9 +103,11 @@
   auto records = std::vector<send_record>{};
   for (const auto& fields : packed) {
     auto state = fields.at(2).get<std::size_t>();
-    if (state <= static_cast<std::size_t>(send_state::served)) {     // Later versions may send others.
-      auto round = fields.size() > 3 ? fields.at(3).get<int>() : 1;  // Earlier versions send none.
-      records.push_back({fields.at(0), fields.at(1), static_cast<send_state>(state), round});
+    if (state <= static_cast<std::size_t>(send_state::served)) {  // Later versions may send others.
+      auto complete = fields.size() > 4;  // Earlier versions send neither round nor age.
+      auto round = complete ? fields.at(3).get<int>() : 1;
+      auto age = complete ? fields.at(4).get<milliseconds>() : 0;
+      records.push_back({fields.at(0), fields.at(1), static_cast<send_state>(state), round, age});
     }
   }
   return records;
--- a/birchlever/coordination/crash_history.cpp
+++ b/birchlever/coordination/crash_history.cpp
@@ -4,6 +4,12 @@
 #include <array>
 
 namespace birchlever {
+namespace {
+
+/// Time within which a daemon notices that a caller left, who may be at another daemon by then.
+constexpr auto notice_time = milliseconds{5};
+
+}  // namespace
 
 auto name_of(send_state state) -> std::string_view {
   constexpr auto names = std::array<std::string_view, 4>{"open", "crashed", "settled", "served"};
@@ -65,7 +71,9 @@
     return false;
   }
   // A later send to the same upstream is no further round.
-  send = {record.state_, added ? record.round_ : send.round_, now};
+  auto round = added ? record.round_ : send.round_;
+  auto counts_since = added ? now - record.age_ : send.counts_since_;
+  send = {record.state_, round, now, counts_since};
   work.changed_at_ = now;
   if (record.state_ == send_state::open) {
     open_.insert({record.upstream_, record.fingerprint_});
@@ -166,12 +174,13 @@
   return static_cast<int>(rounds.size());
 }
 
-auto crash_history::next_round(const std::string& content) const -> int {
+auto crash_history::round_of_send(const std::string& content, milliseconds sent_at) const -> int {
   auto last = 0;
   auto found = works_.find(content);
   if (found != works_.end()) {
     for (const auto& [upstream, send] : found->second.sends_) {
-      last = std::max(last, send.round_);
+      auto before = send.counts_since_ <= sent_at + notice_time;
+      last = before ? std::max(last, send.round_) : last;
     }
   }
   return last + 1;
@@ -244,7 +253,7 @@
   for (const auto& [fingerprint, work] : works_) {
     for (const auto& [upstream, send] : work.sends_) {
       if (now - send.changed_at_ >= min_age) {
-        known.push_back({fingerprint, upstream, send.state_, send.round_});
+        known.push_back({fingerprint, upstream, send.state_, send.round_, now - send.counts_since_});
       }
     }
   }
--- a/birchlever/coordination/crash_history.h
+++ b/birchlever/coordination/crash_history.h
@@ -8,7 +8,7 @@
 /// Requests of the same content are counted together as well, since attempts outside programs share nothing
 /// else. But many callers may ask for the same at once, and lose their upstreams together when a whole
 /// service fails. So what counts for a content is the number of its sends that were made one after the
-/// other, each when the one before was known to count.
+/// other, each after the one before counted.
 #pragma once
 
 #include <array>
@@ -49,7 +49,8 @@
   std::string fingerprint_;
   std::string upstream_;  ///< Incarnation.
   send_state state_ = send_state::open;
-  int round_ = 1;  ///< Of content: one more than that of any send known to count when this one was made.
+  int round_ = 1;         ///< Of content: one more than that of any send that counted when this one was made.
+  milliseconds age_ = 0;  ///< ms since it counts.
 };
 
 /// Settings of crash_history.
@@ -96,8 +97,9 @@
   /// rounds in which some ended.
   [[nodiscard]] auto confirmed_crashes(const std::string& fingerprint) const -> int;
 
-  /// Returns the round of the next send of a content.
-  [[nodiscard]] auto next_round(const std::string& content) const -> int;
+  /// Returns the round of a send of a content that was made at `sent_at`, on the local clock: news of sends
+  /// that counted before may have arrived later.
+  [[nodiscard]] auto round_of_send(const std::string& content, milliseconds sent_at) const -> int;
 
   /// Returns true if a send to an incarnation counts.
   [[nodiscard]] auto counts(const std::string& fingerprint, const std::string& upstream) const -> bool;
@@ -138,6 +140,7 @@
     send_state state_ = send_state::open;
     int round_ = 1;
     milliseconds changed_at_ = 0;
+    milliseconds counts_since_ = 0;
   };
 
   struct known_work {
--- a/birchlever/gateway/crash_guard.cpp
+++ b/birchlever/gateway/crash_guard.cpp
@@ -117,7 +117,7 @@
   const auto& history = crashes_->history();
   auto incarnation = incarnation_of(target.entry());
   request.counted_before_.clear();
-  request.content_round_ = history.next_round(request.content_fingerprint_);
+  request.content_round_ = history.round_of_send(request.content_fingerprint_, context_->clock_.now());
   auto records = std::vector<send_record>{};
   for (const auto& fingerprint : {request.fingerprint_, request.content_fingerprint_}) {
     if (history.counts(fingerprint, incarnation)) {
@@ -213,7 +213,7 @@
     auto send = lost_send{};
     send.fingerprint_ = fingerprint;
     send.content_fingerprint_ = request.content_fingerprint_;
-    send.content_round_ = request.content_round_;
+    send.content_round_ = crashes_->history().round_of_send(request.content_fingerprint_, sent_at);
     send.target_ = std::move(target);
     send.sent_at_ = sent_at;
     send.since_ = context_->clock_.now();
--- a/birchlever/gateway/lost_send_watch.cpp
+++ b/birchlever/gateway/lost_send_watch.cpp
@@ -14,8 +14,9 @@
 
 auto records_of(const lost_send& send, send_state state) -> std::vector<send_record> {
   auto incarnation = incarnation_of(send.target_->entry());
-  return {{send.fingerprint_, incarnation, state},
-          {send.content_fingerprint_, incarnation, state, send.content_round_}};
+  auto age = steady_clock{}.now() - send.since_;
+  return {{send.fingerprint_, incarnation, state, 1, age},
+          {send.content_fingerprint_, incarnation, state, send.content_round_, age}};
 }
 
 auto record_in_background(std::shared_ptr<crash_register> crashes, std::vector<send_record> records)
--- a/unit_tests/controllers/crash_messages_test.cpp
+++ b/unit_tests/controllers/crash_messages_test.cpp
@@ -18,7 +18,7 @@
 // Guards against records that peers do not understand, and against messages of versions that send none.
 TEST_CASE("records of crashes survive the encoding") {
   auto state = message_of("vm-1", 1234);
-  state.send_records_ = {{"f1", "u1@5", send_state::crashed, 2}, {"f2", "", send_state::served}};
+  state.send_records_ = {{"f1", "u1@5", send_state::crashed, 2, 70}, {"f2", "", send_state::served}};
   auto decoded = decode_peer_state(encode(state));
   REQUIRE(ok(decoded));
   REQUIRE(value(decoded).uptime_ == 1234);
@@ -28,6 +28,7 @@
   REQUIRE(records[0].upstream_ == "u1@5");
   REQUIRE(records[0].state_ == send_state::crashed);
   REQUIRE(records[0].round_ == 2);
+  REQUIRE(records[0].age_ == 70);
   REQUIRE(records[1].state_ == send_state::served);
   auto without = decode_peer_state(encode(message_of("vm-2", std::nullopt)));
   REQUIRE(ok(without));
--- a/unit_tests/coordination/crash_history_test.cpp
+++ b/unit_tests/coordination/crash_history_test.cpp
@@ -109,7 +109,18 @@
   REQUIRE(history.confirmed_crashes(content) == 2);
   REQUIRE_FALSE(history.record({content, "u5", send_state::crashed, 3}, 3));
   REQUIRE(history.crashes(content) == 2);
-  REQUIRE(history.next_round(content) == 3);
+  REQUIRE(history.round_of_send(content, 3) == 3);
+}
+
+// Guards against counting attempts that follow each other as one because news of the first came late.
+TEST_CASE("a send of a content made after another one was lost is a later round") {
+  auto history = crash_history{};
+  auto content = std::string{content_prefix} + "a";
+  history.record({content, "u1", send_state::open, 1, 30}, 130);
+  REQUIRE(history.round_of_send(content, 90) == 1);
+  REQUIRE(history.round_of_send(content, 100) == 2);
+  history.record({content, "u1", send_state::crashed, 1}, 500);
+  REQUIRE(history.round_of_send(content, 100) == 2);
 }
 
 // Guards against rejecting a content for sends that turned out harmless while later ones were made.
@@ -118,8 +129,8 @@
   auto content = std::string{content_prefix} + "a";
   for (auto round = 1; round <= 6; ++round) {
     auto upstream = "u" + std::to_string(round);
-    REQUIRE(history.next_round(content) == round);
-    history.record({content, upstream, send_state::open, history.next_round(content)}, round);
+    REQUIRE(history.round_of_send(content, round) == round);
+    history.record({content, upstream, send_state::open, round}, round);
     history.record({content, "u" + std::to_string(round - 1), send_state::settled}, round);
     REQUIRE(history.crashes(content) == 1);
   }
