Let a daemon that starts greet its peers as soon as it knows them

Three of four daemons were killed, with the store away; the fourth knew of two ends. The restarted ones are told by it when they are heard first, but their first message came 200 ms after their start, and a request 160 ms after it.

Change: a daemon sends its first message as soon as it has read the list of its peers.

Result: "a daemon that starts is heard as soon as it knows its peers" fails without the change.

--- a/birchlever/controllers/peer_exchange.cpp
+++ b/birchlever/controllers/peer_exchange.cpp
@@ -215,6 +215,9 @@
   auto read_before = false;
   while (true) {
     auto succeeded = co_await read_list();
+    if (succeeded && !read_before) {
+      send(describe_(), settings_.max_receivers_);  // Peers tell a daemon that has started what they know.
+    }
     auto next =
         std::exchange(read_before, read_before || succeeded) ? settings_.list_interval_ : first_list_interval;
     co_await pause_for(*loop_, succeeded ? next : retry_interval);
--- a/unit_tests/controllers/peer_exchange_test.cpp
+++ b/unit_tests/controllers/peer_exchange_test.cpp
@@ -187,4 +187,28 @@
   REQUIRE(introductions >= 2);
 }
 
+// Guards against requests that a daemon handles before its peers have told it what they know.
+TEST_CASE("a daemon that starts is heard as soon as it knows its peers") {
+  auto loop = event_loop{1};
+  auto rows = std::make_shared<memory_row_store>(loop);
+  auto known = join(loop, rows, "vm-1", {});
+  loop.run_for(std::chrono::milliseconds{100});
+  loop.restart();
+  auto settings = peer_exchange_settings{};
+  settings.vm_ = "vm-2";
+  settings.address_ = free_udp_address(loop);
+  settings.send_interval_ = 60'000;
+  auto self = peer_state{};
+  self.vm_ = "vm-2";
+  auto started = peer_exchange::create(loop, rows, settings, [self] { return self; });
+  REQUIRE(ok(started));
+  auto clock = steady_clock{};
+  auto deadline = clock.now() + 1000;
+  while (!known->views().last_seen("vm-2") && clock.now() < deadline) {
+    loop.run_for(std::chrono::milliseconds{20});
+    loop.restart();
+  }
+  REQUIRE(known->views().last_seen("vm-2"));
+}
+
 }  // namespace birchlever
