Tests notice every process that ends although nothing asked it to

What callers saw: nothing; that is the fault. Scenarios and benches never awaited a process that they had not stopped.

test_processes/child_process starts a process, keeps what the test asked of it, and compares its end with that: exit code 0 or 3 after SIGTERM, SIGKILL after a kill, nothing else. Anything else is reported with the last lines of its log. At its end the soak stops all gateways with SIGTERM and checks how they end. memory_holds: no gateway takes more than its memory_mb.

--- a/performance_test/control_test.cpp
+++ b/performance_test/control_test.cpp
@@ -38,6 +38,7 @@
   std::vector<double> spread_ms_;
   int disturbed_windows_ = 0;  ///< Thrown away: a shard was taken over within them.
   bool at_rest_ = false;
+  bool ran_on_ = false;  ///< No process ended by itself.
 };
 
 auto rows_of(scenarios::test_fleet& fleet) -> json {
@@ -116,6 +117,7 @@
   auto fleet = scenarios::test_fleet{plan, 230, settings.binaries_, "/tmp", ""};
   auto cost = control_cost{};
   if (!fleet.start()) {
+    fleet.all_run_on();
     return cost;
   }
   await_rest(fleet);
@@ -126,6 +128,7 @@
   for (auto change = 0; change < changes; ++change) {
     cost.spread_ms_.push_back(spread_once(fleet, daemons, change));
   }
+  cost.ran_on_ = fleet.all_run_on();
   return cost;
 }
 
@@ -136,6 +139,7 @@
   auto reads = std::vector<std::pair<double, double>>{};
   auto writes = std::vector<std::pair<double, double>>{};
   auto good = true;
+  auto ran_on = true;
   text << std::fixed << std::setprecision(2)
        << "| daemons | CPU % of a core, each | memory MB, each | store reads/s | store writes/s | list "
           "reads/s | "
@@ -145,6 +149,7 @@
       continue;
     }
     auto cost = measure(settings, daemons);
+    ran_on = ran_on && cost.ran_on_;
     reads.emplace_back(daemons, cost.reads_);
     writes.emplace_back(daemons, cost.writes_);
     auto most =
@@ -163,7 +168,7 @@
   publish(settings, "control", text.str());
   draw_lines(settings.tables_, "control", "store operations a second at rest, against daemons",
              {{"reads/s", reads}, {"writes/s", writes}});
-  return good || !settings.check_;
+  return ran_on && (good || !settings.check_);
 }
 
 }  // namespace birchlever::performance
--- a/performance_test/gateway_test.cpp
+++ b/performance_test/gateway_test.cpp
@@ -87,6 +87,7 @@
     if (ok(made)) {
       fleet_ = std::move(value(made));
       start(loop_, "look_at_all", fleet_->look_at_all());
+      start(loop_, "watch_processes", fleet_->watch_processes());
     }
   }
 
@@ -175,7 +176,7 @@
     const auto& engine = fleet_->upstreams().front()->identity();
     auto engine_address = value(parse_address(engine.address_));
     auto gateway_address = value(parse_address(fleet_->caller_address(0)));
-    auto pid = fleet_->gateways().front().pid_;
+    auto pid = fleet_->gateways().front().process_->pid();
     auto cpu_before = usage_of(pid).cpu_ms_;
     auto writes_before = fleet_->rows().commits();
     auto line = turn_plan{};
@@ -222,7 +223,7 @@
 
   auto measure_streams() -> task<> {
     auto gateway_address = value(parse_address(fleet_->caller_address(0)));
-    auto pid = fleet_->gateways().front().pid_;
+    auto pid = fleet_->gateways().front().process_->pid();
     auto before = usage_of(pid).anonymous_kb_;
     open_turns_ = parallel_turns;
     for (auto number = 0; number < parallel_turns; ++number) {
@@ -244,7 +245,7 @@
     while (!fleet_->gateways().front().ready_ && clock.now() < give_up) {
       co_await pause_for(loop_, sample_gap);
     }
-    at_rest_ = usage_of(fleet_->gateways().front().pid_);
+    at_rest_ = usage_of(fleet_->gateways().front().process_->pid());
     co_await measure_turns();
     co_await measure_brief_turns();
     co_await measure_streams();
--- a/performance_test/latency_test.cpp
+++ b/performance_test/latency_test.cpp
@@ -159,7 +159,8 @@
   auto added = quantile_of(first[1], 0.5) - quantile_of(first[0], 0.5);
   auto good =
       failed == 0 && served == callers * calls_each && added < most_added_first_ms && writes / served < 1.2;
-  return good || !settings.check_;
+  auto ran_on = fleet.all_run_on();
+  return ran_on && (good || !settings.check_);
 }
 
 }  // namespace birchlever::performance
--- a/scenarios/scenario_runner.cpp
+++ b/scenarios/scenario_runner.cpp
@@ -55,6 +55,7 @@
   auto outcome = scenario_outcome{};
   if (!fleet_.start()) {
     violations_.push_back("the fleet did not get ready");
+    note_ends();
     outcome.violations_ = violations_;
     return outcome;
   }
@@ -62,11 +63,18 @@
     take(step);
   }
   load_.wait();
+  note_ends();
   outcome.ran_ = true;
   outcome.violations_ = violations_;
   return outcome;
 }
 
+auto scenario_runner::note_ends() -> void {
+  for (const auto& end : fleet_.unasked_ends()) {
+    violations_.push_back("a process ended by itself: " + end);
+  }
+}
+
 auto scenario_runner::daemon_of(const scenario_step& step) -> int {
   auto by_program = !step.names_.empty() && step.names_.front() == "owner";
   if (step.subject_ == "owner" || by_program) {
--- a/scenarios/scenario_runner.h
+++ b/scenarios/scenario_runner.h
@@ -43,6 +43,8 @@
   auto expect_compared(const scenario_step& step) -> std::vector<std::string>;
   auto expect_counts(const scenario_step& step) -> std::vector<std::string>;
   auto violated(const scenario_step& step, const std::vector<std::string>& sentences) -> void;
+  /// Adds a violation for each process that ended although nothing asked it to.
+  auto note_ends() -> void;
   [[nodiscard]] auto daemon_of(const scenario_step& step) -> int;
   auto watch_generations() -> void;
 
--- a/scenarios/test_fleet.cpp
+++ b/scenarios/test_fleet.cpp
@@ -1,17 +1,13 @@
 #include "scenarios/test_fleet.h"
 
-#include <fcntl.h>
 #include <signal.h>
-#include <spawn.h>
-#include <sys/wait.h>
 
 #include <cstring>
+#include <iostream>
 #include <sstream>
 
 #include "birchlever/core/hashing.h"
 
-extern char** environ;
-
 namespace birchlever::scenarios {
 namespace {
 
@@ -44,16 +40,7 @@
       without_{std::move(without)},
       pool_{value(http_connection_pool::create(http_pool_settings{500, 8000, 4}))} {}
 
-test_fleet::~test_fleet() {
-  for (const auto& [index, pid] : daemon_pids_) {
-    kill(pid, SIGKILL);
-    waitpid(pid, nullptr, 0);
-  }
-  for (auto pid : stand_in_pids_) {
-    kill(pid, SIGKILL);
-    waitpid(pid, nullptr, 0);
-  }
-}
+test_fleet::~test_fleet() = default;
 
 auto test_fleet::daemon_address(int index) const -> endpoint {
   return {network_ + std::to_string(10 + index), http_port};
@@ -75,21 +62,39 @@
   return {network_ + "1", stand_in_port};
 }
 
-auto test_fleet::spawn(const std::string& name, std::vector<std::string> arguments) -> pid_t {
-  auto pointers = std::vector<char*>{};
-  for (auto& one : arguments) {
-    pointers.push_back(one.data());
+auto test_fleet::spawn(const std::string& name, std::vector<std::string> arguments) -> process {
+  auto command = test_processes::process_command{name, std::move(arguments), logs_ + "/" + name + ".log", {}};
+  auto started = test_processes::child_process::start(command);
+  if (!ok(started)) {
+    unasked_ends_.push_back(failure(started).detail_);
+    return nullptr;
+  }
+  return std::move(value(started));
+}
+
+auto test_fleet::check_end(test_processes::child_process& checked) -> void {
+  auto unasked = checked.unasked_end();
+  if (unasked) {
+    unasked_ends_.push_back(*unasked);
   }
-  pointers.push_back(nullptr);
-  auto actions = posix_spawn_file_actions_t{};
-  posix_spawn_file_actions_init(&actions);
-  auto log = logs_ + "/" + name + ".log";
-  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-  auto pid = pid_t{-1};
-  posix_spawn(&pid, arguments.front().c_str(), &actions, nullptr, pointers.data(), environ);
-  posix_spawn_file_actions_destroy(&actions);
-  return pid;
+}
+
+auto test_fleet::unasked_ends() -> std::vector<std::string> {
+  for (const auto& [index, daemon] : daemons_) {
+    check_end(*daemon);
+  }
+  for (const auto& stand_in : stand_ins_) {
+    check_end(*stand_in);
+  }
+  return std::exchange(unasked_ends_, {});
+}
+
+auto test_fleet::all_run_on() -> bool {
+  auto ends = unasked_ends();
+  for (const auto& end : ends) {
+    std::cerr << "a process ended by itself: " << end << "\n";
+  }
+  return ends.empty();
 }
 
 auto test_fleet::list(const json& entry) -> void {
@@ -113,7 +118,11 @@
     auto arguments = std::vector<std::string>{binaries_ + "/stand_ins", role, flag("host", at.host_),
                                               flag("port", std::to_string(at.port_)), flag("id", id)};
     arguments.insert(arguments.end(), extra.begin(), extra.end());
-    stand_in_pids_.push_back(spawn(id, std::move(arguments)));
+    auto started = spawn(id, std::move(arguments));
+    if (!started) {
+      return false;
+    }
+    stand_ins_.push_back(std::move(started));
     return eventually(ready_ms, [&] { return get_json(at, "/healthz").is_object(); });
   };
   auto up = stand_in("platform", "platform", platform_address(), {"--list_lag_ms=200"});
@@ -184,7 +193,14 @@
   for (auto one = std::string{}; extra >> one;) {
     arguments.push_back(one);
   }
-  daemon_pids_[index] = spawn(id, std::move(arguments));
+  auto started = spawn(id, std::move(arguments));
+  if (!started) {
+    return;
+  }
+  if (daemons_.count(index) != 0) {
+    check_end(*daemons_[index]);
+  }
+  daemons_[index] = std::move(started);
   list({{"id", id},
         {"kind", "daemon"},
         {"host", host},
@@ -194,34 +210,36 @@
 }
 
 auto test_fleet::signal_daemon(int index, int signal) -> void {
-  auto found = daemon_pids_.find(index);
-  if (found == daemon_pids_.end()) {
+  auto found = daemons_.find(index);
+  if (found == daemons_.end()) {
     return;
   }
-  kill(found->second, signal);
   if (signal == SIGKILL) {
-    waitpid(found->second, nullptr, 0);
-    daemon_pids_.erase(found);
+    found->second->kill();
+    check_end(*found->second);
+    daemons_.erase(found);
     post(platform_address(), "/vms/remove", {{"id", "daemon-" + std::to_string(index)}});
+    return;
   }
+  found->second->signal(signal);
   if (signal == SIGTERM) {
     list({{"id", "daemon-" + std::to_string(index)}, {"leaving", true}});
   }
 }
 
 auto test_fleet::await_exit(int index, int seconds) -> int {
-  auto found = daemon_pids_.find(index);
-  if (found == daemon_pids_.end()) {
+  auto found = daemons_.find(index);
+  if (found == daemons_.end()) {
     return -1;
   }
-  auto status = 0;
-  auto ended = eventually(seconds * 1000, [&] { return waitpid(found->second, &status, WNOHANG) != 0; });
+  auto ended = found->second->wait(seconds * 1000);
   if (!ended) {
     return -1;
   }
-  daemon_pids_.erase(found);
+  check_end(*found->second);
+  daemons_.erase(found);
   post(platform_address(), "/vms/remove", {{"id", "daemon-" + std::to_string(index)}});
-  return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+  return ended->signal_ == 0 ? ended->exit_code_ : 128 + ended->signal_;
 }
 
 auto test_fleet::await_ready(int index) -> bool {
--- a/scenarios/test_fleet.h
+++ b/scenarios/test_fleet.h
@@ -1,8 +1,6 @@
 /// Daemons and stand-ins as processes on loopback addresses of their own.
 #pragma once
 
-#include <sys/types.h>
-
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -10,6 +8,7 @@
 
 #include "birchlever/storage/http_connection_pool.h"
 #include "scenarios/scenario.h"
+#include "test_processes/child_process.h"
 
 namespace birchlever::scenarios {
 
@@ -31,6 +30,12 @@
   /// Waits for a daemon to end; its exit code, or -1 when it did not in time.
   auto await_exit(int index, int seconds) -> int;
 
+  /// Returns a description of each process that ended although nothing asked it to.
+  auto unasked_ends() -> std::vector<std::string>;
+
+  /// True if no process has ended by itself. Prints those that did to standard error.
+  auto all_run_on() -> bool;
+
   /// Waits until a daemon is ready to serve.
   auto await_ready(int index) -> bool;
 
@@ -60,7 +65,12 @@
   auto post(const endpoint& target, const std::string& path, const nlohmann::json& body) -> buffered_response;
 
  private:
-  auto spawn(const std::string& name, std::vector<std::string> arguments) -> pid_t;
+  using process = std::unique_ptr<test_processes::child_process>;
+
+  /// Null, and noted as an unasked end, if the process can't be started.
+  auto spawn(const std::string& name, std::vector<std::string> arguments) -> process;
+  /// Notes the end of a process if nothing asked for it.
+  auto check_end(test_processes::child_process& checked) -> void;
   auto list(const nlohmann::json& entry) -> void;
 
   scenario plan_;
@@ -69,8 +79,9 @@
   std::string logs_;
   std::string without_;
   std::shared_ptr<http_connection_pool> pool_;
-  std::map<int, pid_t> daemon_pids_;
-  std::vector<pid_t> stand_in_pids_;
+  std::map<int, process> daemons_;
+  std::vector<process> stand_ins_;
+  std::vector<std::string> unasked_ends_;
 };
 
 }  // namespace birchlever::scenarios
--- a/soak/fault_schedule.cpp
+++ b/soak/fault_schedule.cpp
@@ -35,7 +35,12 @@
 
 fault_schedule::fault_schedule(event_loop& loop, const soak_settings& settings, soak_fleet& fleet,
                                soak_ledger& ledger)
-    : loop_{&loop}, settings_{settings}, fleet_{&fleet}, ledger_{&ledger}, random_{settings.seed_ * 31 + 7} {}
+    : loop_{&loop},
+      settings_{settings},
+      fleet_{&fleet},
+      ledger_{&ledger},
+      random_{settings.seed_ * 31 + 7},
+      process_faults_{loop, settings, fleet} {}
 
 auto fault_schedule::calm_since(milliseconds since) const -> bool {
   return active_ == 0 && last_fault_at_ + settings_.calm_ <= since;
@@ -174,6 +179,9 @@
   if (settings_.faults_ != fault_set::usual) {
     start(*loop_, "change_configurations", change_configurations(until, callers));
   }
+  if (settings_.process_faults_) {
+    start(*loop_, "harm_processes", harm_processes(until));
+  }
   while (clock_.now() < until) {
     auto kind = draw_kind();
     std::cout << "fault " << name_of(kind) << "\n";
@@ -185,6 +193,20 @@
   }
 }
 
+auto fault_schedule::harm_processes(milliseconds until) -> task<> {
+  while (clock_.now() < until) {
+    start(*loop_, "run_process_fault", run_process_fault());
+    co_await pause_for(*loop_, process_faults_.draw_gap());
+  }
+}
+
+auto fault_schedule::run_process_fault() -> task<> {
+  ++active_;
+  co_await process_faults_.run_one();
+  --active_;
+  last_fault_at_ = clock_.now();
+}
+
 auto fault_schedule::change_configurations(milliseconds until, soak_callers& callers) -> task<> {
   while (clock_.now() < until) {
     co_await pause_for(*loop_, shortest_change_gap_ms + draw(longest_change_gap_ms - shortest_change_gap_ms));
--- a/soak/fault_schedule.h
+++ b/soak/fault_schedule.h
@@ -3,6 +3,7 @@
 
 #include <random>
 
+#include "soak/process_faults.h"
 #include "soak/soak_caller.h"
 #include "soak/soak_fleet.h"
 
@@ -49,6 +50,8 @@
   auto draw_kind() -> fault_kind;
   auto draw_gap() -> milliseconds;
   auto run_fault(fault_kind kind) -> task<>;
+  auto harm_processes(milliseconds until) -> task<>;
+  auto run_process_fault() -> task<>;
   auto harm_links(milliseconds duration) -> task<>;
   auto kill_some(std::vector<int> numbers) -> task<>;
   auto pause_one(milliseconds duration) -> task<>;
@@ -69,6 +72,7 @@
   soak_fleet* fleet_;
   soak_ledger* ledger_;
   std::mt19937_64 random_;
+  process_faults process_faults_;
   steady_clock clock_;
   int active_ = 0;
   int checks_ = 0;  ///< Checks of configurations that have not ended.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -22,6 +22,7 @@
 DEFINE_bool(accounts, true, "callers belong to client accounts");
 DEFINE_bool(harmful, false, "some requests end the upstreams that run them");
 DEFINE_bool(harmful_forms, false, "they do so in all forms, some at once, from impatient callers");
+DEFINE_bool(process_faults, false, "signals, settings files, ports and unfinished bodies too");
 DEFINE_int32(services, 3, "stand-ins of plain services");
 DEFINE_string(known_red, "", "a promise that a known fault breaks: reported, but no failure of the run");
 DEFINE_int32(rounds, 1, "of faults, each followed by planned work in calm");
@@ -53,6 +54,7 @@
   settings.accounts_ = FLAGS_accounts;
   settings.harmful_ = FLAGS_harmful || FLAGS_harmful_forms;
   settings.harmful_forms_ = FLAGS_harmful_forms;
+  settings.process_faults_ = FLAGS_process_faults;
   settings.services_ = FLAGS_services;
   settings.faults_ = fault_set_of(FLAGS_faults).value_or(fault_set::usual);
   return settings;
@@ -76,6 +78,7 @@
     });
     harmful_ = std::make_unique<harmful_programs>(loop_, settings_, *fleet_, ledger_);
     start(loop_, "look_at_all", fleet_->look_at_all());
+    start(loop_, "watch_processes", fleet_->watch_processes());
     start(loop_, "drive", drive());
     loop_.run();
     std::cout << "seed " << settings_.seed_ << ": " << ledger_.runs() << " requests ran, "
@@ -147,6 +150,7 @@
       co_await pause_for(loop_, look_ms);
     }
     co_await check_kept_turns();
+    co_await fleet_->stop_all();
     ledger_.check_refusals();
     ledger_.check_allotment(soak_accounts::hot, soak_accounts::hot_window, soak_accounts::most_hot);
     loop_.stop();
--- a/soak/soak_fleet.cpp
+++ b/soak/soak_fleet.cpp
@@ -1,21 +1,17 @@
 #include "soak/soak_fleet.h"
 
-#include <fcntl.h>
 #include <signal.h>
-#include <spawn.h>
 #include <sys/stat.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 #include "birchlever/http/outgoing_connection.h"
 #include "platform/names.h"
 #include "soak/soak_accounts.h"
 
-extern char** environ;
-
 namespace birchlever::soak {
 namespace {
 
@@ -38,6 +34,10 @@
 constexpr auto look_gap = milliseconds{1000};  // As the platform's balancer.
 constexpr auto look_limit = milliseconds{800};
 constexpr auto misses_until_out = 2;
+constexpr auto process_look_gap = milliseconds{50};
+constexpr auto looks_a_memory_check = 5;
+constexpr auto ms_per_second = milliseconds{1000};
+constexpr auto bytes_per_mb = std::size_t{1U << 20U};
 constexpr auto stop_grace_s = 8;
 constexpr auto engine_service = "engines";
 constexpr auto plain_service = "tools";
@@ -147,70 +147,140 @@
   return success;
 }
 
-auto soak_fleet::change_settings(int number) -> void {
-  static auto changes = 0;
-  auto file = std::ofstream{settings_file(number)};
+auto soak_fleet::settings_text(int number) const -> std::string {
+  auto text = std::ostringstream{};
   auto host = first_gateway + number;
-  file << "--vm_id=gateway-" << number << "\n--data_hall=hall-" << number % 3
+  auto debug = gateways_[static_cast<std::size_t>(number)].debug_;
+  text << "# settings, ended by the line: # end of settings\n--vm_id=gateway-" << number
+       << "\n--data_hall=hall-" << number % 3
        << "\n--store_address=" << address(stand_in_host, link_port + number)
        << "\n--caller_address=" << address(host, caller_port)
        << "\n--readiness_address=" << address(host, ready_port)
-       << "\n--control_address=" << address(host, control_port) << "\n--peer_ports=" << peer_port << "\n"
-       << "--revoke_ms=" << settings_.revoke_ << "\n--configuration_apply_ms=" << settings_.configuration_
-       << "\n"
-       << "--stop_grace_s=" << stop_grace_s << "\n--log_level=" << (++changes % 2 == 0 ? "debug" : "info")
-       << "\n";
+       << "\n--control_address=" << address(host, control_port) << "\n--peer_ports=" << peer_port
+       << "\n--revoke_ms=" << settings_.revoke_ << "\n--configuration_apply_ms=" << settings_.configuration_
+       << "\n--stop_grace_s=" << stop_grace_s << "\n--memory_mb=" << soak_settings::memory_mb
+       << "\n--log_level=" << (debug ? "debug" : "info") << "\n# end of settings\n";
+  return text.str();
+}
+
+auto soak_fleet::write_settings(int number, double share) -> void {
+  auto text = settings_text(number);
+  auto file = std::ofstream{settings_file(number)};
+  file << text.substr(0, static_cast<std::size_t>(share * static_cast<double>(text.size())));
+}
+
+auto soak_fleet::change_settings(int number) -> void {
+  static auto changes = 0;
+  gateways_[static_cast<std::size_t>(number)].debug_ = ++changes % 2 == 0;
+  write_settings(number, 1);
 }
 
 auto soak_fleet::start_gateway(int number) -> void {
   auto& gateway = gateways_[static_cast<std::size_t>(number)];
-  if (gateway.pid_ > 0) {
+  if (gateway.process_ && !check_end(gateway)) {
     return;
   }
-  auto words =
-      std::vector<std::string>{settings_.binary_, "gateway", "--settings_file=" + settings_file(number)};
-  auto pointers = std::vector<char*>{};
-  for (auto& word : words) {
-    pointers.push_back(word.data());
+  auto name = "gateway-" + std::to_string(number);
+  auto command = test_processes::process_command{
+      name,
+      {settings_.binary_, "gateway", "--settings_file=" + settings_file(number)},
+      folder_ + "/" + name + ".log",
+      {}};
+  auto started = test_processes::child_process::start(command);
+  if (!ok(started)) {
+    ledger_->broken(promise::process_runs_on, failure(started).detail_);
+    return;
   }
-  pointers.push_back(nullptr);
-  auto log = folder_ + "/gateway-" + std::to_string(number) + ".log";
-  auto actions = posix_spawn_file_actions_t{};
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-  // A gateway that inherits the stand-ins' sockets keeps their ports and connections open.
-  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-  posix_spawn(&gateway.pid_, settings_.binary_.c_str(), &actions, nullptr, pointers.data(), environ);
-  posix_spawn_file_actions_destroy(&actions);
+  gateway.process_ = std::move(value(started));
+  gateway.over_memory_ = false;
   gateway.paused_ = false;
   gateway.stopping_since_ = 0;
 }
 
 auto soak_fleet::signal_gateway(int number, int signal) -> void {
   const auto& gateway = gateways_[static_cast<std::size_t>(number)];
-  if (gateway.pid_ > 0) {
-    kill(gateway.pid_, signal);
+  if (gateway.process_) {
+    gateway.process_->signal(signal);
+  }
+}
+
+auto soak_fleet::signal_if_ready(int number, int signal) -> void {
+  if (gateways_[static_cast<std::size_t>(number)].ready_) {
+    signal_gateway(number, signal);
   }
 }
 
+auto soak_fleet::check_memory(gateway_process& gateway) -> void {
+  auto peak = gateway.process_ ? gateway.process_->peak_memory() : 0;
+  auto over = peak > soak_settings::memory_mb * bytes_per_mb;
+  if (over && !std::exchange(gateway.over_memory_, true)) {
+    ledger_->broken(promise::memory_holds, gateway.process_->name() + " took " + std::to_string(peak) +
+                                               " bytes, " + std::to_string(soak_settings::memory_mb) +
+                                               " MB are allowed");
+  }
+}
+
+auto soak_fleet::check_end(gateway_process& gateway) -> bool {
+  auto unasked = gateway.process_->unasked_end();
+  if (unasked) {
+    ledger_->broken(promise::process_runs_on, *unasked);
+  }
+  auto ended = gateway.process_->poll().has_value();
+  if (ended) {
+    gateway.process_.reset();
+  }
+  return ended;
+}
+
 auto soak_fleet::kill_gateway(int number) -> void {
   auto& gateway = gateways_[static_cast<std::size_t>(number)];
-  if (gateway.pid_ <= 0) {
+  if (!gateway.process_) {
     return;
   }
-  kill(gateway.pid_, SIGKILL);
-  waitpid(gateway.pid_, nullptr, 0);
-  gateway.pid_ = -1;
+  gateway.process_->kill();
+  check_end(gateway);
   gateway.stopping_since_ = 0;
 }
 
 auto soak_fleet::reap(int number) -> bool {
   auto& gateway = gateways_[static_cast<std::size_t>(number)];
-  if (gateway.pid_ > 0 && waitpid(gateway.pid_, nullptr, WNOHANG) == gateway.pid_) {
-    gateway.pid_ = -1;
+  return !gateway.process_ || check_end(gateway);
+}
+
+auto soak_fleet::watch_processes() -> task<> {
+  for (auto look = 0; true; ++look) {
+    for (auto& gateway : gateways_) {
+      if (look % looks_a_memory_check == 0) {
+        check_memory(gateway);
+      }
+      auto stopping = gateway.stopping_since_ != 0;
+      if (!stopping && gateway.process_ && check_end(gateway)) {
+        start_gateway(gateway.number_);
+      }
+    }
+    co_await pause_for(*loop_, process_look_gap);
+  }
+}
+
+auto soak_fleet::stop_all() -> task<> {
+  auto clock = steady_clock{};
+  auto until = clock.now() + stop_grace_s * ms_per_second;
+  auto running = static_cast<int>(gateways_.size());
+  for (auto& gateway : gateways_) {
+    gateway.stopping_since_ = clock.now();
+    signal_gateway(gateway.number_, SIGTERM);
+  }
+  while (running > 0 && clock.now() < until) {
+    co_await pause_for(*loop_, process_look_gap);
+    running = 0;
+    for (auto& gateway : gateways_) {
+      running += reap(gateway.number_) ? 0 : 1;
+    }
+  }
+  if (running > 0) {
+    ledger_->broken(promise::planned_stop_cuts_nothing,
+                    std::to_string(running) + " gateways did not end within their grace period");
   }
-  return gateway.pid_ <= 0;
 }
 
 auto soak_fleet::look_at(gateway_process& gateway) -> task<> {
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -1,8 +1,6 @@
 /// Gateways as processes, each with its own way to the store, before stand-ins in the soak's own process.
 #pragma once
 
-#include <sys/types.h>
-
 #include <memory>
 #include <string>
 #include <vector>
@@ -10,17 +8,20 @@
 #include "soak/row_store_server.h"
 #include "soak/tcp_proxy.h"
 #include "soak/upstream_stand_in.h"
+#include "test_processes/child_process.h"
 
 namespace birchlever::soak {
 
 /// One gateway process and what the soak knows of it.
 struct gateway_process {
   int number_ = 0;
-  pid_t pid_ = -1;
+  std::unique_ptr<test_processes::child_process> process_;  ///< Null while none is meant to run.
   std::shared_ptr<tcp_proxy> store_link_;
   bool ready_ = false;  ///< By the last looks, as a balancer makes them.
   int misses_ = 0;      ///< Looks in a row without a good answer.
   bool paused_ = false;
+  bool over_memory_ = false;         ///< Noted already.
+  bool debug_ = false;               ///< Logs at level debug.
   milliseconds stopping_since_ = 0;  ///< 0 while no planned stop is under way.
 };
 
@@ -41,15 +42,28 @@
   /// Sends a signal to a gateway's process, if it has one.
   auto signal_gateway(int number, int signal) -> void;
 
+  /// Sends a signal to a gateway that was ready at the last look: one that is only being loaded cannot handle
+  /// any.
+  auto signal_if_ready(int number, int signal) -> void;
+
   /// Kills a gateway's process and waits for its end.
   auto kill_gateway(int number) -> void;
 
   /// True when a process that was told to stop has ended.
   auto reap(int number) -> bool;
 
+  /// Notes each process that ended although nothing asked it to, and starts it again as the platform does.
+  auto watch_processes() -> task<>;
+
+  /// Tells all gateways to stop at once and waits for their ends. Callers keep their connections.
+  auto stop_all() -> task<>;
+
   /// Writes another settings file for a gateway.
   auto change_settings(int number) -> void;
 
+  /// Writes the first `share`, 0 to 1, of a gateway's settings file.
+  auto write_settings(int number, double share) -> void;
+
   /// Asks every gateway whether it is ready, again and again; ends with the soak.
   auto look_at_all() -> task<>;
 
@@ -93,7 +107,12 @@
   auto add_link(int upstream, const std::string& target) -> result<std::string>;
   [[nodiscard]] auto address(int last, int port) const -> std::string;
   [[nodiscard]] auto settings_file(int number) const -> std::string;
+  [[nodiscard]] auto settings_text(int number) const -> std::string;
+  /// Notes a gateway that took more memory than it may.
+  auto check_memory(gateway_process& gateway) -> void;
   auto look_at(gateway_process& gateway) -> task<>;
+  /// Notes the end of a gateway's process if nothing asked for it. True when it has ended.
+  auto check_end(gateway_process& gateway) -> bool;
 
   event_loop* loop_;
   soak_settings settings_;
--- a/soak/soak_ledger.cpp
+++ b/soak/soak_ledger.cpp
@@ -8,11 +8,11 @@
 
 auto name_of(promise broken) -> const char* {
   constexpr auto names =
-      std::array<const char*, 13>{"at_most_once",         "refusal_is_true",   "answer_is_whole",
+      std::array<const char*, 15>{"at_most_once",         "refusal_is_true",   "answer_is_whole",
                                   "chain_is_exact",       "budget_holds",      "turn_is_kept",
                                   "leaving_gets_nothing", "change_in_force",   "planned_stop_cuts_nothing",
                                   "accounts_are_apart",   "revoked_key_stops", "allotment_holds",
-                                  "crashes_are_bounded"};
+                                  "crashes_are_bounded",  "memory_holds",      "process_runs_on"};
   return names.at(static_cast<std::size_t>(broken));
 }
 
--- a/soak/soak_ledger.h
+++ b/soak/soak_ledger.h
@@ -27,6 +27,8 @@
   revoked_key_stops,
   allotment_holds,
   crashes_are_bounded,
+  memory_holds,
+  process_runs_on,  ///< No process ends unless it was asked to.
 };
 
 /// Who sends a request; empty where it does not matter.
--- a/soak/soak_settings.h
+++ b/soak/soak_settings.h
@@ -29,11 +29,14 @@
 
 /// Sizes and times of a run. Times in ms.
 struct soak_settings {
+  static constexpr auto memory_mb = std::size_t{120};  ///< That a gateway may use, as on small machines.
+
   std::string binary_ = "out/release/birchlever";  ///< The program under test.
   std::string folder_ = "/tmp";                    ///< For settings files and logs of the gateways.
   std::uint64_t seed_ = 1;                         ///< Decides faults, their times, and what callers do.
   fault_set faults_ = fault_set::usual;
-  bool accounts_ = true;  ///< Whether the configuration has client accounts.
+  bool accounts_ = true;         ///< Whether the configuration has client accounts.
+  bool process_faults_ = false;  ///< Signals, settings, ports and memory are harmed beside the other faults.
   int gateways_ = 4;
   int engines_ = 4;
   int services_ = 3;
