--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -1,8 +1,6 @@
 #include "birchlever_daemon/gateway_daemon.h"
 
 #include <csignal>
-#include <fstream>
-#include <iterator>
 #include <random>
 
 #include "birchlever/coordination/allowance_ranges.h"
@@ -14,7 +12,7 @@
 #include "birchlever/policy/policy_registry.h"
 #include "birchlever/telemetry/log.h"
 #include "birchlever/telemetry/metrics.h"
-#include "birchlever_daemon/gateway_flags.h"
+#include "birchlever_daemon/process_memory.h"
 #include "platform/decode.h"
 #include "platform/header_dialect.h"
 #include "platform/names.h"
@@ -25,27 +23,15 @@
 
 constexpr auto engine_policy_name = "engines";
 constexpr auto service_policy_name = "services";
-constexpr auto housekeeping_gap = milliseconds{1000};
 constexpr auto kept_over_retention = 2;  // Spent budgets stay known beyond the turns they paid for.
 constexpr auto least_kept =
     milliseconds{300'000};  // Rows are cheap; a retention that is set too low must not hurt.
-constexpr auto usage_gap =
-    milliseconds{10000};  // One line a daemon each 10 s tells what it asks of the store.
 constexpr auto ms_per_second = 1000.0;
-constexpr auto balancer_looks_ms =
-    milliseconds{2600};                              // It looks every second and takes out after two misses.
-constexpr auto leave_margin_ms = milliseconds{700};  // Kept free of the time until the platform kills.
-constexpr auto finish_check_gap = milliseconds{20};
 constexpr auto trust_margin = 10;  // A tenth less than the bound: timers fire late, and a request that was
                                    // judged is sent on a moment later.
 constexpr auto never_verified = milliseconds{-1};
 constexpr auto renewal_gap = milliseconds{150};  // Between two looks that requests wait for and that failed.
 
-auto read_text(const std::string& file) -> std::string {
-  auto stream = std::ifstream{file};
-  return std::string{std::istreambuf_iterator<char>{stream}, {}};
-}
-
 }  // namespace
 
 gateway_daemon::gateway_daemon(const gateway_settings& settings, std::string settings_file)
@@ -299,105 +285,4 @@
   return longest == 0 ? 0 : std::max(kept_over_retention * longest, least_kept);
 }
 
-auto gateway_daemon::keep_house() -> task<> {
-  auto usage_due = context_->clock_.now() + usage_gap;
-  settings_text_ = settings_file_.empty() ? std::string{} : read_text(settings_file_);
-  while (true) {
-    co_await pause_for(loop_, housekeeping_gap);
-    context_->upstream_connections_->sweep();
-    if (context_->clock_.now() >= usage_due) {
-      usage_due += usage_gap;
-      log_usage();
-    }
-    if (ready() && !std::exchange(announced_ready_, true)) {
-      log_event(log_level::info, "ready", {{"configuration", context_->configuration_->version_}});
-    }
-    if (!settings_file_.empty() && read_text(settings_file_) != settings_text_) {
-      reload("file_changed");
-    }
-  }
-}
-
-auto gateway_daemon::reload(const char* cause) -> void {
-  if (settings_file_.empty()) {
-    return;
-  }
-  settings_text_ = read_text(settings_file_);
-  auto faults = std::vector<setting_error>{};
-  auto fresh = read_gateway_settings(settings_file_, faults);
-  auto more = check_settings(fresh);
-  faults.insert(faults.end(), more.begin(), more.end());
-  for (const auto& fault : faults) {
-    log_event(log_level::error, "setting_not_taken",
-              {{"setting", fault.name_}, {"value", fault.value_}, {"reason", fault.reason_}});
-  }
-  if (!faults.empty()) {
-    return;  // The settings in force stay.
-  }
-  auto needs_restart =
-      fresh.caller_address_ != settings_.caller_address_ ||
-      fresh.readiness_address_ != settings_.readiness_address_ ||
-      fresh.store_address_ != settings_.store_address_ || fresh.spent_memory_ != settings_.spent_memory_ ||
-      fresh.admission_ != settings_.admission_ || fresh.learn_speeds_ != settings_.learn_speeds_ ||
-      fresh.store_breaker_ != settings_.store_breaker_;
-  settings_ = fresh;
-  set_log_level(level_of(fresh.log_level_));
-  auto loaded = load_policies();
-  log_event(
-      log_level::info, "reload",
-      {{"cause", std::string{cause}}, {"policies_loaded", ok(loaded)}, {"needs_restart", needs_restart}});
-}
-
-auto gateway_daemon::wait_for_reload() -> task<> {
-  while (true) {
-    auto code = boost::system::error_code{};
-    co_await reload_signals_.async_wait(resume_with(code));
-    if (code) {
-      co_return;
-    }
-    reload("signal");
-  }
-}
-
-auto gateway_daemon::wait_for_stop() -> task<> {
-  auto code = boost::system::error_code{};
-  co_await stop_signals_.async_wait(resume_with(code));
-  if (!code) {
-    co_await stop();
-  }
-}
-
-auto gateway_daemon::stop() -> task<> {
-  auto began = context_->clock_.now();
-  auto leave_at =
-      began + static_cast<milliseconds>(settings_.stop_grace_s_ * ms_per_second) - leave_margin_ms;
-  log_event(log_level::info, "stop", {{"under_way", std::int64_t{context_->in_flight_}}});
-  context_->stopping_ = true;
-  // The balancer goes on sending connections until it has looked twice; they are served.
-  if (allowances_) {
-    start(loop_, "release_allowances", allowances_->release());
-  }
-  context_->programs_->release_leases();
-  auto quiet_at = std::min(began + balancer_looks_ms, leave_at);
-  co_await pause_for(loop_, quiet_at - began);
-  server_->stop_accepting();
-  while ((context_->in_flight_ > 0 || server_->connections() > 0) && context_->clock_.now() < leave_at) {
-    co_await pause_for(loop_, finish_check_gap);
-  }
-  finished_all_ = context_->in_flight_ == 0;
-  log_event(log_level::info, "stopped",
-            {{"under_way", std::int64_t{context_->in_flight_}}, {"took_ms", context_->clock_.now() - began}});
-  loop_.stop();
-}
-
-auto gateway_daemon::run() -> bool {
-  log_event(log_level::info, "start",
-            {{"data_hall", settings_.data_hall_},
-             {"caller_address", settings_.caller_address_},
-             {"store_address", settings_.store_address_},
-             {"first_start", settings_.first_start_ != 0}});
-  loop_.run();
-  return finished_all_;
-}
-
 }  // namespace birchlever
