Hold signals back while nothing handles them, and ignore those that ask for nothing

What callers saw: a gateway that ended by itself. SIGXFSZ ended it when its log reached the limit of the file size, and again at each restart; SIGUSR1 and SIGUSR2 at any time; SIGHUP or a second SIGTERM after the handlers were gone.

Cause: signals met their default action outside the life of the handlers, and always where there is no handler.

Change: main first blocks SIGHUP, SIGTERM and SIGINT and ignores SIGPIPE, SIGXFSZ, SIGUSR1 and SIGUSR2. The three are delivered, those that came meanwhile included, once the gateway's handlers are installed, and blocked again before these are removed. `serve` too: SIGHUP ended it at any time.

A fault of the program (SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGTRAP, SIGABRT) writes one line with the signal and the addresses on the stack, then ends the process as before: an end by a signal left no trace in the log.

What remains: between exec and main the default action holds. Nothing of ours runs then.

--- a/birchlever_daemon/main.cpp
+++ b/birchlever_daemon/main.cpp
@@ -1,6 +1,5 @@
 /// The one binary: `serve`, `gateway`, `query`, `check-config`, `losses` and `version`.
 #include <gflags/gflags.h>
-#include <signal.h>
 
 #include <cstdlib>
 #include <fstream>
@@ -14,6 +13,7 @@
 #include "birchlever_daemon/gateway_daemon.h"
 #include "birchlever_daemon/gateway_flags.h"
 #include "birchlever_daemon/operator_client.h"
+#include "birchlever_daemon/process_signals.h"
 #include "platform/settings_location.h"
 
 #define NUMBER_SETTING(name, standard, least, most, unit, purpose) DEFINE_int64(name, standard, purpose);
@@ -83,12 +83,6 @@
 }
 
 auto serve() -> int {
-  auto signals = sigset_t{};
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  signal(SIGPIPE, SIG_IGN);
   auto faults = std::vector<birchlever::setting_error>{};
   auto settings = read_settings(faults);
   auto more = birchlever::check_settings(settings);
@@ -103,8 +97,7 @@
     birchlever::log_failure(birchlever::log_level::error, "daemon_not_started", birchlever::failure(running));
     return exit_usage;
   }
-  auto received = 0;
-  sigwait(&signals, &received);
+  birchlever::await_stop_request();
   return birchlever::value(running)->stop() ? exit_good : exit_calls_cut;
 }
 
@@ -114,7 +107,6 @@
 }
 
 auto gateway() -> int {
-  signal(SIGPIPE, SIG_IGN);
   auto faults = std::vector<birchlever::setting_error>{};
   auto settings = birchlever::read_gateway_settings(gateway_file(), faults);
   auto more = birchlever::check_settings(settings);
@@ -129,7 +121,10 @@
     birchlever::log_failure(birchlever::log_level::error, "daemon_not_started", birchlever::failure(running));
     return exit_usage;
   }
-  return birchlever::value(running)->run() ? exit_good : exit_calls_cut;
+  birchlever::deliver_signals();
+  auto finished = birchlever::value(running)->run();
+  birchlever::hold_signals();
+  return finished ? exit_good : exit_calls_cut;
 }
 
 auto check_gateway_config() -> int {
@@ -189,6 +184,10 @@
 
 auto main(int argc, char** argv) -> int {
   auto command = argc > 1 ? std::string{argv[1]} : std::string{};
+  if (command == "serve" || command == "gateway") {
+    birchlever::prepare_signals();
+    birchlever::report_fatal_signals();
+  }
   for (auto index = 1; index < argc; ++index) {
     if (std::string{argv[index]} == "--help") {
       std::cout << usage();
