A start waits for what other processes have not released or written yet

What callers saw: the system did not start. On a gateway ended with exit code 2 where a port of its own was still held (callers, readiness, control, both ports for peers), its address was not on the machine yet, or its settings file was missing or empty; with a file that was cut it started with defaults in place of what was missing. `serve` with a held peer port neither became ready nor ended.

Cause: a condition that passes by itself was taken for a wrong setting.

Change: binding tells address_unavailable (held, not configured yet, no descriptors or memory) from invalid_setting; a settings file that is missing, without a setting, or without the closing line that its first line announces is settings_incomplete. Both are tried again for 30 s, each 100 ms, and logged (start_waiting). Meanwhile the process is not ready, and SIGTERM ends it with 0. Wrong settings still end it at once with all faults. A reload does not take a file that is not whole.

A daemon that was opened in part closes its listeners when it goes: the server and its listener hold each other, and kept the ports from the next attempt (seen in the first run of the test: control and peer ports never came free). A `serve` daemon that fails to start stops its actors, which it waited for without end.

--- a/birchlever/controllers/central_grants.cpp
+++ b/birchlever/controllers/central_grants.cpp
@@ -2,6 +2,7 @@
 
 #include <random>
 
+#include "birchlever/http/bind_failure.h"
 #include "birchlever/http/http_listener.h"
 #include "birchlever/telemetry/log.h"
 
@@ -69,7 +70,7 @@
     grants->socket_.non_blocking(true, code);
   }
   if (code) {
-    return error{error_code::invalid_setting, "can't bind " + settings.address_ + ": " + code.message()};
+    return bind_failure(settings.address_, code);
   }
   start(loop, "receive_allotments", grants->receive_all());
   start(loop, "send_debits", grants->send_debits());
--- a/birchlever/controllers/central_grants.h
+++ b/birchlever/controllers/central_grants.h
@@ -52,7 +52,7 @@
   /// Datagram endpoints of the other daemons, by VM.
   using member_map = std::map<std::string, asio::ip::udp::endpoint>;
 
-  /// Binds the address and starts receiving. Failures: invalid_setting.
+  /// Binds the address and starts receiving. Failures: invalid_setting, address_unavailable.
   static auto create(event_loop& loop, const central_grants_settings& settings, limit_function limit_of,
                      share_function share) -> result<std::shared_ptr<central_grants>>;
 
--- a/birchlever/controllers/peer_exchange.cpp
+++ b/birchlever/controllers/peer_exchange.cpp
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "birchlever/core/hashing.h"
+#include "birchlever/http/bind_failure.h"
 #include "birchlever/http/http_listener.h"
 #include "birchlever/telemetry/log.h"
 
@@ -48,7 +49,7 @@
     exchange->socket_.non_blocking(true, code);
   }
   if (code) {
-    return error{error_code::invalid_setting, "can't bind " + settings.address_ + ": " + code.message()};
+    return bind_failure(settings.address_, code);
   }
   start(loop, "peer_send", exchange->send_all());
   start(loop, "peer_receive", exchange->receive_all());
--- a/birchlever/core/error.cpp
+++ b/birchlever/core/error.cpp
@@ -63,6 +63,8 @@
     error_row{error_code::request_too_slow, "request_too_slow", 408},
     error_row{error_code::unknown_turn, "unknown_turn", 404},
     error_row{error_code::answer_cut, "answer_cut", 502},
+    error_row{error_code::address_unavailable, "address_unavailable", 503},
+    error_row{error_code::settings_incomplete, "settings_incomplete", 503},
     error_row{error_code::internal, "internal", 500},
 };
 
--- a/birchlever/core/error.h
+++ b/birchlever/core/error.h
@@ -62,6 +62,8 @@
   request_too_slow,
   unknown_turn,
   answer_cut,
+  address_unavailable,
+  settings_incomplete,
   internal,
 };
 
--- a/birchlever/gateway/gateway_server.h
+++ b/birchlever/gateway/gateway_server.h
@@ -15,7 +15,7 @@
 class gateway_server : public std::enable_shared_from_this<gateway_server> {
  public:
   /// Starts to serve with the filters route, account, allotment, admission, turn and dispatch.
-  /// Failures: invalid_setting.
+  /// Failures: invalid_setting, address_unavailable.
   static auto create(std::shared_ptr<gateway_context> context, const std::string& address)
       -> result<std::shared_ptr<gateway_server>>;
 
--- a/birchlever/http/http_listener.cpp
+++ b/birchlever/http/http_listener.cpp
@@ -1,5 +1,6 @@
 #include "birchlever/http/http_listener.h"
 
+#include "birchlever/http/bind_failure.h"
 #include "birchlever/telemetry/log.h"
 
 namespace birchlever {
@@ -45,7 +46,7 @@
     made->acceptor_.listen(backlog, code);
   }
   if (code) {
-    return error{error_code::invalid_setting, "can't listen on " + address + ": " + code.message()};
+    return bind_failure(address, code);
   }
   start(loop, "accept_all", made->accept_all());
   return made;
--- a/birchlever/http/http_listener.h
+++ b/birchlever/http/http_listener.h
@@ -19,7 +19,7 @@
   /// Serves one connection until it ends.
   using serve_function = std::function<task<>(std::shared_ptr<server_connection>)>;
 
-  /// Listens at once. Failures: invalid_setting, when the address can't be bound.
+  /// Listens at once. Failures: invalid_setting, or address_unavailable if the address may be free later.
   static auto create(event_loop& loop, const std::string& address, serve_function serve)
       -> result<std::shared_ptr<http_listener>>;
 
--- a/birchlever_daemon/daemon.cpp
+++ b/birchlever_daemon/daemon.cpp
@@ -124,10 +124,11 @@
   auto made = std::make_unique<state>();
   made->context_ = value(context);
   auto started = made->start();
+  auto running = std::unique_ptr<daemon>{new daemon{std::move(made)}};  // Stops its actors if it goes.
   if (!ok(started)) {
     return failure(started);
   }
-  return std::unique_ptr<daemon>{new daemon{std::move(made)}};
+  return running;
 }
 
 auto daemon::state::start_actors() -> void {
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -43,7 +43,17 @@
       reload_signals_{loop_, SIGHUP},
       context_{std::make_shared<gateway_context>()} {}
 
-gateway_daemon::~gateway_daemon() = default;
+gateway_daemon::~gateway_daemon() {
+  // The server and its listener hold each other; an open port would keep the next attempt to start from it.
+  if (server_) {
+    server_->stop_accepting();
+  }
+  for (const auto& listener : {readiness_listener_, control_listener_}) {
+    if (listener) {
+      listener->stop();
+    }
+  }
+}
 
 auto gateway_daemon::create(const gateway_settings& settings, const std::string& settings_file)
     -> result<std::unique_ptr<gateway_daemon>> {
--- a/birchlever_daemon/gateway_flags.cpp
+++ b/birchlever_daemon/gateway_flags.cpp
@@ -3,8 +3,8 @@
 #include <gflags/gflags.h>
 
 #include <cstdlib>
-#include <fstream>
-#include <iterator>
+
+#include "birchlever_daemon/settings_file.h"
 
 DECLARE_string(vm_id);
 DECLARE_string(data_hall);
@@ -23,13 +23,12 @@
 namespace {
 
 auto take_file(const std::string& file, std::vector<setting_error>& faults) -> void {
-  auto stream = std::ifstream{file};
-  if (!stream) {
-    faults.push_back({"settings file", file, "can't be read"});
+  auto text = read_settings_file(file);
+  if (!ok(text)) {
+    faults.push_back({"settings file", file, failure(text).detail_});
     return;
   }
-  auto text = std::string{std::istreambuf_iterator<char>{stream}, {}};
-  if (!gflags::ReadFlagsFromString(text, "birchlever", false)) {
+  if (!gflags::ReadFlagsFromString(value(text), "birchlever", false)) {
     faults.push_back(
         {"settings file", file, "holds a line that is no setting, or a value that does not fit"});
   }
--- a/birchlever_daemon/main.cpp
+++ b/birchlever_daemon/main.cpp
@@ -7,6 +7,8 @@
 #include <set>
 
 #include "birchlever/core/daemon_settings.h"
+#include "birchlever/http/bind_failure.h"
+#include "birchlever/http/http_listener.h"
 #include "birchlever/telemetry/log.h"
 #include "birchlever/telemetry/loss_ledger.h"
 #include "birchlever_daemon/daemon.h"
@@ -14,6 +16,8 @@
 #include "birchlever_daemon/gateway_flags.h"
 #include "birchlever_daemon/operator_client.h"
 #include "birchlever_daemon/process_signals.h"
+#include "birchlever_daemon/settings_file.h"
+#include "birchlever_daemon/start_wait.h"
 #include "platform/settings_location.h"
 
 #define NUMBER_SETTING(name, standard, least, most, unit, purpose) DEFINE_int64(name, standard, purpose);
@@ -82,6 +86,28 @@
   return exit_usage;
 }
 
+/// Fails with address_unavailable while a port of the daemon is held.
+auto check_ports(const birchlever::daemon_settings& settings) -> birchlever::status {
+  for (auto port : {settings.http_port_, settings.peer_port_}) {
+    auto address = birchlever::parse_address(settings.listen_address_ + ":" + std::to_string(port));
+    auto free = birchlever::ok(address) ? birchlever::check_bindable(birchlever::value(address))
+                                        : birchlever::status{birchlever::failure(address)};
+    if (!birchlever::ok(free)) {
+      return free;
+    }
+  }
+  return birchlever::success;
+}
+
+auto start_daemon(const birchlever::daemon_settings& settings)
+    -> birchlever::result<std::unique_ptr<birchlever::daemon>> {
+  auto free = check_ports(settings);
+  if (!birchlever::ok(free)) {
+    return birchlever::failure(free);
+  }
+  return birchlever::daemon::create(settings);
+}
+
 auto serve() -> int {
   auto faults = std::vector<birchlever::setting_error>{};
   auto settings = read_settings(faults);
@@ -92,11 +118,16 @@
   }
   birchlever::start_log(settings.vm_id_.empty() ? "birchlever" : settings.vm_id_,
                         birchlever::level_of(settings.log_level_));
-  auto running = birchlever::daemon::create(settings);
-  if (!birchlever::ok(running)) {
-    birchlever::log_failure(birchlever::log_level::error, "daemon_not_started", birchlever::failure(running));
-    return exit_usage;
+  auto wait = birchlever::start_wait{};
+  auto running = start_daemon(settings);
+  while (!birchlever::ok(running)) {
+    auto step = wait.after(birchlever::failure(running));
+    if (step != birchlever::start_step::retry) {
+      return step == birchlever::start_step::stopped ? exit_good : exit_usage;
+    }
+    running = start_daemon(settings);
   }
+  wait.report_success();
   birchlever::await_stop_request();
   return birchlever::value(running)->stop() ? exit_good : exit_calls_cut;
 }
@@ -106,7 +137,44 @@
   return FLAGS_settings_file.empty() ? birchlever::platform::settings_path() : FLAGS_settings_file;
 }
 
+/// Waits until the settings file is whole.
+auto await_settings_file(birchlever::start_wait& wait) -> birchlever::start_step {
+  auto file = gateway_file();
+  while (!file.empty()) {
+    auto text = birchlever::read_settings_file(file);
+    if (birchlever::ok(text)) {
+      break;
+    }
+    auto step = wait.after(birchlever::failure(text));
+    if (step != birchlever::start_step::retry) {
+      return step;
+    }
+  }
+  return birchlever::start_step::retry;
+}
+
+/// Opens a gateway as soon as its addresses are free. Null if the start failed or was given up.
+auto open_gateway(const birchlever::gateway_settings& settings, birchlever::start_wait& wait,
+                  birchlever::start_step& step) -> std::unique_ptr<birchlever::gateway_daemon> {
+  step = birchlever::start_step::retry;
+  while (step == birchlever::start_step::retry) {
+    auto opened = birchlever::gateway_daemon::create(settings, gateway_file());
+    if (birchlever::ok(opened)) {
+      wait.report_success();
+      return std::move(birchlever::value(opened));
+    }
+    step = wait.after(birchlever::failure(opened));
+  }
+  return nullptr;
+}
+
 auto gateway() -> int {
+  birchlever::start_log("birchlever", birchlever::log_level::info);  // Until the settings are known.
+  auto wait = birchlever::start_wait{};
+  auto step = await_settings_file(wait);
+  if (step != birchlever::start_step::retry) {
+    return step == birchlever::start_step::stopped ? exit_good : exit_usage;
+  }
   auto faults = std::vector<birchlever::setting_error>{};
   auto settings = birchlever::read_gateway_settings(gateway_file(), faults);
   auto more = birchlever::check_settings(settings);
@@ -116,13 +184,12 @@
   }
   birchlever::start_log(settings.vm_id_.empty() ? "birchlever" : settings.vm_id_,
                         birchlever::level_of(settings.log_level_));
-  auto running = birchlever::gateway_daemon::create(settings, gateway_file());
-  if (!birchlever::ok(running)) {
-    birchlever::log_failure(birchlever::log_level::error, "daemon_not_started", birchlever::failure(running));
-    return exit_usage;
+  auto running = open_gateway(settings, wait, step);
+  if (!running) {
+    return step == birchlever::start_step::stopped ? exit_good : exit_usage;
   }
   birchlever::deliver_signals();
-  auto finished = birchlever::value(running)->run();
+  auto finished = running->run();
   birchlever::hold_signals();
   return finished ? exit_good : exit_calls_cut;
 }
--- /dev/null
+++ b/unit_tests/daemon/gateway_start_test.cpp
@@ -0,0 +1,118 @@
+/// Starts gateways while something that they need is not there yet.
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <catch2/catch.hpp>
+
+#include "birchlever/http/task.h"
+#include "unit_tests/daemon/gateway_process.h"
+
+namespace birchlever::test {
+namespace {
+
+/// Holds a port as a process that is about to end does.
+class held_port {
+ public:
+  held_port(const std::string& ip, unsigned short port, bool udp) {
+    auto address = asio::ip::make_address_v4(ip);
+    if (udp) {
+      datagrams_.open(asio::ip::udp::v4());
+      datagrams_.bind({address, port});
+    } else {
+      acceptor_.open(asio::ip::tcp::v4());
+      acceptor_.set_option(asio::socket_base::reuse_address{true});
+      acceptor_.bind({address, port});
+      acceptor_.listen();
+    }
+  }
+
+  auto release() -> void {
+    acceptor_.close();
+    datagrams_.close();
+  }
+
+ private:
+  event_loop loop_{1};
+  asio::ip::tcp::acceptor acceptor_{loop_};
+  asio::ip::udp::socket datagrams_{loop_};
+};
+
+auto port_name(int port) -> std::string {
+  return "port " + std::to_string(port);
+}
+
+}  // namespace
+
+// Guards against a start that takes a port which is still held for a wrong setting, and ends.
+TEST_CASE("a gateway waits for each of its ports that is still held") {
+  using process = gateway_process;
+  auto ports = std::vector<std::pair<int, bool>>{{process::caller_port, false},
+                                                 {process::readiness_port, false},
+                                                 {process::control_port, false},
+                                                 {process::peer_port, true},
+                                                 {process::peer_port + 1, true}};
+  for (const auto& [port, udp] : ports) {
+    INFO(port_name(port));
+    auto gateway = gateway_process{};
+    auto holder = held_port{gateway.ip(), static_cast<unsigned short>(port), udp};
+    gateway.start();
+    CHECK(gateway.await_log("start_waiting"));
+    CHECK_FALSE(gateway.process().poll());
+    holder.release();
+    CHECK(gateway.await_open());
+    CHECK_FALSE(gateway.process().unasked_end());
+  }
+}
+
+// Guards against a start that ends because its address is not configured yet, and against a wait that can't
+// be ended.
+TEST_CASE("a gateway that waits for its address stops when it is asked to") {
+  auto gateway = gateway_process{};
+  auto settings = gateway.settings();
+  auto documentation_address = std::string{"192.0.2.7"};  // Of no machine.
+  for (auto at = settings.find(gateway.ip()); at != std::string::npos; at = settings.find(gateway.ip())) {
+    settings.replace(at, gateway.ip().size(), documentation_address);
+  }
+  gateway.write_settings(settings);
+  gateway.start();
+  CHECK(gateway.await_log("start_waiting"));
+  auto end = gateway.stop();
+  REQUIRE(end);
+  CHECK(to_text(*end) == "exit code 0");
+}
+
+// Guards against a start with the part of the settings that was written so far, and against one that ends for
+// lack of the rest.
+TEST_CASE("a gateway waits for the rest of its settings file") {
+  auto whole = gateway_process{}.settings();
+  auto cuts = std::vector<std::size_t>{
+      0, 20, whole.find('\n') + 1, whole.find("data_hall") + 4, whole.find("--peer_ports"), whole.size() - 2};
+  for (auto cut : cuts) {
+    INFO("cut after " << cut << " bytes");
+    auto gateway = gateway_process{};
+    auto text = gateway.settings();
+    gateway.write_settings(text.substr(0, std::min(cut, text.size() - 2)));
+    gateway.start();
+    CHECK(gateway.await_log("start_waiting"));
+    CHECK_FALSE(gateway.process().poll());
+    gateway.write_settings(text);
+    CHECK(gateway.await_open());
+    CHECK_FALSE(gateway.process().unasked_end());
+  }
+}
+
+// Guards against a wait that hides a wrong setting.
+TEST_CASE("a gateway with wrong settings ends at once and names all of them") {
+  auto gateway = gateway_process{};
+  auto settings = gateway.settings();
+  settings.insert(settings.find("--spent_memory"), "--engine_policy=fastest\n--allotments=some\n");
+  gateway.write_settings(settings);
+  gateway.start();
+  auto end = gateway.process().wait(5000);
+  REQUIRE(end);
+  CHECK(to_text(*end) == "exit code 2");
+  CHECK(gateway.await_log("engine_policy", 0));
+  CHECK(gateway.await_log("allotments", 0));
+}
+
+}  // namespace birchlever::test
