Count log lines that cannot be written

What operators saw: nothing. Lines for a full disk, or a file at its size limit, were cleared without a count, so `log_lines_dropped` stayed 0 while the log ended. They are counted now, and a count that could not be written either is told again later.

--- a/birchlever/telemetry/log_sink.cpp
+++ b/birchlever/telemetry/log_sink.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 
 namespace birchlever {
@@ -24,7 +25,9 @@
   if (told_ != dropped_) {
     pending_ += R"({"level":"warning","event":"log_lines_dropped","count":)" +
                 std::to_string(dropped_ - told_) + "}\n";
+    told_before_ = told_;
     told_ = dropped_;
+    announcing_ = true;
   }
   pending_ += line;
   pending_ += '\n';
@@ -39,7 +42,11 @@
       continue;
     }
     if (written < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
-      pending_.clear();  // Nobody will ever read it: the other end is closed.
+      // The other end is closed, the disk is full, or the file has reached its size limit.
+      dropped_ += std::count(pending_.begin(), pending_.end(), '\n') - (announcing_ ? 1 : 0);
+      told_ = announcing_ ? told_before_ : told_;
+      announcing_ = false;
+      pending_.clear();
       return;
     }
     if (written <= 0) {
@@ -48,6 +55,7 @@
     sent += static_cast<std::size_t>(written);
   }
   pending_.erase(0, sent);
+  announcing_ = announcing_ && !pending_.empty();
 }
 
 }  // namespace birchlever
--- a/birchlever/telemetry/log_sink.h
+++ b/birchlever/telemetry/log_sink.h
@@ -33,3 +33,5 @@
 };
 
 }  // namespace birchlever
+  std::int64_t told_before_ = 0;  ///< Before the count in pending_.
+  bool announcing_ = false;       ///< pending_ holds a count of dropped lines.
--- a/unit_tests/core/log_sink_test.cpp
+++ b/unit_tests/core/log_sink_test.cpp
@@ -1,4 +1,5 @@
 /// Tests that the log sink does not block on a slow reader and reports dropped lines.
+#include <fcntl.h>
 #include <unistd.h>
 
 #include <array>
@@ -37,4 +38,16 @@
   ::close(ends[1]);
 }
 
+// Guards against lines that are lost without a count while their file is full.
+TEST_CASE("lines that can't be written are dropped and counted") {
+  auto full = ::open("/dev/full", O_WRONLY);
+  REQUIRE(full >= 0);
+  auto sink = log_sink{full, 1000};
+  for (auto number = 0; number < 3; ++number) {
+    sink.write("line");
+  }
+  CHECK(sink.dropped() == 3);
+  ::close(full);
+}
+
 }  // namespace birchlever
