One limit for the sum of what a gateway holds for callers

What callers saw: a gateway that was killed for its memory. On callers that held unfinished bodies, without any key, took it to 210 MB (400 of 500 KB) and 404 MB (102 of 4 MB); memory_mb is 120 to 270, and a process over it is killed with all that it serves.

Cause: each body, response and history has a limit, their sum had none.

Change: memory_budget, a limit for the process, from the new setting memory_mb (the platform's limits.memory_mb): less 48 MB for itself, halved for what an allocator needs. Claimed from it are bodies while they are read, on all three ports, three copies of the body of each request under way, histories added, and responses. Beyond the limit - the body that holds most for longest without progress is given up, with 503 memory_exhausted and Retry-After: it has not run; - then a response whose caller has read nothing for a second: its connection closes; - a new request is refused at once with 503 memory_exhausted; - responses are read on by one request at a time, the oldest, until it has released what it holds. Connections keep at most 16 KB of buffer between requests (72 KB before, for as long as they lived), and read at most 8 KB ahead of a request under way (64 KB). Blocks from 256 KB are returned to the system when they are freed. Gauges: memory_held_bytes, memory_held_limit_bytes, memory_claims_revoked, process_resident_bytes, process_open_descriptors.

What remains: pages that the store sends (8 MB each at most), rows of peers and the kernel's own buffers are not claimed.

--- a/birchlever/core/error.cpp
+++ b/birchlever/core/error.cpp
@@ -65,6 +65,7 @@
     error_row{error_code::answer_cut, "answer_cut", 502},
     error_row{error_code::address_unavailable, "address_unavailable", 503},
     error_row{error_code::settings_incomplete, "settings_incomplete", 503},
+    error_row{error_code::memory_exhausted, "memory_exhausted", 503},
     error_row{error_code::internal, "internal", 500},
 };
 
--- a/birchlever/core/error.h
+++ b/birchlever/core/error.h
@@ -64,6 +64,7 @@
   answer_cut,
   address_unavailable,
   settings_incomplete,
+  memory_exhausted,
   internal,
 };
 
--- a/birchlever/gateway/gateway_context.cpp
+++ b/birchlever/gateway/gateway_context.cpp
@@ -11,14 +11,14 @@
 
 constexpr auto ms_per_second = 1000.0;
 
+}  // namespace
+
 auto seconds_text(milliseconds duration) -> std::string {
   auto text = std::array<char, 32>{};
   std::snprintf(text.data(), text.size(), "%.3f", static_cast<double>(duration) / ms_per_second);
   return text.data();
 }
 
-}  // namespace
-
 auto refuse(gateway_context& context, gateway_request& request, const error& reason) -> task<> {
   auto status = http_status_of(reason.code_);
   auto response = http_response{static_cast<http::status>(status), 11};
--- a/birchlever/gateway/gateway_context.h
+++ b/birchlever/gateway/gateway_context.h
@@ -14,6 +14,7 @@
 class configuration_freshness;
 class connection_pool;
 class crash_guard;
+class memory_budget;
 class metrics;
 class policy_registry;
 class pressure_measure;
@@ -52,6 +53,8 @@
   std::shared_ptr<program_store> programs_;
   std::shared_ptr<policy_registry> policies_;
   std::shared_ptr<metrics> metrics_;
+  std::shared_ptr<memory_budget>
+      memory_;  ///< Limits what is held for callers. Set by gateway_server if null.
   std::shared_ptr<const serving_configuration> configuration_;  ///< Null until the first one is loaded.
   std::string engine_policy_;                                   ///< Name of the policy that selects engines.
   std::string service_policy_;  ///< Name of the policy that selects other upstreams.
@@ -71,6 +74,9 @@
   int in_flight_ = 0;  ///< Requests in progress.
 };
 
+/// Returns a duration in seconds, as Retry-After has it.
+[[nodiscard]] auto seconds_text(milliseconds duration) -> std::string;
+
 /// Responds with an error. The response says whether the request ran and when it may be retried.
 auto refuse(gateway_context& context, gateway_request& request, const error& reason) -> task<>;
 
--- a/birchlever/gateway/gateway_request.h
+++ b/birchlever/gateway/gateway_request.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "birchlever/coordination/serving_configuration.h"
+#include "birchlever/core/memory_claim.h"
 #include "birchlever/gateway/request_dialect.h"
 #include "birchlever/http/server_connection.h"
 
@@ -48,11 +49,19 @@
   bool response_started_ = false;  ///< Part of a response has been sent.
   int final_status_ = 0;           ///< Status sent to the caller; 0 until then.
   relayed_stream relayed_;
+  std::shared_ptr<memory_claim> memory_;  ///< What the request holds of the process's memory.
 
   /// Called when a stream is complete, before its end is sent. If it yields false, the stream is aborted
   /// instead.
   std::function<task<bool>(gateway_request&)> before_stream_end_;
 
+  /// Claims the memory of the request's body, of which the stored turn and the upstream get copies, and of
+  /// `response_bytes` received so far.
+  auto claim_memory(std::size_t response_bytes = 0) -> void {
+    constexpr auto body_copies = std::size_t{3};
+    memory_->resize(body_copies * message_.body().size() + response_bytes);
+  }
+
   /// Returns the name of the caller's account, or an empty string.
   [[nodiscard]] auto account_name() const -> std::string {
     return account_ == nullptr ? std::string{} : account_->name_;
--- a/birchlever/gateway/gateway_server.cpp
+++ b/birchlever/gateway/gateway_server.cpp
@@ -1,5 +1,6 @@
 #include "birchlever/gateway/gateway_server.h"
 
+#include "birchlever/core/memory_budget.h"
 #include "birchlever/gateway/account_filter.h"
 #include "birchlever/gateway/allotment_filter.h"
 #include "birchlever/gateway/crash_filter.h"
@@ -13,6 +14,8 @@
 namespace birchlever {
 namespace {
 
+constexpr auto memory_retry_ms = milliseconds{1000};  // Requests that hold memory end within seconds.
+
 auto error_of(read_fault fault) -> error {
   switch (fault) {
     case read_fault::header_too_large:
@@ -21,6 +24,11 @@
       return error{error_code::body_too_large, "request body exceeds the size limit"};
     case read_fault::too_slow:
       return error{error_code::request_too_slow, "request was not received within the time limit"};
+    case read_fault::no_memory: {
+      auto reason = error{error_code::memory_exhausted, "the daemon is out of memory for request bodies"};
+      reason.retry_after_ms_ = memory_retry_ms;
+      return reason;
+    }
     case read_fault::closed:
     case read_fault::malformed:
       break;
@@ -31,6 +39,9 @@
 }  // namespace
 
 gateway_server::gateway_server(std::shared_ptr<gateway_context> context) : context_{std::move(context)} {
+  if (!context_->memory_) {
+    context_->memory_ = memory_budget::create();
+  }
   filters_.push_back(std::make_unique<route_filter>(context_));
   filters_.push_back(std::make_unique<account_filter>(context_));
   filters_.push_back(std::make_unique<crash_filter>(context_));
@@ -65,7 +76,7 @@
   auto keep_open = true;
   while (keep_open) {
     auto limits = context_->configuration_ ? context_->configuration_->limits_ : request_limits{};
-    auto read = co_await connection->read_request(limits);
+    auto read = co_await connection->read_request(limits, context_->memory_);
     if (auto* fault = std::get_if<read_fault>(&read)) {
       co_await reject_unreadable(*connection, *fault);
       break;
@@ -84,8 +95,14 @@
   request.keep_alive_ = message.keep_alive();
   request.message_ = std::move(message);
   request.received_at_ = context_->clock_.now();
+  request.memory_ = context_->memory_->open_claim();
+  request.claim_memory();
   ++context_->in_flight_;
-  co_await run_filters(0, request);
+  if (context_->memory_->has_room()) {
+    co_await run_filters(0, request);
+  } else {
+    co_await refuse_for_memory(request);
+  }
   --context_->in_flight_;
   if (request.account_ != nullptr) {
     context_->usage_.record(request.account_->name_, request.final_status_);
@@ -96,6 +113,15 @@
   co_return request.keep_alive_;
 }
 
+auto gateway_server::refuse_for_memory(gateway_request& request) -> task<> {
+  auto reason =
+      error{error_code::memory_exhausted,
+            "the daemon is out of memory for requests: " + std::to_string(context_->memory_->held()) +
+                " of " + std::to_string(context_->memory_->limit()) + " bytes"};
+  reason.retry_after_ms_ = memory_retry_ms;
+  co_await refuse(*context_, request, reason);
+}
+
 auto gateway_server::run_filters(std::size_t index, gateway_request& request) -> task<> {
   if (index >= filters_.size()) {
     co_return;
@@ -111,6 +137,9 @@
   auto reason = error_of(fault);
   auto response = http_response{static_cast<http::status>(http_status_of(reason.code_)), 11};
   response.set(http::field::content_type, "application/json");
+  if (reason.retry_after_ms_ > 0) {
+    response.set(http::field::retry_after, seconds_text(reason.retry_after_ms_));
+  }
   response.keep_alive(false);
   response.body() = to_json_text(reason);
   response.prepare_payload();
--- a/birchlever/gateway/turn_filter.cpp
+++ b/birchlever/gateway/turn_filter.cpp
@@ -73,6 +73,7 @@
     co_return;
   }
   request.message_.body() = std::move(value(granted).prompt_);
+  request.claim_memory();
   request.last_upstream_ = std::move(value(granted).last_upstream_);
   request.reservation_ = std::move(value(granted).reservation_);
   const auto& foreign_history = value(granted).inherited_history_;
--- a/birchlever/gateway/upstream_attempt.h
+++ b/birchlever/gateway/upstream_attempt.h
@@ -68,6 +68,12 @@
   auto build_request() const -> std::shared_ptr<const http_request>;
   auto classify(exchange_fault fault) -> attempt_outcome;
   auto relay_response(http_response head) -> task<attempt_outcome>;
+
+  /// Reads the body of a response. Reading pauses while the process is out of memory.
+  auto read_body() -> task<exchanged<std::string>>;
+
+  /// Waits until there is memory for more of the response, at most until the deadline.
+  auto await_memory() -> task<>;
   auto write_stream_head(http_response head) -> task<bool>;
   auto relay_stream(http_response head) -> task<attempt_outcome>;
   auto append_events(std::string_view bytes, std::string& out) -> bool;
--- a/birchlever/http/http_listener.cpp
+++ b/birchlever/http/http_listener.cpp
@@ -78,10 +78,11 @@
 
 namespace {
 
-auto serve_pages_on(page_function page, std::shared_ptr<server_connection> connection) -> task<> {
+auto serve_pages_on(page_function page, std::shared_ptr<memory_budget> budget,
+                    std::shared_ptr<server_connection> connection) -> task<> {
   while (true) {
     auto limits = request_limits{};
-    auto read = co_await connection->read_request(limits);
+    auto read = co_await connection->read_request(limits, budget);
     auto* request = std::get_if<http_request>(&read);
     if (request == nullptr) {
       break;
@@ -99,9 +100,9 @@
 
 }  // namespace
 
-auto serve_pages(page_function page) -> http_listener::serve_function {
-  return [page = std::move(page)](std::shared_ptr<server_connection> connection) {
-    return serve_pages_on(page, std::move(connection));
+auto serve_pages(page_function page, std::shared_ptr<memory_budget> budget) -> http_listener::serve_function {
+  return [page = std::move(page), budget = std::move(budget)](std::shared_ptr<server_connection> connection) {
+    return serve_pages_on(page, budget, std::move(connection));
   };
 }
 
--- a/birchlever/http/http_listener.h
+++ b/birchlever/http/http_listener.h
@@ -40,7 +40,9 @@
 /// Answers one request of a page server. The request lives until the answer is there.
 using page_function = std::function<task<http_response>(const http_request&)>;
 
-/// A serve_function for pages: metrics, readiness, a peer's calls.
-[[nodiscard]] auto serve_pages(page_function page) -> http_listener::serve_function;
+/// A serve_function for pages: metrics, readiness, a peer's calls. What is received is claimed from `budget`,
+/// which may be null.
+[[nodiscard]] auto serve_pages(page_function page, std::shared_ptr<memory_budget> budget = nullptr)
+    -> http_listener::serve_function;
 
 }  // namespace birchlever
--- a/birchlever/http/server_connection.cpp
+++ b/birchlever/http/server_connection.cpp
@@ -4,6 +4,8 @@
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/ostream.hpp>
 
+#include "birchlever/core/memory_budget.h"
+#include "birchlever/core/memory_claim.h"
 #include "birchlever/http/socket_options.h"
 
 namespace birchlever {
@@ -11,6 +13,7 @@
 
 constexpr auto read_size = std::size_t{8192};             // A usual request fits one read.
 constexpr auto read_ahead_limit = std::size_t{65536};     // Of bytes behind the request under way.
+constexpr auto max_idle_buffer = std::size_t{16384};      // Kept by a connection between requests.
 constexpr auto linger_limit = milliseconds{1000};         // A peer that still sends gets the answer by then.
 constexpr auto peer_silence_limit = milliseconds{10000};  // Unacknowledged bytes for so long: peer is lost.
 
@@ -58,8 +61,8 @@
 }  // namespace
 
 auto name_of(read_fault fault) -> std::string_view {
-  constexpr auto names = std::array<std::string_view, 5>{"closed", "malformed", "header_too_large",
-                                                         "body_too_large", "too_slow"};
+  constexpr auto names = std::array<std::string_view, 6>{"closed",         "malformed", "header_too_large",
+                                                         "body_too_large", "too_slow",  "no_memory"};
   return names.at(static_cast<std::size_t>(fault));
 }
 
@@ -82,7 +85,8 @@
 auto server_connection::read_ahead() -> task<> {
   auto self = shared_from_this();
   while (!closed_) {
-    if (buffer_.size() >= read_ahead_limit) {
+    auto limit = reading_ ? read_ahead_limit : read_size;
+    if (buffer_.size() >= limit) {
       co_await consumed_.wait_for(linger_limit);
       continue;
     }
@@ -128,18 +132,42 @@
   co_return co_await arrived_.wait_for(limit);
 }
 
-auto server_connection::read_request(const request_limits& limits) -> task<read_outcome> {
-  in_request_ = false;
+auto server_connection::wait_for_request(milliseconds limit) -> task<bool> {
   while (buffer_.size() == 0) {
     if (gone_ || stop_when_idle_) {
-      co_return read_fault::closed;
+      co_return false;
     }
-    auto notified = co_await wait_for_bytes(limits.idle_timeout_);
+    auto notified = co_await wait_for_bytes(limit);
     if (!notified && buffer_.size() == 0) {
-      co_return read_fault::closed;
+      co_return false;
     }
   }
+  co_return true;
+}
+
+auto server_connection::read_request(const request_limits& limits, std::shared_ptr<memory_budget> budget)
+    -> task<read_outcome> {
+  in_request_ = false;
+  auto begun = co_await wait_for_request(limits.idle_timeout_);
+  if (!begun) {
+    co_return read_fault::closed;
+  }
   in_request_ = true;
+  reading_ = true;
+  auto claim = budget ? budget->open_claim() : nullptr;
+  if (claim) {
+    claim->allow_revocation([this] { arrived_.notify(); });
+  }
+  auto read = co_await read_message(limits, claim.get());
+  reading_ = false;
+  if (buffer_.size() == 0 && buffer_.capacity() > max_idle_buffer) {
+    buffer_.shrink_to_fit();
+  }
+  co_return read;
+}
+
+auto server_connection::read_message(const request_limits& limits, memory_claim* claim)
+    -> task<read_outcome> {
   auto clock = steady_clock{};
   auto head_due = clock.now() + limits.header_timeout_;
   auto parser = http::request_parser<http::string_body>{};
@@ -155,6 +183,12 @@
     auto code = boost::system::error_code{};
     auto used = bytes.empty() ? 0 : parser.put(buffer_.data(), code);
     buffer_.consume(used);
+    if (claim != nullptr) {
+      claim->resize(parser.get().body().size() + buffer_.size());
+    }
+    if (claim != nullptr && claim->revoked()) {
+      co_return read_fault::no_memory;
+    }
     if (code && code != http::error::need_more) {
       co_return fault_of(code);
     }
@@ -172,6 +206,9 @@
     }
     auto patience = head_checked ? limits.idle_timeout_ : head_due - clock.now();
     auto notified = co_await wait_for_bytes(patience);
+    if (claim != nullptr && claim->revoked()) {
+      co_return read_fault::no_memory;
+    }
     if (!notified) {
       co_return gone_ ? read_fault::closed : read_fault::too_slow;
     }
--- a/birchlever/http/server_connection.h
+++ b/birchlever/http/server_connection.h
@@ -13,6 +13,9 @@
 
 namespace birchlever {
 
+class memory_budget;
+class memory_claim;
+
 /// What a peer may send and how long it may take. Set by the operators' configuration.
 struct request_limits {
   std::size_t max_header_bytes_ = 16384;
@@ -22,7 +25,14 @@
 };
 
 /// Why there is no request.
-enum class read_fault { closed, malformed, header_too_large, body_too_large, too_slow };
+enum class read_fault {
+  closed,
+  malformed,
+  header_too_large,
+  body_too_large,
+  too_slow,
+  no_memory  ///< The memory budget was exceeded, and this request held most for longest without progress.
+};
 
 /// The stable name of a fault.
 [[nodiscard]] auto name_of(read_fault fault) -> std::string_view;
@@ -37,8 +47,10 @@
   /// Takes over an accepted socket and begins to read.
   static auto create(event_loop& loop, asio::ip::tcp::socket socket) -> std::shared_ptr<server_connection>;
 
-  /// Reads one request. Two lengths, a length beside chunks, folded lines, unknown codings: malformed.
-  auto read_request(const request_limits& limits) -> task<read_outcome>;
+  /// Reads one request. Two lengths, a length beside chunks, folded lines, unknown codings: malformed. What
+  /// has been received of it is claimed from `budget`, which may be null.
+  auto read_request(const request_limits& limits, std::shared_ptr<memory_budget> budget = nullptr)
+      -> task<read_outcome>;
 
   /// Writes a whole answer. False when the peer is gone.
   auto write(http_response answer) -> task<bool>;
@@ -76,6 +88,8 @@
 
   auto read_ahead() -> task<>;
   auto wait_for_bytes(milliseconds limit) -> task<bool>;
+  auto wait_for_request(milliseconds limit) -> task<bool>;
+  auto read_message(const request_limits& limits, memory_claim* claim) -> task<read_outcome>;
   auto mark_gone() -> void;
 
   asio::ip::tcp::socket socket_;
@@ -86,6 +100,7 @@
   bool gone_ = false;
   bool closed_ = false;
   bool in_request_ = false;
+  bool reading_ = false;  ///< A request is being received.
   bool stop_when_idle_ = false;
 };
 
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -7,6 +7,7 @@
 #include "birchlever/coordination/program_store.h"
 #include "birchlever/coordination/program_sweeper.h"
 #include "birchlever/core/hashing.h"
+#include "birchlever/core/memory_budget.h"
 #include "birchlever/gateway/configuration_freshness.h"
 #include "birchlever/http/connection_pool.h"
 #include "birchlever/policy/policy_registry.h"
@@ -111,6 +112,7 @@
   watch_freshness();
   context_->policies_ = std::make_shared<policy_registry>();
   context_->metrics_ = std::make_shared<metrics>();
+  context_->memory_ = memory_budget::create(memory_for_callers(settings_.memory_mb_));
   context_->engine_policy_ = engine_policy_name;
   context_->service_policy_ = service_policy_name;
   context_->program_affinity_ = settings_.home_upstreams_ != 0;
@@ -156,7 +158,8 @@
 auto gateway_daemon::open_ports() -> status {
   auto readiness = http_listener::create(
       loop_, settings_.readiness_address_,
-      serve_pages([this](const http_request& request) { return readiness_page(request); }));
+      serve_pages([this](const http_request& request) { return readiness_page(request); },
+                  context_->memory_));
   if (!ok(readiness)) {
     return failure(readiness);
   }
@@ -171,7 +174,7 @@
   }
   auto control = http_listener::create(
       loop_, settings_.control_address_,
-      serve_pages([this](const http_request& request) { return control_page(request); }));
+      serve_pages([this](const http_request& request) { return control_page(request); }, context_->memory_));
   if (!ok(control)) {
     return failure(control);
   }
--- a/birchlever_daemon/gateway_daemon_pages.cpp
+++ b/birchlever_daemon/gateway_daemon_pages.cpp
@@ -6,12 +6,14 @@
 #include "birchlever/controllers/peer_feed.h"
 #include "birchlever/coordination/program_store.h"
 #include "birchlever/coordination/program_sweeper.h"
+#include "birchlever/core/memory_budget.h"
 #include "birchlever/gateway/configuration_freshness.h"
 #include "birchlever/gateway/crash_guard.h"
 #include "birchlever/http/connection_pool.h"
 #include "birchlever/telemetry/log.h"
 #include "birchlever/telemetry/metrics.h"
 #include "birchlever_daemon/gateway_daemon.h"
+#include "birchlever_daemon/process_memory.h"
 #include "platform/names.h"
 #include "platform/store_client.h"
 
@@ -102,6 +104,11 @@
   }
   counters.gauge("peers_heard", peers_ ? static_cast<double>(peers_->views().recent_peers()) : 0);
   counters.gauge("log_lines_dropped", static_cast<double>(dropped_log_lines()));
+  counters.gauge("memory_held_bytes", static_cast<double>(context_->memory_->held()));
+  counters.gauge("memory_held_limit_bytes", static_cast<double>(context_->memory_->limit()));
+  counters.gauge("memory_claims_revoked", static_cast<double>(context_->memory_->revoked()));
+  counters.gauge("process_resident_bytes", static_cast<double>(resident_bytes()));
+  counters.gauge("process_open_descriptors", static_cast<double>(open_descriptors()));
   counters.gauge("programs_removed", static_cast<double>(sweeper_->removed()));
   counters.gauge("history_cache_bytes", static_cast<double>(context_->programs_->cached_bytes()));
   const auto& budgets = context_->programs_->statistics();
--- a/birchlever_daemon/main.cpp
+++ b/birchlever_daemon/main.cpp
@@ -15,6 +15,7 @@
 #include "birchlever_daemon/gateway_daemon.h"
 #include "birchlever_daemon/gateway_flags.h"
 #include "birchlever_daemon/operator_client.h"
+#include "birchlever_daemon/process_memory.h"
 #include "birchlever_daemon/process_signals.h"
 #include "birchlever_daemon/settings_file.h"
 #include "birchlever_daemon/start_wait.h"
@@ -254,6 +255,7 @@
   if (command == "serve" || command == "gateway") {
     birchlever::prepare_signals();
     birchlever::report_fatal_signals();
+    birchlever::return_large_blocks();
   }
   for (auto index = 1; index < argc; ++index) {
     if (std::string{argv[index]} == "--help") {
--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -116,6 +116,9 @@
     return upstreams_.at(name).entry_.address_.port();
   }
 
+  /// Returns "ip:port" of the first daemon for callers.
+  [[nodiscard]] auto caller_address() const -> const std::string& { return addresses_.front(); }
+
   /// Lists an upstream with another start time.
   auto set_born(const std::string& name, std::int64_t born) -> void;
 
