A fault of the program while one request is served ends neither the process nor a stop

What callers saw: a caller whose request met an exception got no answer and kept its connection until it gave up; the request stayed counted as under way, so a stop waited for it until its time was over (exit code 3). An exception from a handler that is no coroutine, or one that is no std::exception, ended the process (abort).

Change: the loop logs what a handler throws (handler_failed) and runs on; a connection whose request fails is closed (connection_failed, program_faults_total), and the request is counted out however it ends. A log line that cannot be made for lack of memory is counted as dropped.

--- a/birchlever/gateway/gateway_server.cpp
+++ b/birchlever/gateway/gateway_server.cpp
@@ -36,6 +36,20 @@
   return error{error_code::malformed_request, "malformed or ambiguous HTTP/1.1 request"};
 }
 
+/// Counts a request for as long as it is served, however that ends.
+class counted_request {
+ public:
+  explicit counted_request(std::shared_ptr<gateway_context> context) : context_{std::move(context)} {
+    ++context_->in_flight_;
+  }
+  ~counted_request() { --context_->in_flight_; }
+  counted_request(const counted_request&) = delete;
+  auto operator=(const counted_request&) -> counted_request& = delete;
+
+ private:
+  std::shared_ptr<gateway_context> context_;
+};
+
 }  // namespace
 
 gateway_server::gateway_server(std::shared_ptr<gateway_context> context) : context_{std::move(context)} {
@@ -73,6 +87,17 @@
 
 auto gateway_server::serve(std::shared_ptr<server_connection> connection) -> task<> {
   connections_.insert(connection);
+  try {
+    co_await serve_requests(connection);
+  } catch (const std::exception& fault) {
+    log_event(log_level::error, "connection_failed", {{"what", std::string{fault.what()}}});
+    context_->metrics_->count("program_faults_total");
+    connection->close();
+  }
+  connections_.erase(connection);
+}
+
+auto gateway_server::serve_requests(std::shared_ptr<server_connection> connection) -> task<> {
   auto keep_open = true;
   while (keep_open) {
     auto limits = context_->configuration_ ? context_->configuration_->limits_ : request_limits{};
@@ -84,7 +109,6 @@
     keep_open = co_await handle(connection, std::move(std::get<http_request>(read)));
   }
   co_await connection->linger_and_close();
-  connections_.erase(connection);
 }
 
 auto gateway_server::handle(std::shared_ptr<server_connection> connection, http_request message)
@@ -97,13 +121,12 @@
   request.received_at_ = context_->clock_.now();
   request.memory_ = context_->memory_->open_claim();
   request.claim_memory();
-  ++context_->in_flight_;
+  auto counted = counted_request{context_};
   if (context_->memory_->has_room()) {
     co_await run_filters(0, request);
   } else {
     co_await refuse_for_memory(request);
   }
-  --context_->in_flight_;
   if (request.account_ != nullptr) {
     context_->usage_.record(request.account_->name_, request.final_status_);
   }
--- a/birchlever/http/task.h
+++ b/birchlever/http/task.h
@@ -55,8 +55,24 @@
     } catch (const std::exception& fault) {
       log_event(log_level::error, "coroutine_failed",
                 {{"coroutine", std::string{name}}, {"what", std::string{fault.what()}}});
+    } catch (...) {
+      log_event(log_level::error, "coroutine_failed",
+                {{"coroutine", std::string{name}}, {"what", std::string{"not a standard exception"}}});
     }
   });
 }
 
+/// Runs the loop until it is stopped. What a handler throws is a fault of the program: logged, loop goes on.
+inline auto run_until_stopped(event_loop& loop) -> void {
+  while (!loop.stopped()) {
+    try {
+      loop.run();
+    } catch (const std::exception& fault) {
+      log_event(log_level::error, "handler_failed", {{"what", std::string{fault.what()}}});
+    } catch (...) {
+      log_event(log_level::error, "handler_failed", {{"what", std::string{"not a standard exception"}}});
+    }
+  }
+}
+
 }  // namespace birchlever
--- a/birchlever/telemetry/log.cpp
+++ b/birchlever/telemetry/log.cpp
@@ -80,10 +80,9 @@
   state().lowest_ = lowest;
 }
 
-auto log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields) -> void {
-  if (level < state().lowest_ || state().process_name_.empty()) {
-    return;
-  }
+namespace {
+
+auto write_event(log_level level, std::string_view event, std::initializer_list<log_field> fields) -> void {
   auto line = nlohmann::ordered_json{{"time_ms", wall_milliseconds()},
                                      {"level", name_of(level)},
                                      {"process", state().process_name_},
@@ -106,6 +105,19 @@
   }
 }
 
+}  // namespace
+
+auto log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields) -> void {
+  if (level < state().lowest_ || state().process_name_.empty()) {
+    return;
+  }
+  try {
+    write_event(level, event, fields);
+  } catch (const std::bad_alloc&) {
+    standard_output().drop();  // Lines about a lack of memory are the first that cannot be made.
+  }
+}
+
 auto log_failure(log_level level, std::string_view event, const error& failure) -> void {
   log_event(level, event,
             {{"type", std::string{name_of(failure.code_)}},
--- a/birchlever/telemetry/log_sink.h
+++ b/birchlever/telemetry/log_sink.h
@@ -17,6 +17,9 @@
   /// Writes a line, keeps it for later, or drops and counts it.
   auto write(std::string_view line) -> void;
 
+  /// Counts a line that could not be made.
+  auto drop() -> void { ++dropped_; }
+
   /// Lines dropped so far. The next line that finds room is preceded by one that tells the count.
   [[nodiscard]] auto dropped() const -> std::int64_t { return dropped_; }
 
@@ -30,8 +33,8 @@
   std::string pending_;
   std::int64_t dropped_ = 0;
   std::int64_t told_ = 0;
+  std::int64_t told_before_ = 0;  ///< Before the count in pending_.
+  bool announcing_ = false;       ///< pending_ holds a count of dropped lines.
 };
 
 }  // namespace birchlever
-  std::int64_t told_before_ = 0;  ///< Before the count in pending_.
-  bool announcing_ = false;       ///< pending_ holds a count of dropped lines.
--- a/birchlever_daemon/gateway_daemon_run.cpp
+++ b/birchlever_daemon/gateway_daemon_run.cpp
@@ -125,7 +125,7 @@
              {"caller_address", settings_.caller_address_},
              {"store_address", settings_.store_address_},
              {"first_start", settings_.first_start_ != 0}});
-  loop_.run();
+  run_until_stopped(loop_);
   return finished_all_;
 }
 
