--- a/soak/process_faults.cpp
+++ b/soak/process_faults.cpp
@@ -63,17 +63,17 @@
   constexpr auto numbers = std::array{SIGHUP, SIGUSR1, SIGUSR2, SIGPIPE, SIGXFSZ};
   auto count = 1 + draw(most_signals);
   for (auto sent = 0; sent < count; ++sent) {
-    fleet_->signal_if_ready(gateway, numbers.at(static_cast<std::size_t>(draw(numbers.size() - 1))));
+    fleet_->signal_if_answered(gateway, numbers.at(static_cast<std::size_t>(draw(numbers.size() - 1))));
     co_await pause_for(*loop_, draw(longest_signal_gap_ms));
   }
 }
 
 auto process_faults::cut_settings(int gateway) -> task<> {
   fleet_->write_settings(gateway, static_cast<double>(draw(parts)) / (parts + 1));
-  fleet_->signal_if_ready(gateway, SIGHUP);
+  fleet_->signal_if_answered(gateway, SIGHUP);
   co_await pause_for(*loop_, draw(longest_cut_ms));
   fleet_->write_settings(gateway, 1);
-  fleet_->signal_if_ready(gateway, SIGHUP);
+  fleet_->signal_if_answered(gateway, SIGHUP);
 }
 
 auto process_faults::restart_on_held_port(int gateway) -> task<> {
--- a/soak/soak_fleet.cpp
+++ b/soak/soak_fleet.cpp
@@ -193,6 +193,7 @@
   }
   gateway.process_ = std::move(value(started));
   gateway.over_memory_ = false;
+  gateway.answered_ = false;
   gateway.paused_ = false;
   gateway.stopping_since_ = 0;
 }
@@ -204,8 +205,8 @@
   }
 }
 
-auto soak_fleet::signal_if_ready(int number, int signal) -> void {
-  if (gateways_[static_cast<std::size_t>(number)].ready_) {
+auto soak_fleet::signal_if_answered(int number, int signal) -> void {
+  if (gateways_[static_cast<std::size_t>(number)].answered_) {
     signal_gateway(number, signal);
   }
 }
@@ -285,6 +286,7 @@
 
 auto soak_fleet::look_at(gateway_process& gateway) -> task<> {
   auto parsed = parse_address(address(first_gateway + gateway.number_, ready_port));
+  auto asked = gateway.process_ ? gateway.process_->pid() : 0;
   auto opened = co_await outgoing_connection::open(*loop_, value(parsed), look_limit);
   auto good = false;
   if (auto* connection = std::get_if<std::shared_ptr<outgoing_connection>>(&opened)) {
@@ -294,6 +296,8 @@
     auto head = co_await (*connection)->read_head();
     const auto* answer = std::get_if<http_response>(&head);
     good = answer != nullptr && answer->result() == http::status::ok;
+    auto same_process = gateway.process_ && gateway.process_->pid() == asked;
+    gateway.answered_ = gateway.answered_ || (answer != nullptr && same_process);
     (*connection)->abort();
   }
   gateway.misses_ = good ? 0 : gateway.misses_ + 1;
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -17,8 +17,9 @@
   int number_ = 0;
   std::unique_ptr<test_processes::child_process> process_;  ///< Null while none is meant to run.
   std::shared_ptr<tcp_proxy> store_link_;
-  bool ready_ = false;  ///< By the last looks, as a balancer makes them.
-  int misses_ = 0;      ///< Looks in a row without a good answer.
+  bool ready_ = false;     ///< By the last looks, as a balancer makes them.
+  bool answered_ = false;  ///< The process answered a look, so its main function runs.
+  int misses_ = 0;         ///< Looks in a row without a good answer.
   bool paused_ = false;
   bool over_memory_ = false;         ///< Noted already.
   bool debug_ = false;               ///< Logs at level debug.
@@ -42,9 +43,9 @@
   /// Sends a signal to a gateway's process, if it has one.
   auto signal_gateway(int number, int signal) -> void;
 
-  /// Sends a signal to a gateway that was ready at the last look: one that is only being loaded cannot handle
-  /// any.
-  auto signal_if_ready(int number, int signal) -> void;
+  /// Sends a signal to a gateway whose process has answered a look. Until its main function runs, signals
+  /// have their default actions.
+  auto signal_if_answered(int number, int signal) -> void;
 
   /// Kills a gateway's process and waits for its end.
   auto kill_gateway(int number) -> void;
