Rows and messages that nest deeply are malformed instead of overflowing the stack

What callers saw: every daemon that reads such a row ends by SIGSEGV, and again after each start.

Cause: nlohmann's CBOR parser recurses once a level; 65,536 arrays of one element, which fit a row of 64 KB, overflow a stack of 8 MB (30,000 do not; a datagram of 8 KB cannot). Its JSON parser does not recurse, but copying and writing do.

Change: core/bounded_json builds values from the parser's events and stops at 64 levels.

--- a/birchlever/controllers/allotment_messages.cpp
+++ b/birchlever/controllers/allotment_messages.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "birchlever/core/bounded_json.h"
+
 namespace birchlever {
 namespace {
 
@@ -47,8 +49,12 @@
 }
 
 auto decode_allotment_message(std::string_view bytes) -> result<allotment_message> {
+  auto parsed = parse_cbor(bytes);
+  if (!ok(parsed)) {
+    return failure(parsed);
+  }
   try {
-    return read(json::from_cbor(bytes.begin(), bytes.end()));
+    return read(value(parsed));
   } catch (const json::exception& fault) {
     return error{error_code::malformed_json, std::string{"malformed allotment message: "} + fault.what()};
   }
--- a/birchlever/controllers/peer_feed.cpp
+++ b/birchlever/controllers/peer_feed.cpp
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "birchlever/controllers/peer_views.h"
+#include "birchlever/core/bounded_json.h"
 #include "birchlever/core/hashing.h"
 #include "birchlever/http/http_call.h"
 #include "birchlever/http/http_listener.h"
@@ -33,8 +34,12 @@
 }
 
 auto decode_page(std::string_view bytes) -> result<row_page> {
+  auto parsed = parse_cbor(bytes);
+  if (!ok(parsed)) {
+    return failure(parsed);
+  }
   try {
-    auto read = json::from_cbor(bytes.begin(), bytes.end());
+    const auto& read = value(parsed);
     auto page = row_page{};
     read.at(0).get_to(page.version_);
     for (const auto& entry : read.at(1)) {
--- a/birchlever/controllers/peer_state.cpp
+++ b/birchlever/controllers/peer_state.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "birchlever/core/bounded_json.h"
+
 namespace birchlever {
 namespace {
 
@@ -153,8 +155,12 @@
 }
 
 auto decode_peer_state(std::string_view bytes) -> result<peer_state> {
+  auto parsed = parse_cbor(bytes);
+  if (!ok(parsed)) {
+    return failure(parsed);
+  }
   try {
-    auto message = json::from_cbor(bytes.begin(), bytes.end());
+    const auto& message = value(parsed);
     auto state = peer_state{};
     message.at(0).get_to(state.vm_);
     if (!message.at(1).is_null()) {
--- a/birchlever/coordination/allowance_ranges.cpp
+++ b/birchlever/coordination/allowance_ranges.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "birchlever/core/bounded_json.h"
 #include "birchlever/core/hashing.h"
 #include "birchlever/telemetry/log.h"
 
@@ -57,8 +58,12 @@
 }
 
 auto allowance_ranges::decode(std::string_view value) -> result<row> {
+  auto parsed = parse_json(value);
+  if (!ok(parsed)) {
+    return failure(parsed);
+  }
   try {
-    auto fields = json::parse(value);
+    const auto& fields = birchlever::value(parsed);
     auto decoded = row{};
     fields.at(0).get_to(decoded.holder_);
     fields.at(1).get_to(decoded.lease_until_);
--- a/birchlever/coordination/program_record.cpp
+++ b/birchlever/coordination/program_record.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "birchlever/core/bounded_json.h"
+
 namespace birchlever {
 namespace {
 
@@ -45,9 +47,13 @@
 
 /// Parses CBOR, which allows arbitrary bytes in bodies. A malformed row is an error, never an empty record.
 template <class Convert>
-auto parse_cbor(std::string_view value, Convert convert) -> result<decltype(convert(json{}))> {
+auto decode_row(std::string_view bytes, Convert convert) -> result<decltype(convert(json{}))> {
+  auto parsed = parse_cbor(bytes);
+  if (!ok(parsed)) {
+    return error{error_code::malformed_json, "malformed program row: " + failure(parsed).detail_};
+  }
   try {
-    return convert(json::from_cbor(value.begin(), value.end()));
+    return convert(value(parsed));
   } catch (const json::exception& fault) {
     return error{error_code::malformed_json, std::string{"malformed program row: "} + fault.what()};
   }
@@ -98,7 +104,7 @@
 }
 
 auto decode_program(std::string_view value) -> result<program_record> {
-  return parse_cbor(value, [](const json& row) {
+  return decode_row(value, [](const json& row) {
     auto record = program_record{};
     row.at(spent_key).get_to(record.spent_);
     for (const auto& [name, held] : row.at(reserved_key).items()) {
@@ -122,7 +128,7 @@
 }
 
 auto decode_turn(std::string_view value) -> result<turn_record> {
-  return parse_cbor(value, [](const json& row) {
+  return decode_row(value, [](const json& row) {
     auto record = turn_record{};
     row.at(previous_key).get_to(record.previous_);
     record.input_ = text_of(row.at(input_key));
--- a/birchlever/core/memory_budget.h
+++ b/birchlever/core/memory_budget.h
@@ -34,8 +34,9 @@
   /// something always does.
   [[nodiscard]] auto may_exceed(const memory_claim& claim) const -> bool;
 
-  /// Revokes claims until the limit holds: first those that hold most for longest without progress. Done at each
-  /// growth of a claim; to be called too by what waits for room, since claims become revocable with time.
+  /// Revokes claims until the limit holds: first those that hold most for longest without progress. Done at
+  /// each growth of a claim; to be called too by what waits for room, since claims become revocable with
+  /// time.
   auto make_room() -> void;
 
   [[nodiscard]] auto held() const -> std::size_t { return held_; }
--- a/unit_tests/controllers/central_grants_test.cpp
+++ b/unit_tests/controllers/central_grants_test.cpp
@@ -151,7 +151,7 @@
   CHECK(granted == 1);  // 600 in five seconds over 350 daemons.
 }
 
-TEST_CASE("binding an address in use fails with invalid_setting") {
+TEST_CASE("binding an address in use fails with address_unavailable") {
   auto fleet = granting_fleet{};
   auto settings = central_grants_settings{};
   settings.vm_ = "vm-9";
@@ -160,7 +160,7 @@
   auto created = central_grants::create(
       fleet.loop_, settings, [](const std::string&) { return std::nullopt; }, [] { return 1.0; });
   REQUIRE(!ok(created));
-  CHECK(failure(created).code_ == error_code::invalid_setting);
+  CHECK(failure(created).code_ == error_code::address_unavailable);
 }
 
 }  // namespace birchlever
