--- a/unit_tests/daemon/gateway_start_test.cpp
+++ b/unit_tests/daemon/gateway_start_test.cpp
@@ -1,4 +1,6 @@
 /// Starts gateways while something that they need is not there yet.
+#include <signal.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 
@@ -64,6 +66,39 @@
   }
 }
 
+// Guards against the same for `serve`, which neither became ready nor ended.
+TEST_CASE("a daemon of serve waits for each of its ports that is still held") {
+  for (auto port : {8080, 8081}) {
+    INFO(port_name(port));
+    auto addresses = gateway_process{};  // Only for its address and its folder.
+    auto holder = held_port{addresses.ip(), static_cast<unsigned short>(port), false};
+    auto nowhere = addresses.ip() + ":9";
+    auto command = test_processes::process_command{
+        "serve " + addresses.ip(),
+        {tested_program(), "serve", "--listen_address=" + addresses.ip(), "--http_port=8080",
+         "--peer_port=8081", "--data_hall=hall-a", "--vm_id=daemon-1", "--store_address=" + nowhere,
+         "--vm_list_address=" + nowhere, "--fleet_keys=key-1", "--operator_keys=key-2"},
+        addresses.log_file(),
+        {}};
+    auto started = test_processes::child_process::start(command);
+    REQUIRE(ok(started));
+    auto& daemon = *value(started);
+    auto logged = [&](const std::string& text) {
+      constexpr auto all_lines = std::size_t{1} << 20U;
+      return await(20000, [&] {
+        return daemon.poll() || daemon.last_lines(all_lines).find(text) != std::string::npos;
+      });
+    };
+    CHECK(logged("start_waiting"));
+    holder.release();
+    CHECK(logged("daemon_started"));
+    CHECK_FALSE(daemon.poll());
+    daemon.signal(SIGTERM);
+    CHECK(daemon.wait(20000));
+    CHECK_FALSE(daemon.unasked_end());
+  }
+}
+
 // Guards against a start that ends because its address is not configured yet, and against a wait that can't
 // be ended.
 TEST_CASE("a gateway that waits for its address stops when it is asked to") {
