--- a/birchlever/core/memory_budget.h
+++ b/birchlever/core/memory_budget.h
@@ -13,7 +13,7 @@
 
 class memory_claim;
 
-/// For one thread. Outlived by its claims, which then count nowhere.
+/// For one thread. Its claims keep it.
 class memory_budget : public std::enable_shared_from_this<memory_budget> {
  public:
   /// A limit that holds where the memory of the machine is not known.
--- a/unit_tests/gateway/program_fault_test.cpp
+++ b/unit_tests/gateway/program_fault_test.cpp
@@ -32,7 +32,8 @@
 
 }  // namespace
 
-// Guards against a caller that waits without end, and a stop that waits for a request that nothing serves any more.
+// Guards against a caller that waits without end, and a stop that waits for a request that nothing serves any
+// more.
 TEST_CASE("a fault while a request is served closes its connection and counts it no longer") {
   auto fixture = gateway_fixture{};
   fixture.context_->dialect_ = std::make_shared<failing_dialect>(fixture.context_->dialect_);
