`serve` checks its ports as its servers bind them

The check of the ports used SO_REUSEADDR; connections that the earlier process left behind have SO_REUSEPORT, the option of the HTTP server, and held the port for it, though not for the server. It sets both now, and a port that another process listens on is still told.

--- a/birchlever/http/bind_failure.cpp
+++ b/birchlever/http/bind_failure.cpp
@@ -1,5 +1,7 @@
 #include "birchlever/http/bind_failure.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -14,6 +16,14 @@
 constexpr auto passing_errors =
     std::array{EADDRINUSE, EADDRNOTAVAIL, ENETDOWN, ENETUNREACH, EMFILE, ENFILE, ENOBUFS, ENOMEM, EAGAIN};
 
+/// Connections that a process with this option left behind hold the port for those without it.
+auto allow_port_reuse(asio::ip::tcp::acceptor& acceptor, boost::system::error_code& code) -> void {
+  auto on = 1;
+  if (setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on) != 0) {
+    code = {errno, boost::system::system_category()};
+  }
+}
+
 }  // namespace
 
 auto bind_failure(const std::string& address, const boost::system::error_code& code) -> error {
@@ -31,6 +41,9 @@
   if (!code) {
     acceptor.set_option(asio::socket_base::reuse_address{true}, code);
   }
+  if (!code) {
+    allow_port_reuse(acceptor, code);
+  }
   if (!code) {
     acceptor.bind(address, code);
   }
