Log what the memory limit closes, with what was held

A connection that was closed for its slow reader left only "caller_gone" in the log, as if the caller had left; slow_reader_closed names the request and what was held of which limit. request_unreadable has both figures too.

--- a/birchlever/gateway/gateway_server.cpp
+++ b/birchlever/gateway/gateway_server.cpp
@@ -167,7 +167,10 @@
   response.body() = to_json_text(reason);
   response.prepare_payload();
   context_->metrics_->count("unreadable_requests_total{fault=\"" + std::string{name_of(fault)} + "\"}");
-  log_event(log_level::info, "request_unreadable", {{"fault", std::string{name_of(fault)}}});
+  log_event(log_level::info, "request_unreadable",
+            {{"fault", std::string{name_of(fault)}},
+             {"memory_held_bytes", static_cast<std::int64_t>(context_->memory_->held())},
+             {"memory_limit_bytes", static_cast<std::int64_t>(context_->memory_->limit())}});
   co_await connection.write(std::move(response));
 }
 
--- a/birchlever/gateway/upstream_attempt.cpp
+++ b/birchlever/gateway/upstream_attempt.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 
-#include "birchlever/core/memory_budget.h"
 #include "birchlever/http/connection_pool.h"
 #include "birchlever/telemetry/log.h"
 #include "birchlever/telemetry/metrics.h"
@@ -15,7 +14,6 @@
 constexpr auto ranks_per_account = 3;                    // Three account ranks of three route ranks each.
 constexpr auto silent_after =
     milliseconds{1000};  // Without a byte of response, the connection may be silent.
-constexpr auto slow_reader_ms = milliseconds{1000};  // A write that takes longer waits for its reader.
 constexpr auto max_refusal_bytes = std::size_t{65536};
 
 auto is_success(const http_response& head) -> bool {
@@ -237,39 +235,6 @@
   co_return outcome;
 }
 
-auto upstream_attempt::await_memory() -> task<> {
-  constexpr auto check_gap = milliseconds{10};
-  auto& budget = *context_->memory_;
-  auto& claim = *request_->memory_;
-  while (!budget.has_room() && !budget.may_exceed(claim) && context_->clock_.now() < request_->deadline_ &&
-         !request_->connection_->gone()) {
-    claim.wait_for_room();
-    co_await pause_for(*context_->loop_, check_gap);
-    budget.make_room();
-  }
-}
-
-auto upstream_attempt::read_body() -> task<exchanged<std::string>> {
-  auto body = std::string{};
-  auto last = false;
-  while (!last) {
-    co_await await_memory();
-    auto read = co_await connection_->read_piece();
-    if (auto* fault = std::get_if<exchange_fault>(&read)) {
-      co_return *fault;
-    }
-    auto& piece = std::get<body_piece>(read);
-    last = piece.last_;
-    body += piece.bytes_;
-    if (body.size() > context_->limits_.max_response_bytes_) {
-      connection_->abort();
-      co_return exchange_fault::malformed;
-    }
-    request_->claim_memory(body.size());
-  }
-  co_return body;
-}
-
 auto upstream_attempt::relay_response(http_response head) -> task<attempt_outcome> {
   auto rest = co_await read_body();
   if (auto* fault = std::get_if<exchange_fault>(&rest)) {
@@ -288,9 +253,7 @@
   request_->final_status_ = static_cast<int>(head.result_int());
   request_->relayed_.complete_ = is_success(head);
   request_->connection_->on_gone(nullptr);
-  // The caller that reads slowest gives way when memory runs out.
-  request_->memory_->allow_revocation([connection = request_->connection_] { connection->close(); },
-                                      slow_reader_ms);
+  allow_revocation();
   co_await request_->connection_->write(std::move(head));
   request_->memory_->set_revocable(false);
   co_return attempt_outcome::relayed;
@@ -366,8 +329,7 @@
   if (!head_written) {
     co_return record_interruption("caller_gone", false);
   }
-  request_->memory_->allow_revocation([connection = request_->connection_] { connection->close(); },
-                                      slow_reader_ms);
+  allow_revocation();
   request_->memory_->set_revocable(false);
   auto last = false;
   while (!last) {
--- a/birchlever/gateway/upstream_attempt.h
+++ b/birchlever/gateway/upstream_attempt.h
@@ -72,6 +72,10 @@
   /// Reads the body of a response. Reading pauses while the process is out of memory.
   auto read_body() -> task<exchanged<std::string>>;
 
+  /// Lets the connection to the caller be closed when memory runs out and the caller has read nothing for a
+  /// while.
+  auto allow_revocation() -> void;
+
   /// Waits until there is memory for more of the response, at most until the deadline.
   auto await_memory() -> task<>;
   auto write_stream_head(http_response head) -> task<bool>;
