review: case 4 with shorter gaps between the new programs

More new programs wait for the restart, so more histories are loaded at once. A 404 for a turn that was answered whole counts as broken as well.

review/4/run.sh, five times on an idle machine: exit 1 each time. TROUBLE=0 review/4/run.sh, five times: exit 0 each time.

--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,15 +1,17 @@
-/// After a restart of all processes, new programs go on from turns of before. Some never reach an engine.
+/// After a restart of all processes, new programs go on from turns of before. Some never reach an engine,
+/// some get 404.
 #include "../fakes/deployment.h"
 
 namespace review {
 namespace {
 
-constexpr auto programs = 24;
-constexpr auto min_turns = 8;
-constexpr auto max_turns = 18;        // Of a boundary-review, mean 11.
+constexpr auto programs = 32;
+constexpr auto min_turns = 6;
+constexpr auto max_turns = 22;        // Of a boundary-review.
 constexpr auto input_bytes = 31'000;  // The largest request of the site's sheet.
 constexpr auto down_ms = 1'600;       // The longest `down_s` of a final fault of the site.
-constexpr auto ask_gap_ms = 50;       // Between the first asks of two new programs.
+constexpr auto per_turn = 2;          // One in each zone.
+constexpr auto ask_gap_ms = 35;       // Between the first asks of two new programs.
 constexpr auto recovery_ms = 12'000;
 constexpr auto last_ms = 4'000;
 
@@ -21,7 +23,7 @@
 
 auto run_program(deployment& deployed, record& log, int number) -> std::optional<old_program> {
   auto made = old_program{"old" + std::to_string(number), "", ""};
-  auto turns = min_turns + number * 7 % (max_turns - min_turns + 1);
+  auto turns = min_turns + number * 11 % (max_turns - min_turns + 1);
   for (auto step = 0; step < turns; ++step) {
     auto id = made.name_ + "t" + std::to_string(step);
     auto input = std::string(input_bytes, static_cast<char>('a' + number % 26));
@@ -39,7 +41,8 @@
 
 struct state {
   std::mutex mutex_;
-  std::vector<std::string> stuck_;
+  std::vector<std::string> stuck_;    ///< Turns from which no engine was reached.
+  std::vector<std::string> unknown_;  ///< Turns that were answered with 404.
   int fresh_sent_ = 0;
   int fresh_served_ = 0;
 };
@@ -58,6 +61,11 @@
     if (ran) {
       return;
     }
+    if (seen.status_ == 404) {  // Ends the program.
+      auto lock = std::lock_guard{shared.mutex_};
+      shared.unknown_.push_back(from.last_turn_);
+      return;
+    }
     auto pause_ms = 100 + (number * 37 + attempt * 101) % 300;
     auto asked_ms = seen.retry_after_.empty() ? 0 : static_cast<int>(std::stod(seen.retry_after_) * 1000);
     usleep(1000 * std::max(pause_ms, asked_ms));
@@ -90,11 +98,11 @@
   auto shared = state{};
   auto killed_at = now_ms();
   auto until = killed_at + (with_trouble() ? down_ms : 0) + recovery_ms;
-  // Two new programs go on from each turn, one through each gateway at first.
-  for (auto number = 0; number < 2 * programs; ++number) {
+  // Two new programs go on from each turn, one in each zone.
+  for (auto number = 0; number < per_turn * programs; ++number) {
     threads.emplace_back([&, number] {
       usleep(1000 * ask_gap_ms * number);
-      go_on(deployed, log, *old[number / 2], number, until, shared);
+      go_on(deployed, log, *old[number / per_turn], number, until, shared);
     });
   }
   if (with_trouble()) {
@@ -121,8 +129,11 @@
   for (const auto& turn : shared.stuck_) {
     log.line("BROKEN: no engine was reached by recovery_s going on from " + turn);
   }
+  for (const auto& turn : shared.unknown_) {
+    log.line("BROKEN: 404 going on from " + turn + ", which was answered whole");
+  }
   auto served = shared.fresh_served_ * 5 >= shared.fresh_sent_ * 4;
-  return !shared.stuck_.empty() && served ? 1 : 0;
+  return !shared.unknown_.empty() || (!shared.stuck_.empty() && served) ? 1 : 0;
 }
 
 }  // namespace
--- a/review/fakes/store.h
+++ b/review/fakes/store.h
@@ -8,6 +8,7 @@
 #include <boost/beast/core/detail/base64.hpp>
 #include <chrono>
 #include <condition_variable>
+#include <cstdlib>
 #include <deque>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -65,6 +66,12 @@
   /// Makes each answer take this many times as long.
   auto slow_down(int times) -> void { slow_ = times; }
 
+  /// Does this share of the transactions without an answer, at once or 1 to 6 s later. 0 ends it.
+  auto lose_answers(double share, bool late) -> void {
+    late_ = late;
+    lost_share_ = share;
+  }
+
   /// While set, each call is answered with this status and not done; 0 ends it.
   auto refuse_with(unsigned status) -> void { refusal_ = status; }
 
@@ -90,6 +97,10 @@
   static constexpr auto max_entries = std::size_t{100};
   static constexpr auto max_transaction_bytes = std::size_t{1'000'000};
 
+  static auto drawn_below(double share) -> bool {
+    return share > 0 && std::rand() < share * static_cast<double>(RAND_MAX);
+  }
+
   static auto unescape(const std::string& text) -> std::string {
     auto plain = std::string{};
     for (auto at = std::size_t{0}; at < text.size(); ++at) {
@@ -152,6 +163,14 @@
     if (auto status = refusal_.load()) {
       return session.write(reply(status, "{}"));
     }
+    if (path == "/birchlever/rows-tx" && drawn_below(lost_share_)) {
+      if (late_) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1000 + std::rand() % 5000});
+      }
+      transact(call.body());
+      std::this_thread::sleep_for(std::chrono::seconds{20});  // The channel says nothing more.
+      return false;
+    }
     if (path == "/birchlever/rows-tx") {
       return session.write(transact(call.body()));
     }
@@ -273,6 +292,8 @@
   std::deque<change> log_;
   long version_ = 1;
   std::atomic<int> slow_ = 1;
+  std::atomic<double> lost_share_ = 0;
+  std::atomic<bool> late_ = false;
   std::atomic<unsigned> refusal_ = 0;
   http_server server_;
 };
