--- a/review/fakes/deployment.h
+++ b/review/fakes/deployment.h
@@ -18,6 +18,7 @@
 /// Settings of a deployment.
 struct deployment_settings {
   int gateways_ = 2;
+  int spare_gateways_ = 0;  ///< Further ones, which the case starts itself.
   int engines_ = 3;
   int tools_ = 2;
   std::string gateway_lines_;  ///< Further lines of their settings.
@@ -40,7 +41,7 @@
       engines_.back()->list(*rows_);
     }
     configure(configuration(1));
-    for (auto number = 0; number < settings.gateways_; ++number) {
+    for (auto number = 0; number < settings.gateways_ + settings.spare_gateways_; ++number) {
       gateways_.push_back(std::make_unique<gateway>(number, network_ + std::to_string(first_gateway + number),
                                                     network_ + "1:" + std::to_string(store_port), folder_));
       gateways_.back()->set_extra(settings.gateway_lines_);
@@ -60,12 +61,12 @@
   /// Starts all gateways. Returns false if one is not ready in time.
   auto start(bool first) -> bool {
     constexpr auto ready_limit_ms = 15'000;
-    for (const auto& one : gateways_) {
-      one->start(first);
+    for (auto number = 0; number < settings_.gateways_; ++number) {
+      gateways_[number]->start(first);
     }
     auto ready = true;
-    for (const auto& one : gateways_) {
-      ready = one->wait_until_ready(ready_limit_ms) && ready;
+    for (auto number = 0; number < settings_.gateways_; ++number) {
+      ready = gateways_[number]->wait_until_ready(ready_limit_ms) && ready;
     }
     return ready;
   }
