--- a/review/fakes/deployment.h
+++ b/review/fakes/deployment.h
@@ -30,9 +30,7 @@
   explicit deployment(const deployment_settings& settings) : settings_{settings} {
     auto name = std::string{"/tmp/birchlever-review-XXXXXX"};
     folder_ = mkdtemp(name.data());
-    constexpr auto networks = 250;
-    network_ = "127.91." + std::to_string(getpid() % networks + 1) + ".";
-    rows_ = std::make_unique<store>(network_ + "1", store_port);
+    open_store();
     for (auto number = 0; number < settings.engines_ + settings.tools_; ++number) {
       auto service = number < settings.engines_ ? "engines" : "tools";
       auto id = std::string{"i-"} + service + std::to_string(number);
@@ -111,6 +109,21 @@
   auto network() const -> const std::string& { return network_; }
 
  private:
+  /// Starts the store in a network of loopback addresses that no other case uses.
+  auto open_store() -> void {
+    constexpr auto networks = 250;
+    for (auto attempt = 0; rows_ == nullptr; ++attempt) {
+      network_ = "127.91." + std::to_string((getpid() + attempt) % networks + 1) + ".";
+      try {
+        rows_ = std::make_unique<store>(network_ + "1", store_port);
+      } catch (const boost::system::system_error&) {
+        if (attempt == networks) {
+          throw;
+        }
+      }
+    }
+  }
+
   static constexpr auto store_port = 9000;
   static constexpr auto first_engine_port = 9200;
   static constexpr auto first_gateway = 10;
@@ -164,18 +177,20 @@
                      const deployment_settings& settings = {}) -> int {
   auto log = record{folder + "/record.txt"};
   auto result = 2;
+  deployment* deployed = nullptr;  // Never destroyed: threads that serve connections use it to the end.
   try {
-    // Never destroyed: threads that serve connections use it until the process ends.
-    auto* deployed = new deployment{settings};
+    deployed = new deployment{settings};
     if (deployed->start(true)) {
       result = play(*deployed, log);
     } else {
       log.line("gateways did not start");
     }
-    deployed->end();
   } catch (const std::exception& fault) {
     log.line(std::string{"case could not run: "} + fault.what());
   }
+  if (deployed != nullptr) {
+    deployed->end();
+  }
   log.line("exit " + std::to_string(result));
   std::_Exit(result);
 }
--- a/review/fakes/gateway.h
+++ b/review/fakes/gateway.h
@@ -3,6 +3,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -40,6 +41,7 @@
     auto log = folder_ + "/gateway-" + std::to_string(number_) + ".log";
     process_ = fork();
     if (process_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);  // It ends with the case, however that ends.
       auto out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(out, STDOUT_FILENO);
       dup2(out, STDERR_FILENO);
