Ignore inherited timers' and limits' signals

SIGXCPU, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR and SIGSTKFLT still ended a gateway. A timer set before exec and a soft limit of processor time send such signals although nobody asked for a stop.

Real-time signals keep their default action.

--- a/birchlever_daemon/process_signals.cpp
+++ b/birchlever_daemon/process_signals.cpp
@@ -18,7 +18,8 @@
 constexpr auto alternate_stack_bytes = std::size_t{65536};
 
 constexpr auto handled_signals = std::array{SIGHUP, SIGTERM, SIGINT};
-constexpr auto ignored_signals = std::array{SIGPIPE, SIGXFSZ, SIGUSR1, SIGUSR2};
+constexpr auto ignored_signals = std::array{SIGPIPE, SIGXFSZ, SIGXCPU, SIGUSR1,   SIGUSR2,  SIGALRM,
+                                            SIGPROF, SIGIO,   SIGPWR,  SIGVTALRM, SIGSTKFLT};
 constexpr auto fatal_signals = std::array{SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGTRAP, SIGABRT};
 
 template <std::size_t count>
--- a/birchlever_daemon/process_signals.h
+++ b/birchlever_daemon/process_signals.h
@@ -3,9 +3,9 @@
 
 namespace birchlever {
 
-/// Ignores the signals whose default action would end a daemon although nothing asked it to stop (SIGPIPE,
-/// SIGXFSZ, SIGUSR1, SIGUSR2), and holds back SIGHUP, SIGTERM and SIGINT. To be called first in main, before
-/// any thread is started: threads inherit what is held back.
+/// Ignores the signals whose default action would end a daemon although nothing asked it to stop: those of
+/// pipes, limits, timers that it inherits, and others that it has no use for. Holds SIGHUP, SIGTERM and
+/// SIGINT back. To be called first in main, before any thread is started: threads inherit what is held back.
 auto prepare_signals() -> void;
 
 /// Delivers SIGHUP, SIGTERM and SIGINT, also those that came while they were held back. To be called once
--- a/unit_tests/daemon/gateway_signal_test.cpp
+++ b/unit_tests/daemon/gateway_signal_test.cpp
@@ -48,7 +48,8 @@
   auto gateway = gateway_process{};
   gateway.start();
   REQUIRE(gateway.await_open());
-  for (auto number : {SIGHUP, SIGPIPE, SIGXFSZ, SIGUSR1, SIGUSR2}) {
+  for (auto number : {SIGHUP, SIGPIPE, SIGXFSZ, SIGXCPU, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO,
+                      SIGPWR, SIGSTKFLT}) {
     INFO("signal " << number);
     for (auto repeat = 0; repeat < 20; ++repeat) {
       gateway.process().signal(number);
