Read the settings file once a start, and take no part of one as a change

The start checked that the file is whole and then read it a second time. A file that the platform had begun to write again in between ended the process with exit code 2. Two more faults of the same class, a decision about one reading and values of another one: settings that changed while a start waited for a port were never taken, since the first look at the file while running counted as the known state; and a part of a file, or a file that could not be opened for lack of descriptors, counted as a change (seen: a line "reload" after 256 descriptors were held by callers).

The text is now read once, checked, parsed and kept as what later readings are compared with. A file that is not whole is logged once (settings_file_unusable) and changes nothing.

Tests: out/release/unit_tests "a gateway starts with the settings file that it found whole", "a gateway takes settings that change while it waits for a port", "a gateway keeps its settings while the file is written again".

--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -35,9 +35,11 @@
 
 }  // namespace
 
-gateway_daemon::gateway_daemon(const gateway_settings& settings, std::string settings_file)
+gateway_daemon::gateway_daemon(const gateway_settings& settings, std::string settings_file,
+                               std::string settings_text)
     : settings_{settings},
       settings_file_{std::move(settings_file)},
+      settings_text_{std::move(settings_text)},
       incarnation_{std::random_device{}()},
       random_{incarnation_},
       stop_signals_{loop_, SIGTERM, SIGINT},
@@ -56,9 +58,9 @@
   }
 }
 
-auto gateway_daemon::create(const gateway_settings& settings, const std::string& settings_file)
-    -> result<std::unique_ptr<gateway_daemon>> {
-  auto made = std::unique_ptr<gateway_daemon>{new gateway_daemon{settings, settings_file}};
+auto gateway_daemon::create(const gateway_settings& settings, const std::string& settings_file,
+                            const std::string& settings_text) -> result<std::unique_ptr<gateway_daemon>> {
+  auto made = std::unique_ptr<gateway_daemon>{new gateway_daemon{settings, settings_file, settings_text}};
   auto opened = made->open();
   if (!ok(opened)) {
     return failure(opened);
--- a/birchlever_daemon/gateway_daemon.h
+++ b/birchlever_daemon/gateway_daemon.h
@@ -34,9 +34,10 @@
 class gateway_daemon {
  public:
   /// Opens the ports and starts to follow the store. `settings_file` is read again on SIGHUP and when it
-  /// changes. Failures: invalid_setting.
-  static auto create(const gateway_settings& settings, const std::string& settings_file)
-      -> result<std::unique_ptr<gateway_daemon>>;
+  /// differs from `settings_text`, which the settings come from. Failures: invalid_setting,
+  /// address_unavailable.
+  static auto create(const gateway_settings& settings, const std::string& settings_file,
+                     const std::string& settings_text) -> result<std::unique_ptr<gateway_daemon>>;
 
   ~gateway_daemon();
 
@@ -44,7 +45,7 @@
   auto run() -> bool;
 
  private:
-  gateway_daemon(const gateway_settings& settings, std::string settings_file);
+  gateway_daemon(const gateway_settings& settings, std::string settings_file, std::string settings_text);
 
   auto open() -> status;
   auto open_ports() -> status;
@@ -94,14 +95,18 @@
   auto wait_for_reload() -> task<>;
   auto keep_house() -> task<>;
   auto log_usage() -> void;
-  auto reload(const char* cause) -> void;
+  /// Returns the text of the settings file; none if there is no file, or if it is not whole, which is logged
+  /// once.
+  auto read_settings_text() -> std::optional<std::string>;
+  auto reload(const std::string& text, const char* cause) -> void;
   auto stop() -> task<>;
 
   gateway_settings settings_;
   std::string settings_file_;
-  std::string settings_text_;
-  std::uint32_t incarnation_;  ///< Drawn at each start: what an earlier process drew of budgets is not here.
-  std::minstd_rand random_;    ///< For the choice of witnesses.
+  std::string settings_text_;   ///< Of the file when it was last whole.
+  std::string settings_fault_;  ///< Why the file is not whole now; empty if it is.
+  std::uint32_t incarnation_;   ///< Drawn at each start: what an earlier process drew of budgets is not here.
+  std::minstd_rand random_;     ///< For the choice of witnesses.
   event_loop loop_{1};
   asio::signal_set stop_signals_;
   asio::signal_set reload_signals_;
--- a/birchlever_daemon/gateway_daemon_run.cpp
+++ b/birchlever_daemon/gateway_daemon_run.cpp
@@ -1,13 +1,11 @@
 /// The part of gateway_daemon that runs it, takes up changed settings and stops it.
-#include <fstream>
-#include <iterator>
-
 #include "birchlever/coordination/allowance_ranges.h"
 #include "birchlever/coordination/program_store.h"
 #include "birchlever/http/connection_pool.h"
 #include "birchlever/telemetry/log.h"
 #include "birchlever_daemon/gateway_daemon.h"
 #include "birchlever_daemon/gateway_flags.h"
+#include "birchlever_daemon/settings_file.h"
 
 namespace birchlever {
 namespace {
@@ -21,16 +19,10 @@
 constexpr auto leave_margin_ms = milliseconds{700};  // Kept free of the time until the platform kills.
 constexpr auto finish_check_gap = milliseconds{20};
 
-auto read_text(const std::string& file) -> std::string {
-  auto stream = std::ifstream{file};
-  return std::string{std::istreambuf_iterator<char>{stream}, {}};
-}
-
 }  // namespace
 
 auto gateway_daemon::keep_house() -> task<> {
   auto usage_due = context_->clock_.now() + usage_gap;
-  settings_text_ = settings_file_.empty() ? std::string{} : read_text(settings_file_);
   while (true) {
     co_await pause_for(loop_, housekeeping_gap);
     context_->upstream_connections_->sweep();
@@ -41,19 +33,31 @@
     if (ready() && !std::exchange(announced_ready_, true)) {
       log_event(log_level::info, "ready", {{"configuration", context_->configuration_->version_}});
     }
-    if (!settings_file_.empty() && read_text(settings_file_) != settings_text_) {
-      reload("file_changed");
+    if (auto text = read_settings_text(); text && *text != settings_text_) {
+      reload(*text, "file_changed");
     }
   }
 }
 
-auto gateway_daemon::reload(const char* cause) -> void {
+auto gateway_daemon::read_settings_text() -> std::optional<std::string> {
   if (settings_file_.empty()) {
-    return;
+    return std::nullopt;
+  }
+  auto text = read_settings_file(settings_file_);
+  if (ok(text)) {
+    settings_fault_.clear();
+    return value(text);
   }
-  settings_text_ = read_text(settings_file_);
+  if (std::exchange(settings_fault_, failure(text).detail_) != failure(text).detail_) {
+    log_failure(log_level::error, "settings_file_unusable", failure(text));
+  }
+  return std::nullopt;
+}
+
+auto gateway_daemon::reload(const std::string& text, const char* cause) -> void {
+  settings_text_ = text;
   auto faults = std::vector<setting_error>{};
-  auto fresh = read_gateway_settings(settings_file_, faults);
+  auto fresh = read_gateway_settings(text, settings_file_, faults);
   auto more = check_settings(fresh);
   faults.insert(faults.end(), more.begin(), more.end());
   for (const auto& fault : faults) {
@@ -84,7 +88,10 @@
     if (code) {
       co_return;
     }
-    reload("signal");
+    settings_fault_.clear();  // Who sends the signal looks for the outcome in the log.
+    if (auto text = read_settings_text()) {
+      reload(*text, "signal");
+    }
   }
 }
 
--- a/birchlever_daemon/gateway_flags.cpp
+++ b/birchlever_daemon/gateway_flags.cpp
@@ -4,8 +4,6 @@
 
 #include <cstdlib>
 
-#include "birchlever_daemon/settings_file.h"
-
 DECLARE_string(vm_id);
 DECLARE_string(data_hall);
 DECLARE_string(store_address);
@@ -22,13 +20,8 @@
 namespace birchlever {
 namespace {
 
-auto take_file(const std::string& file, std::vector<setting_error>& faults) -> void {
-  auto text = read_settings_file(file);
-  if (!ok(text)) {
-    faults.push_back({"settings file", file, failure(text).detail_});
-    return;
-  }
-  if (!gflags::ReadFlagsFromString(value(text), "birchlever", false)) {
+auto take_file(const std::string& text, const std::string& file, std::vector<setting_error>& faults) -> void {
+  if (!gflags::ReadFlagsFromString(text, "birchlever", false)) {
     faults.push_back(
         {"settings file", file, "holds a line that is no setting, or a value that does not fit"});
   }
@@ -52,9 +45,10 @@
   }
 }
 
-auto read_gateway_settings(const std::string& file, std::vector<setting_error>& faults) -> gateway_settings {
-  if (!file.empty()) {
-    take_file(file, faults);
+auto read_gateway_settings(const std::string& text, const std::string& file,
+                           std::vector<setting_error>& faults) -> gateway_settings {
+  if (!text.empty()) {
+    take_file(text, file, faults);
   }
   auto settings = gateway_settings{};
 #define TAKE(name)                      \
--- a/birchlever_daemon/gateway_flags.h
+++ b/birchlever_daemon/gateway_flags.h
@@ -8,10 +8,11 @@
 
 namespace birchlever {
 
-/// The settings as flags, environment and, if its path is not empty, a flag file give them. The file goes
-/// first. Faults of the file and of environment variables are added; ranges are not checked here.
-[[nodiscard]] auto read_gateway_settings(const std::string& file, std::vector<setting_error>& faults)
-    -> gateway_settings;
+/// The settings as flags, environment and the text of a flag file give them; the text may be empty. The file
+/// goes first, and its path is for messages only. Faults of the text and of environment variables are added;
+/// ranges are not checked here.
+[[nodiscard]] auto read_gateway_settings(const std::string& text, const std::string& file,
+                                         std::vector<setting_error>& faults) -> gateway_settings;
 
 /// Sets a flag from its environment variable BIRCHLEVER_<NAME> unless the command line gave it.
 auto take_from_environment(const std::string& name, std::vector<setting_error>& faults) -> void;
--- a/birchlever_daemon/main.cpp
+++ b/birchlever_daemon/main.cpp
@@ -138,12 +138,13 @@
   return FLAGS_settings_file.empty() ? birchlever::platform::settings_path() : FLAGS_settings_file;
 }
 
-/// Waits until the settings file is whole.
-auto await_settings_file(birchlever::start_wait& wait) -> birchlever::start_step {
+/// Waits until the settings file is whole, and returns its text. A second reading could find another one.
+auto await_settings_file(birchlever::start_wait& wait, std::string& whole) -> birchlever::start_step {
   auto file = gateway_file();
   while (!file.empty()) {
     auto text = birchlever::read_settings_file(file);
     if (birchlever::ok(text)) {
+      whole = std::move(birchlever::value(text));
       break;
     }
     auto step = wait.after(birchlever::failure(text));
@@ -155,11 +156,12 @@
 }
 
 /// Opens a gateway as soon as its addresses are free. Null if the start failed or was given up.
-auto open_gateway(const birchlever::gateway_settings& settings, birchlever::start_wait& wait,
-                  birchlever::start_step& step) -> std::unique_ptr<birchlever::gateway_daemon> {
+auto open_gateway(const birchlever::gateway_settings& settings, const std::string& text,
+                  birchlever::start_wait& wait, birchlever::start_step& step)
+    -> std::unique_ptr<birchlever::gateway_daemon> {
   step = birchlever::start_step::retry;
   while (step == birchlever::start_step::retry) {
-    auto opened = birchlever::gateway_daemon::create(settings, gateway_file());
+    auto opened = birchlever::gateway_daemon::create(settings, gateway_file(), text);
     if (birchlever::ok(opened)) {
       wait.report_success();
       return std::move(birchlever::value(opened));
@@ -172,12 +174,13 @@
 auto gateway() -> int {
   birchlever::start_log("birchlever", birchlever::log_level::info);  // Until the settings are known.
   auto wait = birchlever::start_wait{};
-  auto step = await_settings_file(wait);
+  auto text = std::string{};
+  auto step = await_settings_file(wait, text);
   if (step != birchlever::start_step::retry) {
     return step == birchlever::start_step::stopped ? exit_good : exit_usage;
   }
   auto faults = std::vector<birchlever::setting_error>{};
-  auto settings = birchlever::read_gateway_settings(gateway_file(), faults);
+  auto settings = birchlever::read_gateway_settings(text, gateway_file(), faults);
   auto more = birchlever::check_settings(settings);
   faults.insert(faults.end(), more.begin(), more.end());
   if (!faults.empty()) {
@@ -185,7 +188,7 @@
   }
   birchlever::start_log(settings.vm_id_.empty() ? "birchlever" : settings.vm_id_,
                         birchlever::level_of(settings.log_level_));
-  auto running = open_gateway(settings, wait, step);
+  auto running = open_gateway(settings, text, wait, step);
   if (!running) {
     return step == birchlever::start_step::stopped ? exit_good : exit_usage;
   }
@@ -197,7 +200,14 @@
 
 auto check_gateway_config() -> int {
   auto faults = std::vector<birchlever::setting_error>{};
-  auto more = birchlever::check_settings(birchlever::read_gateway_settings(gateway_file(), faults));
+  auto file = gateway_file();
+  auto text =
+      file.empty() ? birchlever::result<std::string>{std::string{}} : birchlever::read_settings_file(file);
+  if (!birchlever::ok(text)) {
+    return report({{"settings file", file, birchlever::failure(text).detail_}});
+  }
+  auto more =
+      birchlever::check_settings(birchlever::read_gateway_settings(birchlever::value(text), file, faults));
   faults.insert(faults.end(), more.begin(), more.end());
   if (!faults.empty()) {
     return report(faults);
--- a/unit_tests/daemon/gateway_process.cpp
+++ b/unit_tests/daemon/gateway_process.cpp
@@ -67,7 +67,7 @@
 }
 
 auto gateway_process::write_settings(const std::string& text) -> void {
-  auto file = std::ofstream{folder_ + "/settings.flags"};
+  auto file = std::ofstream{settings_file()};
   file << text;
 }
 
@@ -75,10 +75,14 @@
   return folder_ + "/gateway.log";
 }
 
+auto gateway_process::settings_file() const -> std::string {
+  return folder_ + "/settings.flags";
+}
+
 auto gateway_process::start(const std::vector<std::string>& wrapper) -> void {
   auto command = test_processes::process_command{"gateway " + ip_, wrapper, log_file(), {}};
   command.words_.insert(command.words_.end(),
-                        {tested_program(), "gateway", "--settings_file=" + folder_ + "/settings.flags"});
+                        {tested_program(), "gateway", "--settings_file=" + settings_file()});
   auto started = test_processes::child_process::start(command);
   REQUIRE(ok(started));
   process_ = std::move(value(started));
--- a/unit_tests/daemon/gateway_process.h
+++ b/unit_tests/daemon/gateway_process.h
@@ -41,6 +41,7 @@
 
   [[nodiscard]] auto ip() const -> const std::string& { return ip_; }
   [[nodiscard]] auto log_file() const -> std::string;
+  [[nodiscard]] auto settings_file() const -> std::string;
   [[nodiscard]] auto process() -> test_processes::child_process& { return *process_; }
 
   static constexpr auto caller_port = 8080;
--- a/unit_tests/daemon/gateway_start_test.cpp
+++ b/unit_tests/daemon/gateway_start_test.cpp
@@ -1,10 +1,13 @@
 /// Starts gateways while something that they need is not there yet.
 #include <signal.h>
+#include <sys/stat.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
 
 #include "birchlever/http/task.h"
 #include "unit_tests/daemon/gateway_process.h"
@@ -136,6 +139,57 @@
   }
 }
 
+// Guards against a second reading of the settings file that finds the part which was written since: the start
+// ended.
+TEST_CASE("a gateway starts with the settings file that it found whole") {
+  auto gateway = gateway_process{};
+  auto whole = gateway.settings();
+  auto file = gateway.settings_file();
+  std::filesystem::remove(file);
+  REQUIRE(mkfifo(file.c_str(), S_IRUSR | S_IWUSR) == 0);
+  gateway.start();
+  {
+    auto pipe = std::ofstream{file};  // Until the process has opened it, too.
+    pipe << whole;
+    auto next = std::ofstream{file + ".next"};
+    next << whole.substr(0, whole.find("--peer_ports"));
+    next.close();
+    std::filesystem::rename(file + ".next", file);
+  }
+  CHECK(gateway.await_open());
+  CHECK_FALSE(gateway.process().unasked_end());
+}
+
+// Guards against settings that are written between the reading of the file and the end of the start, and
+// never taken.
+TEST_CASE("a gateway takes settings that change while it waits for a port") {
+  auto gateway = gateway_process{};
+  auto holder = held_port{gateway.ip(), gateway_process::control_port, false};
+  gateway.start();
+  REQUIRE(gateway.await_log("start_waiting"));
+  auto settings = gateway.settings();
+  settings.insert(settings.find("--spent_memory"), "--store_retry_ms=700\n");
+  gateway.write_settings(settings);
+  holder.release();
+  REQUIRE(gateway.await_open());
+  CHECK(gateway.await_log(R"("event":"reload")", 5000));
+}
+
+// Guards against a settings file that is being written while the process runs: it was taken for a change.
+TEST_CASE("a gateway keeps its settings while the file is written again") {
+  auto gateway = gateway_process{};
+  gateway.start();
+  REQUIRE(gateway.await_open());
+  auto settings = gateway.settings();
+  gateway.write_settings(settings.substr(0, settings.find("--peer_ports")));
+  CHECK(gateway.await_log("settings_file_unusable", 5000));
+  gateway.write_settings(settings);
+  gateway.process().signal(SIGHUP);
+  CHECK(gateway.await_log(R"("cause":"signal")", 5000));
+  CHECK_FALSE(gateway.await_log(R"("cause":"file_changed")", 0));
+  CHECK_FALSE(gateway.process().unasked_end());
+}
+
 // Guards against a wait that hides a wrong setting.
 TEST_CASE("a gateway with wrong settings ends at once and names all of them") {
   auto gateway = gateway_process{};
