Reserve the standard descriptors where they are closed

Started without standard input, output and error, a gateway got their numbers for its own event and timer descriptors, and with other luck for sockets: log lines were written into them. Seen on x86-64: descriptor 1 was the event loop's eventfd, 2 its epoll. They are opened on /dev/null now, first in main, for `serve` too.

Test: out/release/unit_tests "a gateway that starts without standard descriptors opens none of its own in their place".

--- a/birchlever_daemon/main.cpp
+++ b/birchlever_daemon/main.cpp
@@ -15,6 +15,7 @@
 #include "birchlever_daemon/gateway_daemon.h"
 #include "birchlever_daemon/gateway_flags.h"
 #include "birchlever_daemon/operator_client.h"
+#include "birchlever_daemon/process_descriptors.h"
 #include "birchlever_daemon/process_memory.h"
 #include "birchlever_daemon/process_signals.h"
 #include "birchlever_daemon/settings_file.h"
@@ -263,6 +264,7 @@
 auto main(int argc, char** argv) -> int {
   auto command = argc > 1 ? std::string{argv[1]} : std::string{};
   if (command == "serve" || command == "gateway") {
+    birchlever::reserve_standard_descriptors();
     birchlever::prepare_signals();
     birchlever::report_fatal_signals();
     birchlever::return_large_blocks();
