Limit accepted connections by descriptors and memory, closing the longest idle

Callers saw no answer for up to 15 s, and neither the readiness check, nor the metrics page, nor the store got through, while idle connections held all descriptors of a gateway: nothing limited them but the system, and nothing was kept for the daemon's own calls. Seen on x86-64 with a limit of 256 descriptors and 400 idle callers; 757 lines accept_failed. And each idle connection kept the buffer of its last request: 7,900 of them took 111 MB after requests of 6 KB (12 KB each), more than machines of 88 MB have. The class: a limit for what requests hold, none for what connections hold between them.

Accepted connections now have one limit on all three ports: half of the descriptors, less those kept for the store and files, and as many as fit into the memory kept for idle ones. Beyond it the connection that has been idle for longest is closed; a connection with a request under way never is. If none is idle, callers wait to be accepted. The soft limit is raised to `max_descriptors` (new setting, from limits.max_fds) or the hard limit. An idle connection returns its buffer. accept_failed is logged once in 5 s, with the number of failures. New gauges: accepted_connections, accepted_connections_limit, idle_connections_closed.

--- a/birchlever/gateway/gateway_context.h
+++ b/birchlever/gateway/gateway_context.h
@@ -12,6 +12,7 @@
 
 class allotment_policy;
 class configuration_freshness;
+class connection_limit;
 class connection_pool;
 class crash_guard;
 class memory_budget;
@@ -55,6 +56,7 @@
   std::shared_ptr<metrics> metrics_;
   std::shared_ptr<memory_budget>
       memory_;  ///< Limits what is held for callers. Set by gateway_server if null.
+  std::shared_ptr<connection_limit> connections_;  ///< Of accepted ones. Set by gateway_server if null.
   std::shared_ptr<const serving_configuration> configuration_;  ///< Null until the first one is loaded.
   std::string engine_policy_;                                   ///< Name of the policy that selects engines.
   std::string service_policy_;  ///< Name of the policy that selects other upstreams.
--- a/birchlever/gateway/gateway_server.cpp
+++ b/birchlever/gateway/gateway_server.cpp
@@ -8,6 +8,7 @@
 #include "birchlever/gateway/route_filter.h"
 #include "birchlever/gateway/turn_filter.h"
 #include "birchlever/gateway/upstream_dispatch.h"
+#include "birchlever/http/connection_limit.h"
 #include "birchlever/telemetry/log.h"
 #include "birchlever/telemetry/metrics.h"
 
@@ -56,6 +57,9 @@
   if (!context_->memory_) {
     context_->memory_ = memory_budget::create();
   }
+  if (!context_->connections_) {
+    context_->connections_ = std::make_shared<connection_limit>();
+  }
   filters_.push_back(std::make_unique<route_filter>(context_));
   filters_.push_back(std::make_unique<account_filter>(context_));
   filters_.push_back(std::make_unique<crash_filter>(context_));
@@ -68,9 +72,9 @@
 auto gateway_server::create(std::shared_ptr<gateway_context> context, const std::string& address)
     -> result<std::shared_ptr<gateway_server>> {
   auto server = std::shared_ptr<gateway_server>{new gateway_server{std::move(context)}};
-  auto listening = http_listener::create(*server->context_->loop_, address, [server](auto connection) {
-    return server->serve(std::move(connection));
-  });
+  auto serve = [server](auto connection) { return server->serve(std::move(connection)); };
+  auto has_room = [limit = server->context_->connections_] { return limit->has_room(); };
+  auto listening = http_listener::create(*server->context_->loop_, address, std::move(serve), has_room);
   if (!ok(listening)) {
     return failure(listening);
   }
@@ -87,6 +91,7 @@
 
 auto gateway_server::serve(std::shared_ptr<server_connection> connection) -> task<> {
   connections_.insert(connection);
+  context_->connections_->add(connection);
   try {
     co_await serve_requests(connection);
   } catch (const std::exception& fault) {
@@ -94,12 +99,14 @@
     context_->metrics_->count("program_faults_total");
     connection->close();
   }
+  context_->connections_->remove(connection);
   connections_.erase(connection);
 }
 
 auto gateway_server::serve_requests(std::shared_ptr<server_connection> connection) -> task<> {
   auto keep_open = true;
   while (keep_open) {
+    context_->connections_->set_waiting(connection);
     auto limits = context_->configuration_ ? context_->configuration_->limits_ : request_limits{};
     auto read = co_await connection->read_request(limits, context_->memory_);
     if (auto* fault = std::get_if<read_fault>(&read)) {
--- a/birchlever/http/http_listener.cpp
+++ b/birchlever/http/http_listener.cpp
@@ -1,6 +1,7 @@
 #include "birchlever/http/http_listener.h"
 
 #include "birchlever/http/bind_failure.h"
+#include "birchlever/http/connection_limit.h"
 #include "birchlever/telemetry/log.h"
 
 namespace birchlever {
@@ -8,6 +9,8 @@
 
 constexpr auto backlog = 1024;
 constexpr auto accept_pause = milliseconds{50};  // When descriptors run out; some are free again by then.
+constexpr auto room_check_gap = milliseconds{10};
+constexpr auto report_gap = milliseconds{5000};
 constexpr auto highest_port = std::int64_t{65535};
 
 }  // namespace
@@ -24,16 +27,16 @@
   return asio::ip::tcp::endpoint{ip, static_cast<unsigned short>(port)};
 }
 
-http_listener::http_listener(event_loop& loop, serve_function serve)
-    : loop_{&loop}, acceptor_{loop}, serve_{std::move(serve)} {}
+http_listener::http_listener(event_loop& loop, serve_function serve, std::function<bool()> has_room)
+    : loop_{&loop}, acceptor_{loop}, serve_{std::move(serve)}, has_room_{std::move(has_room)} {}
 
-auto http_listener::create(event_loop& loop, const std::string& address, serve_function serve)
-    -> result<std::shared_ptr<http_listener>> {
+auto http_listener::create(event_loop& loop, const std::string& address, serve_function serve,
+                           std::function<bool()> has_room) -> result<std::shared_ptr<http_listener>> {
   auto parsed = parse_address(address);
   if (!ok(parsed)) {
     return failure(parsed);
   }
-  auto made = std::shared_ptr<http_listener>{new http_listener{loop, std::move(serve)}};
+  auto made = std::shared_ptr<http_listener>{new http_listener{loop, std::move(serve), std::move(has_room)}};
   auto code = boost::system::error_code{};
   made->acceptor_.open(value(parsed).protocol(), code);
   if (!code) {
@@ -58,9 +61,26 @@
   acceptor_.close(ignored);
 }
 
+auto http_listener::wait_for_room() -> task<> {
+  while (!stopped_ && has_room_ && !has_room_()) {
+    co_await pause_for(*loop_, room_check_gap);
+  }
+}
+
+auto http_listener::log_failed_accept(const boost::system::error_code& code) -> void {
+  ++failed_accepts_;
+  if (clock_.now() < next_report_at_) {
+    return;
+  }
+  next_report_at_ = clock_.now() + report_gap;
+  log_event(log_level::warning, "accept_failed",
+            {{"detail", code.message()}, {"failures", std::exchange(failed_accepts_, 0)}});
+}
+
 auto http_listener::accept_all() -> task<> {
   auto self = shared_from_this();
   while (!stopped_) {
+    co_await wait_for_room();
     auto code = boost::system::error_code{};
     auto socket = asio::ip::tcp::socket{*loop_};
     co_await acceptor_.async_accept(socket, resume_with(code));
@@ -68,7 +88,7 @@
       co_return;
     }
     if (code) {
-      log_event(log_level::warning, "accept_failed", {{"detail", code.message()}});
+      log_failed_accept(code);
       co_await pause_for(*loop_, accept_pause);
       continue;
     }
@@ -78,9 +98,28 @@
 
 namespace {
 
+/// Counts a connection towards a limit for as long as it is served.
+class counted_connection {
+ public:
+  counted_connection(std::shared_ptr<connection_limit> limit, std::shared_ptr<server_connection> connection)
+      : limit_{std::move(limit)}, connection_{std::move(connection)} {
+    limit_->add(connection_);
+  }
+  ~counted_connection() { limit_->remove(connection_); }
+  counted_connection(const counted_connection&) = delete;
+  auto operator=(const counted_connection&) -> counted_connection& = delete;
+
+ private:
+  std::shared_ptr<connection_limit> limit_;
+  std::shared_ptr<server_connection> connection_;
+};
+
 auto serve_pages_on(page_function page, std::shared_ptr<memory_budget> budget,
-                    std::shared_ptr<server_connection> connection) -> task<> {
+                    std::shared_ptr<connection_limit> limit, std::shared_ptr<server_connection> connection)
+    -> task<> {
+  auto counted = counted_connection{limit, connection};
   while (true) {
+    limit->set_waiting(connection);
     auto limits = request_limits{};
     auto read = co_await connection->read_request(limits, budget);
     auto* request = std::get_if<http_request>(&read);
@@ -100,9 +139,14 @@
 
 }  // namespace
 
-auto serve_pages(page_function page, std::shared_ptr<memory_budget> budget) -> http_listener::serve_function {
-  return [page = std::move(page), budget = std::move(budget)](std::shared_ptr<server_connection> connection) {
-    return serve_pages_on(page, budget, std::move(connection));
+auto serve_pages(page_function page, std::shared_ptr<memory_budget> budget,
+                 std::shared_ptr<connection_limit> limit) -> http_listener::serve_function {
+  if (!limit) {
+    limit = std::make_shared<connection_limit>();
+  }
+  return [page = std::move(page), budget = std::move(budget),
+          limit = std::move(limit)](std::shared_ptr<server_connection> connection) {
+    return serve_pages_on(page, budget, limit, std::move(connection));
   };
 }
 
--- a/birchlever/http/server_connection.cpp
+++ b/birchlever/http/server_connection.cpp
@@ -13,7 +13,6 @@
 
 constexpr auto read_size = std::size_t{8192};             // A usual request fits one read.
 constexpr auto read_ahead_limit = std::size_t{65536};     // Of bytes behind the request under way.
-constexpr auto max_idle_buffer = std::size_t{16384};      // Kept by a connection between requests.
 constexpr auto linger_limit = milliseconds{1000};         // A peer that still sends gets the answer by then.
 constexpr auto peer_silence_limit = milliseconds{10000};  // Unacknowledged bytes for so long: peer is lost.
 
@@ -160,8 +159,8 @@
   }
   auto read = co_await read_message(limits, claim.get());
   reading_ = false;
-  if (buffer_.size() == 0 && buffer_.capacity() > max_idle_buffer) {
-    buffer_.shrink_to_fit();
+  if (buffer_.size() == 0) {
+    buffer_.shrink_to_fit();  // Thousands of connections may be idle.
   }
   co_return read;
 }
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -9,10 +9,12 @@
 #include "birchlever/core/hashing.h"
 #include "birchlever/core/memory_budget.h"
 #include "birchlever/gateway/configuration_freshness.h"
+#include "birchlever/http/connection_limit.h"
 #include "birchlever/http/connection_pool.h"
 #include "birchlever/policy/policy_registry.h"
 #include "birchlever/telemetry/log.h"
 #include "birchlever/telemetry/metrics.h"
+#include "birchlever_daemon/process_descriptors.h"
 #include "birchlever_daemon/process_memory.h"
 #include "platform/decode.h"
 #include "platform/header_dialect.h"
@@ -115,6 +117,7 @@
   context_->policies_ = std::make_shared<policy_registry>();
   context_->metrics_ = std::make_shared<metrics>();
   context_->memory_ = memory_budget::create(memory_for_callers(settings_.memory_mb_));
+  limit_connections();
   context_->engine_policy_ = engine_policy_name;
   context_->service_policy_ = service_policy_name;
   context_->program_affinity_ = settings_.home_upstreams_ != 0;
@@ -143,6 +146,12 @@
   return success;
 }
 
+auto gateway_daemon::limit_connections() -> void {
+  auto descriptors = raise_descriptor_limit(settings_.max_descriptors_);
+  auto most = std::min(connections_for_callers(descriptors), connections_within_memory(settings_.memory_mb_));
+  context_->connections_ = std::make_shared<connection_limit>(most);
+}
+
 auto gateway_daemon::load_policies() -> status {
   auto engines = parse_policy(settings_.engine_policy_);
   auto services = parse_policy(settings_.service_policy_);
@@ -160,8 +169,8 @@
 auto gateway_daemon::open_ports() -> status {
   auto readiness = http_listener::create(
       loop_, settings_.readiness_address_,
-      serve_pages([this](const http_request& request) { return readiness_page(request); },
-                  context_->memory_));
+      serve_pages([this](const http_request& request) { return readiness_page(request); }, context_->memory_,
+                  context_->connections_));
   if (!ok(readiness)) {
     return failure(readiness);
   }
@@ -174,9 +183,10 @@
   if (settings_.control_address_.empty()) {
     return success;
   }
-  auto control = http_listener::create(
-      loop_, settings_.control_address_,
-      serve_pages([this](const http_request& request) { return control_page(request); }, context_->memory_));
+  auto control =
+      http_listener::create(loop_, settings_.control_address_,
+                            serve_pages([this](const http_request& request) { return control_page(request); },
+                                        context_->memory_, context_->connections_));
   if (!ok(control)) {
     return failure(control);
   }
--- a/birchlever_daemon/gateway_daemon.h
+++ b/birchlever_daemon/gateway_daemon.h
@@ -50,6 +50,7 @@
   auto open() -> status;
   auto open_ports() -> status;
   auto load_policies() -> status;
+  auto limit_connections() -> void;
   auto follow_store() -> void;
   auto take_configuration(const stored_row& row) -> void;
   auto take_closures(const std::vector<stored_row>& rows, bool whole_table) -> void;
--- a/birchlever_daemon/gateway_daemon_pages.cpp
+++ b/birchlever_daemon/gateway_daemon_pages.cpp
@@ -9,6 +9,7 @@
 #include "birchlever/core/memory_budget.h"
 #include "birchlever/gateway/configuration_freshness.h"
 #include "birchlever/gateway/crash_guard.h"
+#include "birchlever/http/connection_limit.h"
 #include "birchlever/http/connection_pool.h"
 #include "birchlever/telemetry/log.h"
 #include "birchlever/telemetry/metrics.h"
@@ -83,6 +84,9 @@
   counters.gauge("crash_limit", context_->crash_guard_->max_crashes());
   counters.gauge("peer_contact", static_cast<double>(contact_with_peers()));
   counters.gauge("caller_connections", static_cast<double>(server_->connections()));
+  counters.gauge("accepted_connections", static_cast<double>(context_->connections_->open()));
+  counters.gauge("accepted_connections_limit", static_cast<double>(context_->connections_->most()));
+  counters.gauge("idle_connections_closed", static_cast<double>(context_->connections_->closed()));
   const auto& usage = store_->usage();
   counters.gauge("store_calls", static_cast<double>(usage.calls()));
   counters.gauge("store_calls_by_kind{kind=\"transaction\"}", static_cast<double>(usage.transactions_));
--- a/birchlever_daemon/gateway_daemon_run.cpp
+++ b/birchlever_daemon/gateway_daemon_run.cpp
@@ -72,7 +72,8 @@
       fresh.readiness_address_ != settings_.readiness_address_ ||
       fresh.store_address_ != settings_.store_address_ || fresh.spent_memory_ != settings_.spent_memory_ ||
       fresh.admission_ != settings_.admission_ || fresh.learn_speeds_ != settings_.learn_speeds_ ||
-      fresh.store_breaker_ != settings_.store_breaker_ || fresh.memory_mb_ != settings_.memory_mb_;
+      fresh.store_breaker_ != settings_.store_breaker_ || fresh.memory_mb_ != settings_.memory_mb_ ||
+      fresh.max_descriptors_ != settings_.max_descriptors_;
   settings_ = fresh;
   set_log_level(level_of(fresh.log_level_));
   auto loaded = load_policies();
--- a/birchlever_daemon/process_memory.cpp
+++ b/birchlever_daemon/process_memory.cpp
@@ -8,12 +8,15 @@
 #include <fstream>
 
 #include "birchlever/core/memory_budget.h"
+#include "birchlever/http/connection_limit.h"
 
 namespace birchlever {
 namespace {
 
 constexpr auto large_block = 256 * 1024;          // Bytes; allocated and returned on their own from there on.
 constexpr auto own_memory_mb = std::int64_t{48};  // Code, caches, idle connections.
+constexpr auto memory_for_connections = std::size_t{20U << 20U};  // Of its own memory.
+constexpr auto idle_connection_bytes = std::size_t{5U << 10U};    // Coroutine frames, timers, the socket.
 constexpr auto least_for_callers = std::size_t{8U << 20U};
 constexpr auto bytes_per_mb = std::size_t{1U << 20U};
 
@@ -32,6 +35,10 @@
   return std::max(available * bytes_per_mb / 2, least_for_callers);
 }
 
+auto connections_within_memory(std::int64_t memory_mb) -> std::size_t {
+  return memory_mb == 0 ? connection_limit::unlimited : memory_for_connections / idle_connection_bytes;
+}
+
 auto resident_bytes() -> std::size_t {
   auto file = std::ifstream{"/proc/self/statm"};
   auto total_pages = std::size_t{0};
--- a/birchlever_daemon/process_memory.h
+++ b/birchlever_daemon/process_memory.h
@@ -15,6 +15,9 @@
 /// unknown.
 [[nodiscard]] auto memory_for_callers(std::int64_t memory_mb) -> std::size_t;
 
+/// Returns how many idle connections fit into what such a process keeps for itself.
+[[nodiscard]] auto connections_within_memory(std::int64_t memory_mb) -> std::size_t;
+
 /// Returns the resident memory in bytes; 0 if the system does not tell.
 [[nodiscard]] auto resident_bytes() -> std::size_t;
 
