Claim the memory of a turn's history before it is read

A gateway went over its memory, which ends the process: on x86-64, 40 programs with histories of 2 to 2.8 MB that went on at once took 145 MB of 120 with a warm gateway and 165 MB after it had been killed and started again.

A turn that goes on now claims the memory of its history first, by the size of the cached history or by an estimate, the largest size seen lately (a page of the store until one is known), and waits for room as responses do: the oldest one may go on beyond the limit, so that something always does. Where there is no room by the time the turn may be held, it is refused with 503 memory_exhausted before anything is reserved.

--- a/birchlever/coordination/program_store.cpp
+++ b/birchlever/coordination/program_store.cpp
@@ -135,6 +135,9 @@
     grant.prompt_ += (*turn)->input_;
     grant.prompt_ += (*turn)->output_;
   }
+  if (!turns.empty()) {
+    history_bytes_.record(grant.prompt_.size(), clock_.now());
+  }
   grant.prompt_ += order.input_;
   if (!turns.empty()) {
     grant.last_upstream_ = turns.front()->upstream_;
--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "birchlever/coordination/budget_peers.h"
+#include "birchlever/coordination/history_estimate.h"
 #include "birchlever/coordination/lease_book.h"
 #include "birchlever/coordination/program_keys.h"
 #include "birchlever/coordination/program_record.h"
@@ -205,6 +206,10 @@
   /// Returns the number of leases whose use is remembered.
   [[nodiscard]] auto remembered_leases() const -> std::size_t { return leases_.size(); }
 
+  /// Returns the size in bytes of the history that ends with a turn: the actual one if it is cached, else an
+  /// estimate.
+  [[nodiscard]] auto expected_history(const scoped_name& turn) const -> std::size_t;
+
   /// Returns the size of the cached histories in bytes.
   [[nodiscard]] auto cached_bytes() const -> std::size_t { return cached_bytes_; }
 
@@ -382,6 +387,7 @@
   std::int64_t draws_ = 0;   ///< Number of draws made; part of their names.
   std::minstd_rand random_;  ///< For jitter.
   std::size_t cached_bytes_ = 0;
+  history_estimate history_bytes_;
   spent_programs spent_;
   lease_book leases_;
   bool leasing_ = true;  ///< False once the daemon stops.
--- a/birchlever/coordination/program_store_read.cpp
+++ b/birchlever/coordination/program_store_read.cpp
@@ -54,6 +54,19 @@
   return entries_.at(turn_program->second)->turns_.at(turn);
 }
 
+auto program_store::expected_history(const scoped_name& turn) const -> std::size_t {
+  auto bytes = std::size_t{0};
+  for (auto next = turn.name_; !next.empty();) {
+    auto record = cached(key_name(scoped_name{turn.account_, next}));
+    if (!record) {
+      return std::max(bytes, history_bytes_.expected(clock_.now()));
+    }
+    bytes += bytes_of(*record);
+    next = record->previous_;
+  }
+  return bytes;
+}
+
 auto program_store::apply_rows(entry& program, const std::vector<stored_row>& rows) -> status {
   auto prefix = turns_prefix(program.name_);
   auto pieces = std::map<std::string, std::string>{};
--- a/birchlever/core/memory_budget.cpp
+++ b/birchlever/core/memory_budget.cpp
@@ -20,6 +20,10 @@
   return made;
 }
 
+auto memory_budget::has_room_for(const memory_claim& claim, std::size_t bytes) const -> bool {
+  return held_ - claim.bytes_ + bytes <= limit_;
+}
+
 auto memory_budget::may_exceed(const memory_claim& claim) const -> bool {
   return !waiting_.empty() && *waiting_.begin() == claim.number_;
 }
--- a/birchlever/core/memory_budget.h
+++ b/birchlever/core/memory_budget.h
@@ -30,6 +30,9 @@
   /// True while no more than the limit is held.
   [[nodiscard]] auto has_room() const -> bool { return held_ <= limit_; }
 
+  /// True if a claim can grow to `bytes` within the limit.
+  [[nodiscard]] auto has_room_for(const memory_claim& claim, std::size_t bytes) const -> bool;
+
   /// True if the claim is the oldest one of those that wait for room: it may go on beyond the limit, so that
   /// something always does.
   [[nodiscard]] auto may_exceed(const memory_claim& claim) const -> bool;
--- a/birchlever/gateway/gateway_context.cpp
+++ b/birchlever/gateway/gateway_context.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdio>
 
+#include "birchlever/core/memory_budget.h"
 #include "birchlever/telemetry/log.h"
 #include "birchlever/telemetry/metrics.h"
 
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr auto ms_per_second = 1000.0;
+constexpr auto memory_retry_ms = milliseconds{1000};  // Requests that hold memory end within seconds.
 
 }  // namespace
 
@@ -49,4 +51,12 @@
   co_await request.connection_->write(std::move(response));
 }
 
+auto refuse_for_memory(gateway_context& context, gateway_request& request) -> task<> {
+  auto reason = error{error_code::memory_exhausted,
+                      "the daemon is out of memory for requests: " + std::to_string(context.memory_->held()) +
+                          " of " + std::to_string(context.memory_->limit()) + " bytes"};
+  reason.retry_after_ms_ = memory_retry_ms;
+  co_await refuse(context, request, reason);
+}
+
 }  // namespace birchlever
--- a/birchlever/gateway/gateway_context.h
+++ b/birchlever/gateway/gateway_context.h
@@ -82,4 +82,7 @@
 /// Responds with an error. The response says whether the request ran and when it may be retried.
 auto refuse(gateway_context& context, gateway_request& request, const error& reason) -> task<>;
 
+/// Refuses a request that does not fit into the memory that the process may use for callers.
+auto refuse_for_memory(gateway_context& context, gateway_request& request) -> task<>;
+
 }  // namespace birchlever
--- a/birchlever/gateway/gateway_request.h
+++ b/birchlever/gateway/gateway_request.h
@@ -58,10 +58,16 @@
   /// Claims the memory of the request's body, of which the stored turn and the upstream get copies, and of
   /// `response_bytes` received so far.
   auto claim_memory(std::size_t response_bytes = 0) -> void {
-    constexpr auto body_copies = std::size_t{3};
     memory_->resize(body_copies * message_.body().size() + response_bytes);
   }
 
+  /// Returns the memory of a request whose body is `history` bytes longer once the history is added.
+  [[nodiscard]] auto memory_with_history(std::size_t history) const -> std::size_t {
+    return body_copies * (message_.body().size() + history) + history;  // The cache holds one more.
+  }
+
+  static constexpr auto body_copies = std::size_t{3};
+
   /// Returns the name of the caller's account, or an empty string.
   [[nodiscard]] auto account_name() const -> std::string {
     return account_ == nullptr ? std::string{} : account_->name_;
--- a/birchlever/gateway/gateway_server.cpp
+++ b/birchlever/gateway/gateway_server.cpp
@@ -132,7 +132,7 @@
   if (context_->memory_->has_room()) {
     co_await run_filters(0, request);
   } else {
-    co_await refuse_for_memory(request);
+    co_await refuse_for_memory(*context_, request);
   }
   if (request.account_ != nullptr) {
     context_->usage_.record(request.account_->name_, request.final_status_);
@@ -143,15 +143,6 @@
   co_return request.keep_alive_;
 }
 
-auto gateway_server::refuse_for_memory(gateway_request& request) -> task<> {
-  auto reason =
-      error{error_code::memory_exhausted,
-            "the daemon is out of memory for requests: " + std::to_string(context_->memory_->held()) +
-                " of " + std::to_string(context_->memory_->limit()) + " bytes"};
-  reason.retry_after_ms_ = memory_retry_ms;
-  co_await refuse(*context_, request, reason);
-}
-
 auto gateway_server::run_filters(std::size_t index, gateway_request& request) -> task<> {
   if (index >= filters_.size()) {
     co_return;
--- a/birchlever/gateway/gateway_server.h
+++ b/birchlever/gateway/gateway_server.h
@@ -33,8 +33,6 @@
   auto serve_requests(std::shared_ptr<server_connection> connection) -> task<>;
   auto handle(std::shared_ptr<server_connection> connection, http_request message) -> task<bool>;
   auto run_filters(std::size_t index, gateway_request& request) -> task<>;
-  /// Rejects a request that does not fit into the memory that the process may use for callers.
-  auto refuse_for_memory(gateway_request& request) -> task<>;
   auto reject_unreadable(server_connection& connection, read_fault fault) -> task<>;
 
   std::shared_ptr<gateway_context> context_;
--- a/birchlever/gateway/turn_filter.cpp
+++ b/birchlever/gateway/turn_filter.cpp
@@ -1,6 +1,7 @@
 #include "birchlever/gateway/turn_filter.h"
 
 #include "birchlever/coordination/program_store.h"
+#include "birchlever/core/memory_budget.h"
 #include "birchlever/gateway/hold_limit.h"
 #include "birchlever/telemetry/log.h"
 #include "birchlever/telemetry/metrics.h"
@@ -53,6 +54,14 @@
     co_return;
   }
   auto program = program_of(request);
+  auto hold_until =
+      request.received_at_ + max_stream_hold(request, context_->freshness_limits_.min_stream_hold_ms_);
+  auto previous_turn = scoped_name{program.account_, request.metadata_.previous_turn_};
+  auto claimed = co_await claim_history(request, previous_turn, std::min(hold_until, request.deadline_));
+  if (!claimed) {
+    co_await refuse_for_memory(*context_, request);
+    co_return;
+  }
   auto order = turn_request{program,
                             request.metadata_.request_id_,
                             request.metadata_.previous_turn_,
@@ -61,8 +70,6 @@
                             request.message_.body()};
   auto input = request.message_.body();
   auto started_at = context_->clock_.now();
-  auto hold_until =
-      request.received_at_ + max_stream_hold(request, context_->freshness_limits_.min_stream_hold_ms_);
   order.max_wait_ = std::max<milliseconds>(hold_until - started_at, 0);
   order.overdue_ = request.metadata_.program_time_left_ && *request.metadata_.program_time_left_ <= 0;
   auto granted = co_await context_->programs_->begin_turn(std::move(order), request.deadline_ - started_at);
@@ -90,6 +97,27 @@
   }
 }
 
+auto turn_filter::claim_history(gateway_request& request, const scoped_name& previous_turn,
+                                milliseconds wait_until) -> task<bool> {
+  constexpr auto check_gap = milliseconds{10};
+  auto& budget = *context_->memory_;
+  auto& claim = *request.memory_;
+  while (!previous_turn.name_.empty()) {
+    auto bytes = request.memory_with_history(context_->programs_->expected_history(previous_turn));
+    if (budget.has_room_for(claim, bytes) || budget.may_exceed(claim)) {
+      claim.resize(bytes);
+      break;
+    }
+    if (context_->clock_.now() >= wait_until || request.connection_->gone()) {
+      co_return false;
+    }
+    claim.wait_for_room();
+    co_await pause_for(*context_->loop_, check_gap);
+    budget.make_room();
+  }
+  co_return true;
+}
+
 auto turn_filter::run_without_history(gateway_request& request, next_filter next) -> task<> {
   if (!request.metadata_.budget_) {
     co_await next(request);
--- a/birchlever/gateway/turn_filter.h
+++ b/birchlever/gateway/turn_filter.h
@@ -20,6 +20,10 @@
   auto apply(gateway_request& request, next_filter next) -> task<> override;
 
  private:
+  /// Claims the memory of a turn before its history is read, and waits for room until `wait_until`. Returns
+  /// false if there is none by then.
+  auto claim_history(gateway_request& request, const scoped_name& previous_turn, milliseconds wait_until)
+      -> task<bool>;
   auto run_without_history(gateway_request& request, next_filter next) -> task<>;
   auto store_response(gateway_request& request, const scoped_name& program, turn_record record) -> task<bool>;
   auto settle_interrupted(gateway_request& request, const scoped_name& program) -> void;
