Wait at a start that is short of descriptors, instead of an abort

With 5 to 8 descriptors, as where the file table of a machine is full for a moment, a gateway ended by SIGABRT: the event loop's constructor throws, which nothing caught, while the same shortage at a port is waited out. Class: a passing condition taken for a permanent one. It is reported as address_unavailable now, so the start waits for it like for a held port.

--- a/birchlever/http/bind_failure.cpp
+++ b/birchlever/http/bind_failure.cpp
@@ -26,11 +26,15 @@
 
 }  // namespace
 
-auto bind_failure(const std::string& address, const boost::system::error_code& code) -> error {
+auto open_failure(const std::string& what, const boost::system::error_code& code) -> error {
   auto may_pass =
       std::find(passing_errors.begin(), passing_errors.end(), code.value()) != passing_errors.end();
   return error{may_pass ? error_code::address_unavailable : error_code::invalid_setting,
-               "can't bind " + address + ": " + code.message()};
+               "can't open " + what + ": " + code.message()};
+}
+
+auto bind_failure(const std::string& address, const boost::system::error_code& code) -> error {
+  return open_failure("address " + address, code);
 }
 
 auto check_bindable(const asio::ip::tcp::endpoint& address) -> status {
--- a/birchlever_daemon/gateway_daemon.cpp
+++ b/birchlever_daemon/gateway_daemon.cpp
@@ -9,6 +9,7 @@
 #include "birchlever/core/hashing.h"
 #include "birchlever/core/memory_budget.h"
 #include "birchlever/gateway/configuration_freshness.h"
+#include "birchlever/http/bind_failure.h"
 #include "birchlever/http/connection_limit.h"
 #include "birchlever/http/connection_pool.h"
 #include "birchlever/policy/policy_registry.h"
@@ -62,12 +63,16 @@
 
 auto gateway_daemon::create(const gateway_settings& settings, const std::string& settings_file,
                             const std::string& settings_text) -> result<std::unique_ptr<gateway_daemon>> {
-  auto made = std::unique_ptr<gateway_daemon>{new gateway_daemon{settings, settings_file, settings_text}};
-  auto opened = made->open();
-  if (!ok(opened)) {
-    return failure(opened);
+  try {
+    auto made = std::unique_ptr<gateway_daemon>{new gateway_daemon{settings, settings_file, settings_text}};
+    auto opened = made->open();
+    if (!ok(opened)) {
+      return failure(opened);
+    }
+    return made;
+  } catch (const boost::system::system_error& fault) {
+    return open_failure("the event loop", fault.code());
   }
-  return made;
 }
 
 auto gateway_daemon::open() -> status {
--- a/unit_tests/daemon/gateway_start_test.cpp
+++ b/unit_tests/daemon/gateway_start_test.cpp
@@ -1,5 +1,6 @@
 /// Starts gateways while something that they need is not there yet.
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -102,6 +103,23 @@
   }
 }
 
+// Guards against a start that ends by SIGABRT because the system is short of descriptors for its event loop.
+TEST_CASE("a gateway waits for descriptors at its start") {
+  for (auto descriptors : {4, 5, 6, 7, 8}) {
+    INFO(descriptors << " descriptors");
+    auto gateway = gateway_process{};
+    gateway.start({"/bin/sh", "-c", "ulimit -Sn " + std::to_string(descriptors) + "; exec \"$@\"", "sh"});
+    CHECK(gateway.await_log("start_waiting"));
+    CHECK_FALSE(gateway.process().poll());
+    auto limit = rlimit{};
+    REQUIRE(prlimit(gateway.process().pid(), RLIMIT_NOFILE, nullptr, &limit) == 0);
+    limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, 256);
+    REQUIRE(prlimit(gateway.process().pid(), RLIMIT_NOFILE, &limit, nullptr) == 0);
+    CHECK(gateway.await_open());
+    CHECK_FALSE(gateway.process().unasked_end());
+  }
+}
+
 // Guards against a start that ends because its address is not configured yet, and against a wait that can't
 // be ended.
 TEST_CASE("a gateway that waits for its address stops when it is asked to") {
