Do not let a late report of a previous owner cancel the call's own attempt

A report "not run" of an attempt that a previous owner had issued cancelled whatever attempt the call had by now: a repeatable call's one was forgotten while it ran, so a duplicate ran beside it, and the call was read after it had been freed, which can end the daemon.

Only an attempt of this owner is cancelled now; one of a previous owner voids the call if it is unresolved, as before.

--- a/birchlever/coordination/program_ledger_settle.cpp
+++ b/birchlever/coordination/program_ledger_settle.cpp
@@ -128,11 +128,13 @@
     }
     return decision;
   }
-  if (report.outcome_ == call_outcome::not_run) {
+  if (report.outcome_ == call_outcome::not_run && report.epoch_ == epoch_) {
     decision.records_ = cancel(report.account_, report.program_, report.number_);
-    auto orphaned = report.epoch_ != epoch_ && known != owner->calls_.end() &&
-                    known->second.phase_ == call_phase::unresolved;
-    if (orphaned) {
+    return decision;
+  }
+  if (report.outcome_ == call_outcome::not_run) {
+    // An attempt of a previous owner. The call may have one of this owner by now, which goes on.
+    if (known != owner->calls_.end() && known->second.phase_ == call_phase::unresolved) {
       auto record = charged_record(*owner, report, 0);
       record.kind_ = record_kind::call_voided;
       decision.records_.push_back(std::move(record));
--- a/unit_tests/coordination/program_ledger_test.cpp
+++ b/unit_tests/coordination/program_ledger_test.cpp
@@ -213,6 +213,28 @@
   CHECK(std::holds_alternative<open_proceed>(next.ledger_.open(order_of(1), "default", 0)));
 }
 
+// Guards against a late report of another owner's attempt that cancels the call's own one, which was read
+// after it was freed: a duplicate of the call then ran beside it.
+TEST_CASE("a late report of a previous owner's attempt does not cancel the attempt of this one") {
+  for (auto repeatable : {true, false}) {
+    auto order = order_of(2, repeatable);
+    auto first = one_owner{};
+    auto before = order_of(1);
+    first.answer(before, first.send(before));
+    auto decision = first.ledger_.open(order, "default", 0);
+    REQUIRE(std::holds_alternative<open_proceed>(decision));
+    auto lost = first.ledger_.dispatch(order, "engine-1", 0).first;  // Its intent does not become durable.
+    auto second = first.take_over(2);
+    auto ticket = second.send(order);
+    auto late = second.ledger_.settle(first.report(order, lost, call_outcome::not_run), 0);
+    REQUIRE(ok(late));
+    CHECK(value(late).records_.empty());
+    auto duplicate = second.ledger_.open(duplicate_of(order), "default", 0);
+    CHECK_FALSE(std::holds_alternative<open_proceed>(duplicate));
+    second.answer(order, ticket);
+  }
+}
+
 TEST_CASE("a gap in call numbers left by a previous owner can be filled") {
   auto owner = one_owner{};
   auto first = owner.send(order_of(1));
