Do not withhold unused leases from a program whose daemons were all killed

Cause: the row shows a lease, not its use. Holder and witness know; with both gone the lease counted as spent for good, up to three at each daemon.

Change: a program has one lease at most whose use its row does not show. Each write makes leases in use durable, as reservations of started turns. Once later incarnations respond in place of holder and witness, or two inquiries about an expired lease got no answer, a turn may be reserved beyond the budget by the tokens of that one lease. The rule allows the budget and the most of one turn.

Why it works: committed tokens exceed the budget by one lease at most, after any order of kills, since every other use is in the row before the next lease is made; and nothing but that lease can be unused without the row showing it.

Open: a turn reserved in the store whose daemon is killed before it starts.

--- a/birchlever/controllers/budget_transfer.cpp
+++ b/birchlever/controllers/budget_transfer.cpp
@@ -42,6 +42,18 @@
   return parts;
 }
 
+auto vm_of(const std::string& daemon) -> std::string {
+  return daemon.substr(0, daemon.find(incarnation_separator));
+}
+
+auto read_lease_answer(const std::optional<whole_answer>& response) -> lease_answer {
+  if (response && response->status_ == static_cast<unsigned>(http::status::gone)) {
+    return {lease_state::lost, {}};
+  }
+  auto answered = response && response->status_ == static_cast<unsigned>(http::status::ok);
+  return answered ? decode_lease_answer(response->body_) : lease_answer{};
+}
+
 auto format_response(const transferred_tokens& transferred) -> std::string {
   auto text = std::to_string(transferred.tokens_) + "\n";
   for (const auto& daemon : transferred.recipients_) {
@@ -97,7 +109,7 @@
       std::string{path} + program_key + "/" + std::to_string(tokens) + "/" + settings_.daemon_ + "/";
   auto calls = std::vector<std::pair<std::string, std::string>>{};  // Address and target.
   for (const auto& holder : holders) {
-    auto found = addresses.find(holder.substr(0, holder.find(incarnation_separator)));
+    auto found = addresses.find(vm_of(holder));
     if (found == addresses.end()) {
       query->received_.unaccounted_ = true;
     } else {
@@ -139,7 +151,10 @@
 auto budget_transfer::ask_about_lease(std::string daemon, std::string target)
     -> task<std::optional<whole_answer>> {
   auto self = shared_from_this();
-  auto vm = daemon.substr(0, daemon.find(incarnation_separator));
+  auto vm = vm_of(daemon);
+  if (vm == vm_of(settings_.daemon_) && daemon != settings_.daemon_) {
+    co_return whole_answer{static_cast<unsigned>(http::status::gone), {}};  // This daemon replaced it.
+  }
   auto addresses = addresses_();
   auto found = addresses.find(vm);
   auto unresponsive = unresponsive_until_.find(vm);
@@ -172,7 +187,7 @@
     if (!chosen) {
       return std::nullopt;
     }
-    auto unresponsive = unresponsive_until_.find(chosen->substr(0, chosen->find(incarnation_separator)));
+    auto unresponsive = unresponsive_until_.find(vm_of(*chosen));
     if (unresponsive == unresponsive_until_.end() || unresponsive->second <= clock_.now()) {
       return chosen;
     }
@@ -192,16 +207,14 @@
   auto target = std::string{lease_inquiry_path} + lease + "/" + std::to_string(keep_for) + "/" + daemon +
                 "/" + program_key;
   auto response = co_await ask_about_lease(std::move(daemon), std::move(target));
-  auto answered = response && response->status_ == static_cast<unsigned>(http::status::ok);
-  co_return answered ? decode_lease_answer(response->body_) : lease_answer{};
+  co_return read_lease_answer(response);
 }
 
 auto budget_transfer::revoke_lease(std::string lease, std::string witness, milliseconds keep_for)
     -> task<lease_answer> {
   auto target = std::string{lease_revocation_path} + lease + "/" + std::to_string(keep_for) + "/" + witness;
   auto response = co_await ask_about_lease(std::move(witness), std::move(target));
-  auto answered = response && response->status_ == static_cast<unsigned>(http::status::ok);
-  co_return answered ? decode_lease_answer(response->body_) : lease_answer{};
+  co_return read_lease_answer(response);
 }
 
 auto budget_transfer::request_allowance(std::string program_key, std::int64_t tokens) -> task<std::int64_t> {
--- a/birchlever/coordination/budget_peers.h
+++ b/birchlever/coordination/budget_peers.h
@@ -40,11 +40,13 @@
   virtual auto record_lease_use(std::string lease, std::string witness, milliseconds keep_for)
       -> task<bool> = 0;
 
-  /// Asks a daemon that holds the lease, or received it, whether it uses it. If not, it never will.
+  /// Asks a daemon that holds the lease, or received it, whether it uses it. If not, it never will. Returns
+  /// `lost` if a later incarnation of the daemon responds.
   virtual auto inquire_lease(std::string program_key, std::string lease, std::string daemon,
                              milliseconds keep_for) -> task<lease_answer> = 0;
 
-  /// Asks the witness to record no use of the lease from now on.
+  /// Asks the witness to record no use of the lease from now on. Returns `lost` if a later incarnation of the
+  /// witness responds.
   virtual auto revoke_lease(std::string lease, std::string witness, milliseconds keep_for)
       -> task<lease_answer> = 0;
 
--- a/birchlever/coordination/lease_answer.cpp
+++ b/birchlever/coordination/lease_answer.cpp
@@ -6,7 +6,8 @@
 namespace birchlever {
 namespace {
 
-constexpr auto names = std::array<std::string_view, 4>{"unresolved", "unused", "in_use", "transferred"};
+constexpr auto names =
+    std::array<std::string_view, 5>{"unresolved", "unused", "in_use", "transferred", "lost"};
 
 }  // namespace
 
--- a/birchlever/coordination/lease_answer.h
+++ b/birchlever/coordination/lease_answer.h
@@ -12,6 +12,7 @@
   unused,       ///< No daemon uses it, now or later.
   in_use,       ///< A turn runs under it, or ran and its end is not stored.
   transferred,  ///< The asked daemon transferred it to another one.
+  lost,         ///< The daemons that knew are gone: later incarnations respond in their place.
 };
 
 /// Returns the name of a state in messages and logs.
--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -28,6 +28,7 @@
 #include "birchlever/coordination/lease_book.h"
 #include "birchlever/coordination/program_keys.h"
 #include "birchlever/coordination/program_record.h"
+#include "birchlever/coordination/program_store_settings.h"
 #include "birchlever/coordination/spent_programs.h"
 #include "birchlever/core/clock.h"
 #include "birchlever/http/loop_signal.h"
@@ -37,55 +38,6 @@
 
 struct leased_reservation;
 
-/// Settings of the program store. Times in ms.
-struct program_store_settings {
-  std::string daemon_ = "daemon";  ///< Identifies this incarnation in the rows of budgets that it draws.
-  double draw_ahead_ = 0.5;  ///< Share of the remaining budget, less the token limit of one turn, that is
-                             ///< drawn ahead. Drawn tokens save store calls and are lost with their daemon.
-  double min_draw_share_ = 0.25;  ///< Share of a turn's token limit with which it may start in a store
-                                  ///< outage. Most responses use less than a third of their limit.
-  std::string table_ = "programs";
-  std::string index_table_ = "turn_programs";
-  int parts_ = 32;  ///< Number of partitions; must be equal on all daemons and must never change. The store
-                    ///< takes 150 writes/s per partition; 1,200 are needed at most.
-  std::size_t row_bytes_ =
-      48000;  ///< Maximum piece of a turn in one row; the store accepts 64 KiB of base64.
-  std::size_t cache_bytes_ = 4'000'000;  ///< Size of the cache of histories.
-  milliseconds call_limit_ = 2500;       ///< Timeout of one store call, including retries.
-  milliseconds max_start_wait_ = 400;  ///< Maximum wait of a starting turn while the store does not respond.
-  milliseconds start_timeout_ =
-      1800;  ///< Timeout for starting a turn; callers close a stream without events after 2 s.
-  milliseconds retry_after_ =
-      3000;  ///< Retry delay sent to callers whose turn was refused because of the store.
-             ///< Outages last seconds, and callers make a limited number of attempts.
-  milliseconds reservation_lease_ = 3000;  ///< Time for which a daemon may use a reservation that it holds
-                                           ///< for the next turn; covers pauses and tool calls between
-                                           ///< turns, which take up to 2 s.
-  milliseconds lease_max_age_ = 100;  ///< Maximum age of a record used to find the holder of a reservation.
-  milliseconds lease_margin_ = 50;    ///< Minimum remaining lease of a reservation that is transferred.
-  milliseconds max_turn_duration_ =
-      8000;  ///< Minimum time after a lease until its reservation counts as spent unless it is known to be
-             ///< unused; longer if turns may take longer. A turn that started under it must have ended by
-             ///< then.
-  bool witnessed_leases_ = false;  ///< Leases only with a witness among the peers, so that an unused lease of
-                                   ///< a lost daemon is released. Without one it counts as spent.
-  milliseconds settle_grace_ = 2000;  ///< Time after a turn's deadline by which its end is stored, unless its
-                                      ///< daemon is lost; its reservation counts as spent from then on.
-  milliseconds lease_memory_ = 60000;  ///< Time after its expiry for which the use of a lease is remembered.
-  milliseconds inquiry_max_age_ = 1000;  ///< Daemons are asked about a lease again after this time.
-  milliseconds budget_max_age_ =
-      400;  ///< Maximum age of a record that a refusal may be based on. Must be less than half of the second
-            ///< after which the platform accounts for the tokens that a turn spent.
-  std::size_t max_leased_ =
-      3;  ///< Maximum leased reservations per program on one daemon, for parallel turns.
-  milliseconds cleanup_timeout_ =
-      60000;                   ///< Time for which settling a turn or releasing a reservation is retried.
-  bool spent_memory_ = false;  ///< Refuses turns of spent programs from memory, and lets concurrent turns of
-                               ///< one program share what is left of its budget.
-  milliseconds initial_turn_duration_ = 500;  ///< Assumed duration of a turn until one has ended here; a
-                                              ///< quarter of the 2 s for which callers wait for events.
-};
-
 /// Counts decisions on budgets since the start of the daemon. Those before the leases are 0 unless
 /// spent_memory_ is set.
 struct budget_statistics {
@@ -98,6 +50,8 @@
   std::int64_t leases_not_witnessed_ = 0;  ///< Leases not used since their witness did not record the use.
   std::int64_t leases_found_unused_ = 0;   ///< Leases of other daemons that were found to be unused.
   std::int64_t leases_unresolved_ = 0;     ///< Inquiries about leases that may be in use.
+  std::int64_t leases_unaccounted_ = 0;    ///< Leases of which nobody knew any more whether they were used.
+  std::int64_t overdrafts_ = 0;            ///< Reservations beyond a budget, see docs/design/leases.md.
 };
 
 /// A request to start a turn.
@@ -260,7 +214,8 @@
   auto evict() -> void;
   [[nodiscard]] auto unavailable_error(const std::string& detail) const -> error;
 
-  // program_store_lease.cpp: uses of leased reservations, and what became of those of other daemons.
+  // program_store_lease.cpp and program_store_inquiry.cpp: uses of leased reservations, and what became of
+  // those of other daemons.
   /// Takes a lease of this daemon that is large enough, if there is one.
   auto acquire_local_lease(entry& program, const turn_request& order) -> std::optional<leased_reservation>;
   auto start_under_local_lease(entry_pointer program, const turn_request& order)
@@ -272,6 +227,8 @@
   /// Asks about leases of other daemons, and only about expired ones if `only_expired`. Counts in `resolved_`
   /// those that are found to be unused, or count as spent from now on.
   auto inquire_leases(entry_pointer program, bool only_expired) -> task<>;
+  /// Asks about one lease and records what is known about it from now on.
+  auto inquire(entry_pointer program, std::string name, reservation held) -> task<>;
   auto inquire_lease(entry_pointer program, std::string lease, reservation held) -> task<lease_state>;
   /// Asks the daemons that may use the lease. The answer names the daemon that it was transferred to.
   auto ask_users(std::string program, std::string lease, milliseconds keep) -> task<lease_answer>;
@@ -279,6 +236,9 @@
   auto ask_witness(std::string lease, std::string witness, milliseconds keep) -> task<lease_state>;
   /// Asks about expired leases in the background, while their use is still remembered.
   auto start_inquiry(const entry_pointer& program) -> void;
+  /// Asks another daemon in the background to give up the lease that was made for a turn which started here
+  /// without it, so that the program's next lease can be made here.
+  auto retire_bypassed_lease(const entry_pointer& program, const turn_request& order) -> void;
   [[nodiscard]] auto needs_inquiry(const entry& program, const std::string& lease, const reservation& held,
                                    bool only_expired) const -> bool;
   /// Returns true if other daemons may know whether the lease is in use.
@@ -287,11 +247,17 @@
   /// Returns for how many ms the use of a lease must be remembered.
   [[nodiscard]] auto keep_for(milliseconds expires_at) const -> milliseconds;
   [[nodiscard]] auto longest_next_turn(const change& settled) const -> milliseconds;
-  /// Returns true if a reservation counts as spent: its turn did not end in time, or it is a lease that
-  /// expired and under which a turn may have run.
+  /// Returns true if a reservation counts as spent: its turn did not end in time, or it is a lease under
+  /// which a turn may have run, but none runs now.
   [[nodiscard]] auto is_lost(const entry& program, const std::string& name, const reservation& held) const
       -> bool;
   [[nodiscard]] auto lost_tokens(const entry& program, const program_record& record) const -> std::int64_t;
+  /// Returns true for a lost lease of which nobody knows any more whether a turn ran under it.
+  [[nodiscard]] auto is_unaccounted(const entry& program, const std::string& name,
+                                    const reservation& held) const -> bool;
+  /// Returns the tokens by which a program's commitments may exceed its budget: those of one unaccounted
+  /// lease, since its program is owed them unless a turn used them.
+  [[nodiscard]] auto overdraft(const entry& program, const program_record& record) const -> std::int64_t;
   [[nodiscard]] auto has_open_leases(const entry& program, const program_record& record) const -> bool;
   /// Releases a reservation in the background.
   auto release(const entry_pointer& program, const std::string& name) -> void;
@@ -299,6 +265,8 @@
   auto release_retired(const entry_pointer& program) -> void;
   /// Removes the leases under which no turn starts, now or later.
   auto drop_unused_leases(const entry& program, program_record& record) const -> void;
+  /// Turns leases that are known to be in use into reservations of started turns, whose use the row shows.
+  auto record_used_leases(const entry& program, program_record& record) const -> void;
   /// Takes over the lease of a settlement whose response was lost.
   auto adopt_lease(const entry& program, const change& settled, batch_plan& planned) const -> void;
 
@@ -363,12 +331,14 @@
                                   const program_record& record) const -> std::optional<change_result>;
   static auto apply_settle(const entry& program, const change& pending, program_record& record)
       -> change_result;
-  auto lease_next_turn(entry& program, const change& settled, batch_plan& planned) const -> void;
+  auto lease_next_turn(const change& settled, batch_plan& planned) const -> void;
   [[nodiscard]] auto store_now() const -> milliseconds { return clock_.now() + store_clock_offset_; }
   auto record_store_clock(milliseconds store_now, milliseconds requested_at) -> void;
   auto plan(entry& program, bool is_current) -> batch_plan;
   auto complete_batch(entry& program, const batch_plan& planned) -> void;
   auto log_exhausted(const entry& program, const change& pending) const -> void;
+  /// Logs a reservation that was made although it exceeds the budget.
+  auto log_overdraft(const entry& program, const change& pending, const program_record& record) -> void;
   auto add_turn_rows(const entry& program, const change& pending, row_transaction& transaction) const -> void;
   auto expire_changes(entry& program, const error& reason) -> void;
   /// Waits until the store is reachable or no changes are left. Sends nothing.
--- a/birchlever/coordination/program_store_lease.cpp
+++ b/birchlever/coordination/program_store_lease.cpp
@@ -12,8 +12,8 @@
 namespace birchlever {
 namespace {
 
-constexpr auto max_inquiries = std::size_t{4};      // Leases of one program asked about at a time.
 constexpr auto keep_margin = milliseconds{10'000};  // Covers errors of the store's clock and slow calls.
+constexpr auto silent_inquiries = 2;  // Without an answer, of an expired lease; a single answer may be lost.
 
 }  // namespace
 
@@ -163,35 +163,48 @@
   }
 }
 
-auto program_store::can_inquire(const std::string& lease, const reservation& held) const -> bool {
-  auto use = leases_.use_of(lease);
-  auto elsewhere = use == lease_use::transferred ||
-                   (use == lease_use::unknown && holder_of_lease(lease) != settings_.daemon_);
-  // Later, a witness that forgot a use would say that the lease is unused.
-  auto remembered =
-      store_clock_known_ && store_now() + store_clock_error_ <= held.expires_at_ + settings_.lease_memory_;
-  return budget_peers_ && held.expires_at_ > 0 && elsewhere && remembered;
-}
-
-auto program_store::needs_inquiry(const entry& program, const std::string& lease, const reservation& held,
-                                  bool only_expired) const -> bool {
-  auto asked = program.inquired_.find(lease);
-  auto recent =
-      asked != program.inquired_.end() && clock_.now() - asked->second.asked_at_ < settings_.inquiry_max_age_;
-  return !recent && (!only_expired || is_expired(held)) && can_inquire(lease, held);
-}
-
 auto program_store::is_lost(const entry& program, const std::string& name, const reservation& held) const
     -> bool {
   if (held.expires_at_ == 0) {
     auto overdue = held.ends_by_ > 0 && store_clock_known_ && held.ends_by_ <= store_now();
     return overdue && program.started_.count(name) == 0;
   }
+  if (is_unaccounted(program, name, held)) {
+    return true;
+  }
   if (!is_expired(held) || leases_.use_of(name) == lease_use::in_use) {
     return false;
   }
   auto asked = program.inquired_.find(name);
-  return !can_inquire(name, held) || (asked != program.inquired_.end() && asked->second.after_expiry_);
+  auto known_used = asked != program.inquired_.end() && asked->second.after_expiry_ > 0 &&
+                    (asked->second.state_ == lease_state::in_use || held.witness_.empty());
+  return known_used || !can_inquire(name, held);
+}
+
+auto program_store::is_unaccounted(const entry& program, const std::string& name,
+                                   const reservation& held) const -> bool {
+  auto use = leases_.use_of(name);
+  if (held.expires_at_ == 0 || held.witness_.empty() || use == lease_use::in_use) {
+    return false;
+  }
+  auto found = program.inquired_.find(name);
+  auto asked = found == program.inquired_.end() ? lease_inquiry{} : found->second;
+  if (asked.state_ == lease_state::lost) {
+    return true;  // No turn runs under it: its daemon is gone.
+  }
+  auto silent = asked.state_ == lease_state::unresolved && asked.after_expiry_ >= silent_inquiries;
+  return is_expired(held) && asked.state_ != lease_state::in_use && (silent || !can_inquire(name, held));
+}
+
+auto program_store::overdraft(const entry& program, const program_record& record) const -> std::int64_t {
+  auto most = std::int64_t{0};
+  if (!record.drawn_.empty()) {
+    return most;  // Tokens drawn ahead have an allowance of their own.
+  }
+  for (const auto& [name, held] : record.reserved_) {
+    most = is_unaccounted(program, name, held) ? std::max(most, held.tokens_) : most;
+  }
+  return most;
 }
 
 auto program_store::lost_tokens(const entry& program, const program_record& record) const -> std::int64_t {
@@ -204,7 +217,7 @@
 
 auto program_store::has_open_leases(const entry& program, const program_record& record) const -> bool {
   return std::any_of(record.reserved_.begin(), record.reserved_.end(), [&](const auto& entry) {
-    return entry.second.expires_at_ > 0 && !is_lost(program, entry.first, entry.second);
+    return !holder_of_lease(entry.first).empty() && !is_lost(program, entry.first, entry.second);
   });
 }
 
@@ -227,6 +240,16 @@
   });
 }
 
+auto program_store::record_used_leases(const entry& program, program_record& record) const -> void {
+  for (auto& [name, held] : record.reserved_) {
+    auto asked = program.inquired_.find(name);
+    auto used_elsewhere = asked != program.inquired_.end() && asked->second.state_ == lease_state::in_use;
+    if (held.expires_at_ > 0 && (used_elsewhere || program.started_.count(name) != 0)) {
+      held = {held.tokens_, 0, {}, held.expires_at_};
+    }
+  }
+}
+
 auto program_store::adopt_lease(const entry& program, const change& settled, batch_plan& planned) const
     -> void {
   auto name = lease_name(settled.turn_key_, settings_.daemon_);
@@ -247,102 +270,4 @@
   return std::max(settings_.max_turn_duration_, settled.max_next_duration_);
 }
 
-auto program_store::ask_users(std::string program, std::string lease, milliseconds keep)
-    -> task<lease_answer> {
-  auto recipient = leases_.recipient_of(lease);
-  if (recipient.empty()) {
-    auto answer = co_await budget_peers_->inquire_lease(program, lease, holder_of_lease(lease), keep);
-    if (answer.state_ != lease_state::transferred) {
-      co_return answer;
-    }
-    recipient = answer.recipient_;
-  }
-  if (recipient == settings_.daemon_) {
-    co_return lease_answer{lease_state::unused, {}};  // The response to this daemon's request was lost.
-  }
-  auto answer = co_await budget_peers_->inquire_lease(program, lease, recipient, keep);
-  co_return lease_answer{answer.state_, recipient};
-}
-
-auto program_store::ask_witness(std::string lease, std::string witness, milliseconds keep)
-    -> task<lease_state> {
-  if (witness.empty()) {
-    co_return lease_state::unresolved;
-  }
-  if (witness == settings_.daemon_) {
-    co_return revoke(lease, keep).state_;
-  }
-  auto answer = co_await budget_peers_->revoke_lease(lease, witness, keep);
-  co_return answer.state_;
-}
-
-auto program_store::inquire_lease(entry_pointer program, std::string lease, reservation held)
-    -> task<lease_state> {
-  auto keep = keep_for(held.expires_at_);
-  auto by_users = co_await ask_users(program->name_, lease, keep);
-  auto state = by_users.state_;
-  if (state != lease_state::unused && state != lease_state::in_use) {
-    // See start_under_lease: the holder witnesses the use of a lease by its witness.
-    auto witness = by_users.recipient_ == held.witness_ ? holder_of_lease(lease) : held.witness_;
-    state = co_await ask_witness(lease, std::move(witness), keep);
-  }
-  log_event(log_level::info, "lease_inquired",
-            {{"program", program->name_},
-             {"reservation", lease},
-             {"witness", held.witness_},
-             {"users", std::string{name_of(by_users.state_)}},
-             {"state", std::string{name_of(state)}},
-             {"expired", is_expired(held)},
-             {"tokens", held.tokens_}});
-  co_return state;
-}
-
-auto program_store::inquire_leases(entry_pointer program, bool only_expired) -> task<> {
-  if (!budget_peers_) {
-    co_return;
-  }
-  auto self = shared_from_this();
-  auto asked = std::vector<std::pair<std::string, reservation>>{};
-  for (const auto& [name, held] : program->record_.reserved_) {
-    if (asked.size() < max_inquiries && needs_inquiry(*program, name, held, only_expired)) {
-      asked.emplace_back(name, held);
-    }
-  }
-  ++program->users_;
-  for (const auto& [name, held] : asked) {
-    auto after_expiry = is_expired(held);
-    auto state = co_await inquire_lease(program, name, held);
-    auto now = clock_.now();
-    auto unused = state == lease_state::unused && leases_.retire(name, now + keep_for(held.expires_at_), now);
-    if (unused) {
-      ++statistics_.leases_found_unused_;
-      ++program->resolved_;
-    } else {
-      program->resolved_ += after_expiry && !program->inquired_[name].after_expiry_ ? 1 : 0;
-      program->inquired_[name] = {now, after_expiry};
-      ++statistics_.leases_unresolved_;
-    }
-  }
-  --program->users_;
-  const auto& reserved = program->record_.reserved_;
-  std::erase_if(program->inquired_, [&](const auto& entry) { return reserved.count(entry.first) == 0; });
-}
-
-auto program_store::start_inquiry(const entry_pointer& program) -> void {
-  const auto& reserved = program->record_.reserved_;
-  auto needed = std::any_of(reserved.begin(), reserved.end(), [&](const auto& entry) {
-    return needs_inquiry(*program, entry.first, entry.second, true);
-  });
-  if (!needed || program->inquiring_ || !budget_peers_) {
-    return;
-  }
-  program->inquiring_ = true;
-  auto inquire = [](std::shared_ptr<program_store> store, entry_pointer about) -> task<> {
-    co_await store->inquire_leases(about, true);
-    about->inquiring_ = false;
-    store->evict();
-  };
-  start(*loop_, "inquire_leases", inquire(shared_from_this(), program));
-}
-
 }  // namespace birchlever
--- a/birchlever/coordination/program_store_share.cpp
+++ b/birchlever/coordination/program_store_share.cpp
@@ -53,6 +53,7 @@
     }
   }
   if (ok(reserved.status_)) {
+    retire_bypassed_lease(program, order);
     co_return order.turn_;
   }
   if (!settings_.spent_memory_ || !reserved.budget_leased_) {
--- a/birchlever/coordination/program_store_state.h
+++ b/birchlever/coordination/program_store_state.h
@@ -94,10 +94,12 @@
   std::string witness_;
 };
 
-/// An inquiry that did not find a lease to be unused.
+/// The inquiries that did not find a lease to be unused.
 struct lease_inquiry {
-  milliseconds asked_at_ = 0;  ///< On the local clock.
-  bool after_expiry_ = false;  ///< The lease had expired: any turn under it has ended or is lost.
+  milliseconds asked_at_ = 0;  ///< Of the last one, on the local clock.
+  lease_state state_ = lease_state::unresolved;
+  int after_expiry_ =
+      0;  ///< Number made after the lease had expired: any turn under it has ended or is lost.
 };
 
 /// Cached state of a program.
@@ -113,7 +115,7 @@
   std::vector<leased_reservation> leased_;
   std::map<std::string, lease_inquiry> inquired_;  ///< Leases of other daemons that may be in use.
   bool inquiring_ = false;                         ///< Daemons are being asked about expired leases.
-  int resolved_ = 0;  ///< Leases found to be unused, or to count as spent, so far.
+  int resolved_ = 0;  ///< Changes so far of what is known about the leases of other daemons.
   std::map<std::string, milliseconds>
       started_;             ///< Reservations of turns in progress on this daemon, and their starts.
   std::int64_t drawn_ = 0;  ///< Tokens drawn by this daemon and not used by a turn.
--- a/birchlever/coordination/program_store_write.cpp
+++ b/birchlever/coordination/program_store_write.cpp
@@ -88,10 +88,12 @@
 
 auto program_store::check_budget(const entry& program, const change& pending,
                                  const program_record& record) const -> std::optional<change_result> {
-  if (!pending.budget_ || record.committed() + pending.tokens_ <= *pending.budget_) {
+  // Tokens drawn ahead may exceed a budget by an allowance, which must not add to the overdraft.
+  auto overdrawn = pending.kind_ == change::kind::reserve ? overdraft(program, record) : 0;
+  if (!pending.budget_ || record.committed() - overdrawn + pending.tokens_ <= *pending.budget_) {
     return std::nullopt;
   }
-  auto spent = record.spent_ + lost_tokens(program, record);
+  auto spent = record.spent_ + lost_tokens(program, record) - overdrawn;
   auto spent_alone = spent + pending.tokens_ > *pending.budget_;
   if (settings_.spent_memory_ && pending.kind_ == change::kind::reserve) {
     // Turns seldom use their whole reservation, so only spent tokens prove that the budget is exhausted.
@@ -157,14 +159,12 @@
   return change_result::done_before;
 }
 
-auto program_store::lease_next_turn(entry& program, const change& settled, batch_plan& planned) const
-    -> void {
-  auto leased_count = program.leased_.size() + planned.leased_.size();
+auto program_store::lease_next_turn(const change& settled, batch_plan& planned) const -> void {
   auto& record = planned.record_;
   // Leaves budget for one turn through another daemon, so that a lease rarely makes that turn wait.
   auto fits = settled.budget_ && record.committed() + 2 * settled.max_tokens_ <= *settled.budget_;
-  if (!leasing_ || !settled.record_ || !fits || !store_clock_known_ ||
-      leased_count >= settings_.max_leased_) {
+  // Nobody may be left to tell whether a lease was used, and a budget may be exceeded by one turn only.
+  if (!leasing_ || !settled.record_ || !fits || !store_clock_known_ || record.has_leased()) {
     return;
   }
   auto witness = std::optional<std::string>{std::string{}};
@@ -199,6 +199,7 @@
   auto planned = batch_plan{};
   planned.record_ = program.record_;
   drop_unused_leases(program, planned.record_);
+  record_used_leases(program, planned.record_);
   auto now = clock_.now();
   auto has_draw = false;
   for (const auto& pending : program.queue_) {
@@ -236,7 +237,7 @@
       add_turn_rows(program, *pending, planned.transaction_);
     }
     if (pending->kind_ == change::kind::settle) {
-      lease_next_turn(program, *pending, planned);
+      lease_next_turn(*pending, planned);
     }
   }
   planned.record_.updated_at_ = store_now();
@@ -263,6 +264,21 @@
              {"record_age_ms", program.record_at_ ? clock_.now() - *program.record_at_ : milliseconds{-1}}});
 }
 
+auto program_store::log_overdraft(const entry& program, const change& pending, const program_record& record)
+    -> void {
+  if (!pending.budget_ || record.committed() <= *pending.budget_) {
+    return;
+  }
+  ++statistics_.overdrafts_;
+  log_event(log_level::info, "budget_overdrawn",
+            {{"request", pending.turn_},
+             {"program", program.name_},
+             {"budget", *pending.budget_},
+             {"tokens", pending.tokens_},
+             {"committed", record.committed()},
+             {"unaccounted", overdraft(program, record)}});
+}
+
 auto program_store::complete_batch(entry& program, const batch_plan& planned) -> void {
   program.leased_.insert(program.leased_.end(), planned.leased_.begin(), planned.leased_.end());
   for (const auto& [pending, change_outcome] : planned.changes_) {
@@ -273,6 +289,9 @@
       complete_draw(program, *pending, change_outcome, planned.record_);
     }
     remember_if_spent(program, *pending, planned.record_);
+    if (pending->kind_ == change::kind::reserve && change_outcome == change_result::applied) {
+      log_overdraft(program, *pending, planned.record_);
+    }
     if (!pending->starts_turn()) {
       leases_.end_use(pending->reservation_);
     }
--- a/birchlever_daemon/gateway_daemon_pages.cpp
+++ b/birchlever_daemon/gateway_daemon_pages.cpp
@@ -126,6 +126,8 @@
   counters.gauge("leases_not_witnessed", static_cast<double>(budgets.leases_not_witnessed_));
   counters.gauge("leases_inquired{result=\"unused\"}", static_cast<double>(budgets.leases_found_unused_));
   counters.gauge("leases_inquired{result=\"unresolved\"}", static_cast<double>(budgets.leases_unresolved_));
+  counters.gauge("leases_unaccounted", static_cast<double>(budgets.leases_unaccounted_));
+  counters.gauge("budget_overdrafts", static_cast<double>(budgets.overdrafts_));
   counters.gauge("leases_remembered", static_cast<double>(context_->programs_->remembered_leases()));
   counters.gauge("upstream_connections_opened",
                  static_cast<double>(context_->upstream_connections_->opened()));
--- a/unit_tests/coordination/lease_fleet.cpp
+++ b/unit_tests/coordination/lease_fleet.cpp
@@ -42,20 +42,29 @@
   auto inquire_lease(std::string program_key, std::string lease, std::string daemon, milliseconds keep_for)
       -> task<lease_answer> override {
     auto peer = co_await reach(daemon);
-    auto answer = peer ? peer->answer_inquiry(program_key, lease, keep_for) : lease_answer{};
+    auto answer = peer ? peer->answer_inquiry(program_key, lease, keep_for) : answer_without(daemon);
     auto arrived = co_await answer_arrives(peer != nullptr);
-    co_return arrived ? answer : lease_answer{};
+    co_return arrived || answer.state_ == lease_state::lost ? answer : lease_answer{};
   }
 
   auto revoke_lease(std::string lease, std::string witness, milliseconds keep_for)
       -> task<lease_answer> override {
     auto peer = co_await reach(witness);
-    auto answer = peer ? peer->revoke(lease, keep_for) : lease_answer{};
+    auto answer = peer ? peer->revoke(lease, keep_for) : answer_without(witness);
     auto arrived = co_await answer_arrives(peer != nullptr);
-    co_return arrived ? answer : lease_answer{};
+    co_return arrived || answer.state_ == lease_state::lost ? answer : lease_answer{};
   }
 
  private:
+  /// Returns what is known of a lease if a daemon does not respond: the next one on its VM tells that it is
+  /// gone.
+  auto answer_without(const std::string& daemon) -> lease_answer {
+    auto vm = std::stoi(daemon.substr(daemon.find('-') + 1));
+    auto replaced = fleet_->has(vm) && fleet_->daemon(vm).name_ != daemon && !fleet_->daemon(vm).paused_ &&
+                    fleet_->find_responsive(name_);
+    return {replaced ? lease_state::lost : lease_state::unresolved, {}};
+  }
+
   /// Sends a request, which takes a moment. Yields null if the daemon does not respond.
   auto reach(std::string daemon) -> task<std::shared_ptr<program_store>> {
     co_await pause_for(fleet_->loop_, 1);
