Write turns within the store's limits, and repeat no transaction it rejects

Without any disruption, a turn with 800,000 bytes of input ran and was cut, and every turn that named it got 404.

Cause: transactions were planned by changes and rows, not by bytes, so that one of several turns, or of one long turn, exceeded the store's 1 MB. Its 413 came back as an error like any other, and the same transaction was sent again until its settlements expired, with the program's other changes behind it.

Change: transactions are planned by encoded bytes and entries. A turn that exceeds one is staged: all pieces but the first are written ahead, the first one with the settlement, and readers ignore a turn without it. A client error of the store is store_rejected: not applied, never repeated as it is; changes of a rejected transaction are written one by one, and one that is rejected by itself fails alone. The sweeper passes over a removal that is rejected.

Why it works: no transaction exceeds what the store takes, a test compares the computed size with the encoded one; and what the store will not take is told to one caller at once, and holds up nobody else.

--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -319,7 +319,7 @@
   auto fetch(std::string program, std::string turn, milliseconds time_left) -> task<result<record_pointer>>;
   auto find_program(std::string turn, milliseconds time_left) -> task<result<std::optional<std::string>>>;
 
-  // program_store_write.cpp: writes of changes.
+  // program_store_plan.cpp and program_store_write.cpp: writes of changes.
   auto write_changes(entry_pointer program) -> task<>;
   auto write_batch(entry_pointer program) -> task<status>;
   /// Waits for the backoff after a number of consecutive conflicts. Returns false if there was none.
@@ -339,7 +339,17 @@
   auto log_exhausted(const entry& program, const change& pending) const -> void;
   /// Logs a reservation that was made although it exceeds the budget.
   auto log_overdraft(const entry& program, const change& pending, const program_record& record) -> void;
-  auto add_turn_rows(const entry& program, const change& pending, row_transaction& transaction) const -> void;
+  [[nodiscard]] auto turn_rows(const entry& program, const change& pending) const -> std::vector<stored_row>;
+  /// Returns true if a transaction that has these rows, too, is within the store's limits.
+  [[nodiscard]] auto fits(const batch_plan& planned, const std::vector<stored_row>& rows) const -> bool;
+  auto add_turn_rows(const entry& program, const change& pending, std::vector<stored_row> rows,
+                     batch_plan& planned) const -> void;
+  /// Stores all pieces of a turn but the first one. Failures: those of row_store_interface::commit.
+  auto stage_turn(entry_pointer program, change_pointer pending) -> task<status>;
+  /// Handles a rejected transaction: its changes are written one by one from now on. One that was rejected by
+  /// itself fails; of a turn, the tokens are still settled.
+  auto separate_rejected(entry& program, const std::vector<change_pointer>& rejected, const error& reason)
+      -> void;
   auto expire_changes(entry& program, const error& reason) -> void;
   /// Waits until the store is reachable or no changes are left. Sends nothing.
   auto wait_out_outage(entry_pointer program, error reason) -> task<>;
--- a/birchlever/coordination/program_store_read.cpp
+++ b/birchlever/coordination/program_store_read.cpp
@@ -70,6 +70,7 @@
 auto program_store::apply_rows(entry& program, const std::vector<stored_row>& rows) -> status {
   auto prefix = turns_prefix(program.name_);
   auto pieces = std::map<std::string, std::string>{};
+  auto stored_turns = std::set<std::string>{};
   for (const auto& row : rows) {
     if (row.version_ == version_absent || row.removed_) {
       continue;  // The row of a condition does not exist.
@@ -83,11 +84,16 @@
       program.version_ = row.version_;
     } else if (starts_with(row.key_.key_, prefix)) {
       auto name = row.key_.key_.substr(prefix.size());
-      pieces[name.substr(0, name.rfind('/'))] += row.value_;
+      auto separator = name.rfind('/');
+      auto turn = name.substr(0, separator);
+      pieces[turn] += row.value_;
+      if (name.substr(separator + 1) == first_piece) {
+        stored_turns.insert(turn);
+      }
     }
   }
   for (const auto& [turn, bytes] : pieces) {
-    if (program.turns_.count(turn) != 0) {
+    if (program.turns_.count(turn) != 0 || stored_turns.count(turn) == 0) {
       continue;
     }
     auto decoded = decode_turn(bytes);
--- a/birchlever/coordination/program_store_state.h
+++ b/birchlever/coordination/program_store_state.h
@@ -18,6 +18,9 @@
 /// Approximate memory overhead of an entry or a record, in bytes.
 inline constexpr auto entry_overhead = std::size_t{512};
 
+/// Number of a turn's first piece, which is stored last.
+inline constexpr auto first_piece = "000";
+
 /// Returns the approximate memory use of a turn in bytes.
 [[nodiscard]] inline auto bytes_of(const turn_record& record) -> std::size_t {
   return record.input_.size() + record.output_.size() + entry_overhead;
@@ -64,6 +67,8 @@
   bool unknown_ = false;           ///< Was part of a transaction without a response.
   bool expired_ = false;           ///< The caller has left.
   bool turn_checked_ = false;      ///< The turn's row was read after a transaction without a response.
+  std::size_t staged_rows_ = 0;    ///< Pieces of the turn that are stored already, from the last one on.
+  bool staged_ = false;            ///< All pieces but the first one are.
   bool done_ = false;
   bool budget_leased_ = false;  ///< Refused because the rest of the budget is reserved, not spent.
   status outcome_ = success;
@@ -121,6 +126,8 @@
   std::int64_t drawn_ = 0;  ///< Tokens drawn by this daemon and not used by a turn.
   std::set<std::string> transferred_to_;  ///< Daemons that received drawn tokens from this one.
   std::deque<change_pointer> queue_;
+  std::size_t separate_changes_ = 0;  ///< Next changes that are written one by one, after the store rejected
+                                      ///< a transaction that had several.
   bool writing_ = false;
   bool confirming_ = false;  ///< The record is being read to confirm that the budget is spent.
   loop_signal changed_;      ///< This daemon committed a change of the program, or read its record.
@@ -151,8 +158,10 @@
   std::vector<std::pair<change_pointer, change_result>> changes_;
   bool writes_ = false;
   std::vector<leased_reservation> leased_;
-  bool needs_reload_ = false;  ///< A refusal would be based on a record that may be stale.
-  bool needs_turns_ = false;   ///< The turns' rows must be read to determine whether a change was made.
+  bool needs_reload_ = false;     ///< A refusal would be based on a record that may be stale.
+  change_pointer needs_staging_;  ///< The next change, if its turn exceeds a transaction.
+  std::size_t turn_bytes_ = 0;    ///< Of the rows of turns, as the store counts them.
+  bool needs_turns_ = false;      ///< The turns' rows must be read to determine whether a change was made.
 };
 
 }  // namespace birchlever
--- a/birchlever/coordination/program_store_write.cpp
+++ b/birchlever/coordination/program_store_write.cpp
@@ -1,7 +1,5 @@
-/// The part of program_store that turns pending changes into transactions.
+/// The part of program_store that writes planned transactions and repeats them until they are answered.
 #include <algorithm>
-#include <array>
-#include <cstdio>
 
 #include "birchlever/coordination/conflict_backoff.h"
 #include "birchlever/coordination/program_store_state.h"
@@ -10,18 +8,9 @@
 namespace birchlever {
 namespace {
 
-constexpr auto max_batch = std::size_t{16};  // Maximum number of changes per transaction.
-constexpr auto max_rows = std::size_t{
-    40};  // No change is added to this many rows; the store allows 100, a change may write several.
 constexpr auto min_retry_delay = milliseconds{40};  // Between attempts while the store does not respond.
 constexpr auto max_retry_delay = milliseconds{400};
 
-auto piece_name(int piece) -> std::string {
-  auto number = std::array<char, 16>{};
-  std::snprintf(number.data(), number.size(), "%03d", piece);
-  return number.data();
-}
-
 }  // namespace
 
 auto program_store::complete_change(const change_pointer& pending, status outcome) -> void {
@@ -86,171 +75,6 @@
   store_clock_known_ = true;
 }
 
-auto program_store::check_budget(const entry& program, const change& pending,
-                                 const program_record& record) const -> std::optional<change_result> {
-  // Tokens drawn ahead may exceed a budget by an allowance, which must not add to the overdraft.
-  auto overdrawn = pending.kind_ == change::kind::reserve ? overdraft(program, record) : 0;
-  if (!pending.budget_ || record.committed() - overdrawn + pending.tokens_ <= *pending.budget_) {
-    return std::nullopt;
-  }
-  auto spent = record.spent_ + lost_tokens(program, record) - overdrawn;
-  auto spent_alone = spent + pending.tokens_ > *pending.budget_;
-  if (settings_.spent_memory_ && pending.kind_ == change::kind::reserve) {
-    // Turns seldom use their whole reservation, so only spent tokens prove that the budget is exhausted.
-    return spent_alone ? change_result::over_budget : change_result::budget_leased;
-  }
-  // A single turn started by another daemon may be one that was refused because its reservation timed out:
-  // the caller's retry can arrive before that reservation is released. Several started turns are running in
-  // parallel.
-  auto started = record.started_turns();
-  auto may_be_abandoned = started.size() == 1 && program.started_.count(started.front()) == 0;
-  auto is_held = has_open_leases(program, record) || may_be_abandoned;
-  return is_held && !spent_alone ? change_result::budget_leased : change_result::over_budget;
-}
-
-auto program_store::apply_reserve(const entry& program, const change& pending, program_record& record) const
-    -> change_result {
-  if (record.reserved_.count(pending.reservation_) != 0) {
-    return change_result::done_before;
-  }
-  if (auto refused = check_budget(program, pending, record)) {
-    return *refused;
-  }
-  auto ends_by = store_clock_known_ ? pending.turn_ends_by_ + store_clock_offset_ : milliseconds{0};
-  record.reserved_[pending.reservation_] = {pending.tokens_, 0, {}, ends_by};
-  return change_result::applied;
-}
-
-auto program_store::apply_settle(const entry& program, const change& pending, program_record& record)
-    -> change_result {
-  auto reserved = record.reserved_.find(pending.reservation_);
-  auto is_held = reserved != record.reserved_.end();
-  if (!is_held && pending.sent_) {
-    // Either an earlier transaction without a response was committed, or the expired reservation was removed.
-    if (!pending.record_ || program.turns_.count(pending.turn_key_) != 0) {
-      return change_result::done_before;
-    }
-    if (!pending.turn_checked_) {
-      return change_result::unclear;
-    }
-  }
-  record.spent_ += pending.tokens_;
-  if (is_held) {
-    record.reserved_.erase(reserved);
-  }
-  return change_result::applied;
-}
-
-auto program_store::apply(const entry& program, const change& pending, program_record& record) const
-    -> change_result {
-  switch (pending.kind_) {
-    case change::kind::reserve:
-      return apply_reserve(program, pending, record);
-    case change::kind::draw:
-      return apply_draw(program, pending, record);
-    case change::kind::settle:
-      return apply_settle(program, pending, record);
-    case change::kind::release:
-      // Written even if there is nothing to release: the new version prevents a late commit of a reservation
-      // whose response was lost.
-      record.reserved_.erase(pending.reservation_);
-      return change_result::applied;
-  }
-  return change_result::done_before;
-}
-
-auto program_store::lease_next_turn(const change& settled, batch_plan& planned) const -> void {
-  auto& record = planned.record_;
-  // Leaves budget for one turn through another daemon, so that a lease rarely makes that turn wait.
-  auto fits = settled.budget_ && record.committed() + 2 * settled.max_tokens_ <= *settled.budget_;
-  // Nobody may be left to tell whether a lease was used, and a budget may be exceeded by one turn only.
-  if (!leasing_ || !settled.record_ || !fits || !store_clock_known_ || record.has_leased()) {
-    return;
-  }
-  auto witness = std::optional<std::string>{std::string{}};
-  if (settings_.witnessed_leases_) {
-    witness = budget_peers_ ? budget_peers_->choose_witness() : std::nullopt;
-  }
-  if (!witness) {
-    return;
-  }
-  auto usable_until = clock_.now() + settings_.reservation_lease_;
-  auto expires_at = usable_until + store_clock_offset_ + longest_next_turn(settled);
-  auto next = leased_reservation{lease_name(settled.turn_key_, settings_.daemon_), settled.max_tokens_,
-                                 usable_until - store_clock_error_, expires_at, *witness};
-  record.reserved_[next.name_] = {next.tokens_, expires_at, next.witness_};
-  planned.leased_.push_back(std::move(next));
-}
-
-auto program_store::add_turn_rows(const entry& program, const change& pending,
-                                  row_transaction& transaction) const -> void {
-  auto bytes = encode(*pending.record_);
-  const auto& turn = pending.turn_key_;
-  auto piece = 0;
-  for (auto at = std::size_t{0}; at < bytes.size(); at += settings_.row_bytes_) {
-    auto key = turns_prefix(program.name_) + turn + "/" + piece_name(piece++);
-    transaction.puts_.push_back(
-        {{settings_.table_, program.part_, std::move(key)}, bytes.substr(at, settings_.row_bytes_)});
-  }
-  transaction.puts_.push_back({{settings_.index_table_, program.part_, turn}, program.name_});
-}
-
-auto program_store::plan(entry& program, bool is_current) -> batch_plan {
-  auto planned = batch_plan{};
-  planned.record_ = program.record_;
-  drop_unused_leases(program, planned.record_);
-  record_used_leases(program, planned.record_);
-  auto now = clock_.now();
-  auto has_draw = false;
-  for (const auto& pending : program.queue_) {
-    // The record stores only the last draw of a daemon, so a transaction contains at most one draw.
-    auto second_draw = pending->kind_ == change::kind::draw && std::exchange(has_draw, true);
-    auto batch_full = planned.changes_.size() >= max_batch || planned.transaction_.puts_.size() >= max_rows;
-    if (second_draw || batch_full) {
-      break;
-    }
-    auto expired = pending->starts_turn() && pending->times_out_at_ <= now && pending->expired_;
-    auto change_outcome = expired ? change_result::expired : apply(program, *pending, planned.record_);
-    // Spent tokens only increase, so a refusal based on them alone does not need the newest record.
-    auto definitive = is_current ||
-                      (program.record_at_ && now - *program.record_at_ <= settings_.budget_max_age_) ||
-                      planned.record_.spent_ + pending->tokens_ > pending->budget_.value_or(0);
-    if ((change_outcome == change_result::over_budget || change_outcome == change_result::budget_leased) &&
-        !definitive) {
-      planned.needs_reload_ = true;
-      return planned;
-    }
-    if (change_outcome == change_result::unclear) {
-      planned.needs_turns_ = true;
-      return planned;
-    }
-    planned.changes_.emplace_back(pending, change_outcome);
-    if (change_outcome == change_result::done_before && pending->kind_ == change::kind::settle) {
-      adopt_lease(program, *pending, planned);
-    }
-    if (change_outcome != change_result::applied) {
-      continue;
-    }
-    planned.writes_ = true;
-    planned.transaction_.priority_ = std::min(planned.transaction_.priority_, pending->rank());
-    if (pending->record_) {
-      add_turn_rows(program, *pending, planned.transaction_);
-    }
-    if (pending->kind_ == change::kind::settle) {
-      lease_next_turn(*pending, planned);
-    }
-  }
-  planned.record_.updated_at_ = store_now();
-  auto key = row_key{settings_.table_, program.part_, budget_key(program.name_)};
-  planned.transaction_.conditions_.push_back({key, program.version_});
-  if (program.version_ == version_absent) {
-    planned.transaction_.puts_.push_back(
-        {{settings_.index_table_, program.part_, index_key(program.name_)}, program.name_});
-  }
-  planned.transaction_.puts_.push_back({key, encode(planned.record_)});
-  return planned;
-}
-
 auto program_store::log_exhausted(const entry& program, const change& pending) const -> void {
   const auto& record = program.record_;
   log_event(log_level::info, "budget_exhausted",
@@ -281,6 +105,7 @@
 
 auto program_store::complete_batch(entry& program, const batch_plan& planned) -> void {
   program.leased_.insert(program.leased_.end(), planned.leased_.begin(), planned.leased_.end());
+  program.separate_changes_ -= std::min(program.separate_changes_, planned.changes_.size());
   for (const auto& [pending, change_outcome] : planned.changes_) {
     if (pending->record_) {
       cache_turn(program, pending->turn_key_, pending->record_);
@@ -340,6 +165,72 @@
   }
 }
 
+auto program_store::stage_turn(entry_pointer program, change_pointer pending) -> task<status> {
+  auto rows = turn_rows(*program, *pending);
+  auto transactions = std::int64_t{0};
+  auto limits = rows_->limits();
+  while (rows.size() - pending->staged_rows_ > 1) {
+    auto transaction = row_transaction{};
+    transaction.priority_ = pending->rank();
+    auto bytes = std::size_t{0};
+    for (auto next = rows.size() - 1 - pending->staged_rows_; next > 0; --next) {
+      bytes += max_encoded_size(rows[next]);
+      auto full = bytes > limits.bytes_ || transaction.puts_.size() >= limits.entries_;
+      if (full && !transaction.puts_.empty()) {
+        break;
+      }
+      transaction.puts_.push_back(rows[next]);
+    }
+    auto stored = transaction.puts_.size();
+    auto committed = co_await rows_->commit(std::move(transaction), settings_.call_limit_);
+    if (!ok(committed)) {
+      co_return failure(committed);
+    }
+    pending->staged_rows_ += stored;
+    ++transactions;
+  }
+  pending->staged_ = true;
+  log_event(log_level::info, "turn_staged",
+            {{"request", pending->turn_},
+             {"program", program->name_},
+             {"rows", static_cast<std::int64_t>(rows.size())},
+             {"transactions", transactions}});
+  co_return success;
+}
+
+auto program_store::separate_rejected(entry& program, const std::vector<change_pointer>& rejected,
+                                      const error& reason) -> void {
+  if (rejected.size() > 1) {
+    program.separate_changes_ = rejected.size();
+    log_event(log_level::warning, "program_changes_separated",
+              {{"program", program.name_},
+               {"changes", static_cast<std::int64_t>(rejected.size())},
+               {"detail", reason.detail_}});
+    return;
+  }
+  const auto& failed = rejected.front();
+  log_event(log_level::error, "program_change_rejected",
+            {{"program", program.name_}, {"request", failed->turn_}, {"detail", reason.detail_}});
+  program.separate_changes_ -= std::min<std::size_t>(program.separate_changes_, 1);
+  auto place = std::find(program.queue_.begin(), program.queue_.end(), failed);
+  if (failed->record_ && place != program.queue_.end()) {
+    // The turn is not kept, but its tokens were handed out.
+    auto settlement = std::make_shared<change>(*loop_);
+    settlement->kind_ = failed->kind_;
+    settlement->turn_ = failed->turn_;
+    settlement->turn_key_ = failed->turn_key_;
+    settlement->reservation_ = failed->reservation_;
+    settlement->tokens_ = failed->tokens_;
+    settlement->max_tokens_ = failed->max_tokens_;
+    settlement->budget_ = failed->budget_;
+    settlement->times_out_at_ = failed->times_out_at_;
+    *place = std::move(settlement);
+  } else if (place != program.queue_.end()) {
+    program.queue_.erase(place);
+  }
+  complete_change(failed, reason);
+}
+
 auto program_store::write_batch(entry_pointer program) -> task<status> {
   auto is_current = false;
   auto conflicts = 0;
@@ -367,6 +258,17 @@
       program->version_ = version_not_read;  // A refusal must be based on the current record.
       continue;
     }
+    if (planned.needs_staging_) {
+      auto staged = co_await stage_turn(program, planned.needs_staging_);
+      if (!ok(staged) && failure(staged).code_ == error_code::store_rejected) {
+        separate_rejected(*program, {planned.needs_staging_}, failure(staged));
+        co_return success;
+      }
+      if (!ok(staged)) {
+        co_return failure(staged);
+      }
+      continue;
+    }
     if (!planned.writes_) {
       complete_batch(*program, planned);
       co_return success;
@@ -380,11 +282,19 @@
     auto requested_at = clock_.now();
     auto committed = co_await rows_->commit(planned.transaction_, settings_.call_limit_);
     if (!ok(committed)) {
-      if (failure(committed).code_ == error_code::store_unavailable) {
+      auto rejected = failure(committed).code_ == error_code::store_rejected;
+      auto not_applied = rejected || failure(committed).code_ == error_code::store_unavailable;
+      if (not_applied) {
         restore_sent(planned, sent_before);
       }
+      auto changes = std::vector<change_pointer>{};
       for (const auto& [pending, change_outcome] : planned.changes_) {
-        pending->unknown_ = pending->unknown_ || failure(committed).code_ != error_code::store_unavailable;
+        pending->unknown_ = pending->unknown_ || !not_applied;
+        changes.push_back(pending);
+      }
+      if (rejected) {  // The same transaction would be rejected again.
+        separate_rejected(*program, changes, failure(committed));
+        co_return success;
       }
       co_return failure(committed);
     }
--- a/birchlever/coordination/program_sweeper.cpp
+++ b/birchlever/coordination/program_sweeper.cpp
@@ -100,6 +100,11 @@
   auto names = find_expired(observed_[part], value(listed), retention);
   for (const auto& name : names) {
     auto removed = co_await remove(part, name, value(listed)[name].rows_);
+    if (!ok(removed) && failure(removed).code_ == error_code::store_rejected) {
+      log_event(log_level::error, "program_removal_rejected",
+                {{"program", name}, {"part", part}, {"detail", failure(removed).detail_}});
+      continue;  // The next pass would be rejected, too; other programs are not held up.
+    }
     if (!ok(removed)) {
       co_return removed;
     }
--- a/birchlever/core/error.cpp
+++ b/birchlever/core/error.cpp
@@ -44,6 +44,7 @@
     error_row{error_code::store_unavailable, "store_unavailable", 503},
     error_row{error_code::store_conflict, "store_conflict", 503},
     error_row{error_code::store_unknown, "store_unknown", 503},
+    error_row{error_code::store_rejected, "store_rejected", 500},
     error_row{error_code::no_upstream, "no_upstream", 503},
     error_row{error_code::upstream_refused, "upstream_refused", 503},
     error_row{error_code::upstream_failed, "upstream_failed", 502},
--- a/birchlever/core/error.h
+++ b/birchlever/core/error.h
@@ -43,6 +43,7 @@
   store_unavailable,
   store_conflict,
   store_unknown,
+  store_rejected,
   no_upstream,
   upstream_refused,
   upstream_failed,
--- a/birchlever/storage/memory_row_store.cpp
+++ b/birchlever/storage/memory_row_store.cpp
@@ -48,6 +48,11 @@
   return outcome;
 }
 
+auto memory_row_store::exceeds_limits(const row_transaction& transaction) const -> bool {
+  auto entries = transaction.conditions_.size() + transaction.puts_.size() + transaction.removals_.size();
+  return entries > enforced_.entries_ || max_encoded_size(transaction) > enforced_.bytes_;
+}
+
 auto memory_row_store::apply_late(row_transaction transaction, milliseconds delay) -> task<> {
   co_await pause_for(*loop_, delay);
   apply(transaction);
@@ -78,6 +83,9 @@
     start(*loop_, "apply_late", apply_late(std::move(transaction), faults_.late_ms_));
     co_return unknown();
   }
+  if (exceeds_limits(transaction)) {
+    co_return error{error_code::store_rejected, "transaction exceeds the limits of the store"};
+  }
   auto outcome = apply(transaction);
   if (outcome.committed_ && faults_.lose_answers_ > 0) {
     --faults_.lose_answers_;
--- a/birchlever/storage/memory_row_store.h
+++ b/birchlever/storage/memory_row_store.h
@@ -33,6 +33,7 @@
   [[nodiscard]] auto expected_outage_left() const -> milliseconds override {
     return faults_.down_ ? faults_.outage_left_ : 0;
   }
+  [[nodiscard]] auto limits() const -> transaction_limits override { return limits_; }
   auto commit(row_transaction transaction, milliseconds time_left) -> task<result<commit_outcome>> override;
   auto read(row_range range, milliseconds time_left) -> task<result<row_page>> override;
   auto changes(std::string table, std::int64_t after, milliseconds wait) -> task<result<row_page>> override;
@@ -45,6 +46,12 @@
   /// Removes a row unconditionally, as another client of the store would.
   auto remove(const row_key& key) -> void;
 
+  /// Sets the limits that the store reports; it rejects transactions beyond `enforced`.
+  auto set_limits(const transaction_limits& reported, const transaction_limits& enforced) -> void {
+    limits_ = reported;
+    enforced_ = enforced;
+  }
+
   /// Returns the injected faults, for tests to modify.
   auto faults() -> row_store_faults& { return faults_; }
 
@@ -58,11 +65,14 @@
   [[nodiscard]] auto reads() const -> int { return reads_; }
 
  private:
+  [[nodiscard]] auto exceeds_limits(const row_transaction& transaction) const -> bool;
   using row_id = std::tuple<std::string, std::string, std::string>;  ///< Table, partition, key.
 
   auto apply(const row_transaction& transaction) -> commit_outcome;
   auto apply_late(row_transaction transaction, milliseconds delay) -> task<>;
 
+  transaction_limits limits_;
+  transaction_limits enforced_;
   event_loop* loop_;
   loop_signal changed_;
   row_store_faults faults_;
--- a/birchlever/storage/row_store_interface.h
+++ b/birchlever/storage/row_store_interface.h
@@ -47,6 +47,20 @@
   write_priority priority_ = write_priority::cleanup;
 };
 
+/// Limits of one transaction.
+struct transaction_limits {
+  std::size_t entries_ = 100;      ///< Conditions, puts and removals together.
+  std::size_t bytes_ = 1'000'000;  ///< Of the encoded transaction, with values in base64.
+};
+
+/// Return a size in bytes that the encoded part of a transaction does not exceed.
+[[nodiscard]] auto max_encoded_size(const row_key& key) -> std::size_t;
+[[nodiscard]] auto max_encoded_size(const stored_row& put) -> std::size_t;
+[[nodiscard]] auto max_encoded_size(const row_transaction& transaction) -> std::size_t;
+
+/// Likewise for a value of this many bytes, without its key.
+[[nodiscard]] auto max_encoded_size(std::size_t value_bytes) -> std::size_t;
+
 /// The outcome of a transaction that the store processed.
 struct commit_outcome {
   bool committed_ = false;
@@ -74,7 +88,7 @@
 
 /// A table service with conditional transactions. Calls fail with store_unavailable (not applied),
 /// store_unknown (no response; the call may have been applied, or be applied later if its conditions still
-/// hold) or internal (the store rejected the call as invalid).
+/// hold) or store_rejected (the store will not take the call as it is; not applied).
 class row_store_interface {
  public:
   virtual ~row_store_interface() = default;
@@ -94,6 +108,9 @@
     return 0;
   }
 
+  /// Returns the limits beyond which the store rejects a transaction.
+  [[nodiscard]] virtual auto limits() const -> transaction_limits { return {}; }
+
   /// Applies a transaction within `time_left` ms.
   virtual auto commit(row_transaction transaction, milliseconds time_left)
       -> task<result<commit_outcome>> = 0;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -23,6 +23,7 @@
 DEFINE_bool(harmful, false, "some requests end the upstreams that run them");
 DEFINE_bool(harmful_forms, false, "they do so in all forms, some at once, from impatient callers");
 DEFINE_bool(process_faults, false, "signals, settings files, ports and unfinished bodies too");
+DEFINE_bool(large_inputs, false, "some turns have inputs of up to the limit of the configuration");
 DEFINE_int32(services, 3, "stand-ins of plain services");
 DEFINE_string(known_red, "", "a promise that a known fault breaks: reported, but no failure of the run");
 DEFINE_int32(rounds, 1, "of faults, each followed by planned work in calm");
@@ -54,6 +55,7 @@
   settings.accounts_ = FLAGS_accounts;
   settings.harmful_ = FLAGS_harmful || FLAGS_harmful_forms;
   settings.harmful_forms_ = FLAGS_harmful_forms;
+  settings.large_inputs_ = FLAGS_large_inputs;
   settings.process_faults_ = FLAGS_process_faults;
   settings.services_ = FLAGS_services;
   settings.faults_ = fault_set_of(FLAGS_faults).value_or(fault_set::usual);
--- a/soak/soak_caller.cpp
+++ b/soak/soak_caller.cpp
@@ -146,8 +146,19 @@
   }
 }
 
+auto soak_callers::padding_of_turn() -> std::size_t {
+  constexpr auto one_in = 16U;
+  constexpr auto most_doublings = 6U;
+  constexpr auto largest = std::size_t{4'190'000};  // The configuration allows 4 MiB.
+  if (!settings_.large_inputs_ || random_() % one_in != 0) {
+    return 0;
+  }
+  return largest >> (random_() % most_doublings);
+}
+
 auto soak_callers::run_turn(kept_turn& line, spending& money, milliseconds give_up_at) -> task<turn_result> {
   auto input = "input " + std::to_string(made_ids_) + " of " + line.program_ + ";";
+  input.resize(input.size() + padding_of_turn(), 'x');
   while (clock_.now() < give_up_at) {
     auto id = new_id("turn");
     auto request = http_request{http::verb::post, "/turn/x", 11};
--- a/soak/soak_caller.h
+++ b/soak/soak_caller.h
@@ -78,6 +78,8 @@
   auto run_program(sender owner, std::string program) -> task<>;
   auto ask_as_stranger(kept_turn line) -> task<>;
   auto send_tool(sender owner) -> task<>;
+  /// Returns the bytes by which a turn's input is longer than usual.
+  auto padding_of_turn() -> std::size_t;
   auto run_turn(kept_turn& line, spending& money, milliseconds give_up_at) -> task<turn_result>;
   auto judge_turn(const heard_answer& heard, const std::string& id, const kept_turn& line, spending& money)
       -> void;
--- a/unit_tests/platform/store_client_test.cpp
+++ b/unit_tests/platform/store_client_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <deque>
 #include <functional>
+#include <random>
 
 #include "birchlever/http/http_listener.h"
 #include "unit_tests/http/free_port.h"
@@ -144,6 +145,41 @@
   REQUIRE(refusing.client_->reachable());
 }
 
+/// Failure: an answer that does not change is asked for again and again, or one that may change is final.
+TEST_CASE("a client error of the store is a rejection, a server error leaves the outcome unknown") {
+  for (auto status : {400U, 403U, 409U, 413U, 500U, 502U, 507U}) {
+    CAPTURE(status);
+    auto store = fake_store{};
+    store.steps_ = {{status, "{}"}, {status, "{}"}};
+    constexpr auto first_server_error = 500U;
+    auto expected = status < first_server_error ? error_code::store_rejected : error_code::store_unknown;
+    CHECK(failure(store.commit(300)).code_ == expected);
+    CHECK(failure(store.run(store.client_->read({"t", "p", "", ""}, 300))).code_ == expected);
+  }
+}
+
+/// Failure: a transaction is larger than was planned, and the store rejects it.
+TEST_CASE("an encoded transaction does not exceed its computed size") {
+  auto random = std::minstd_rand{1};
+  auto text = [&](std::size_t most, int first, int last) {
+    auto made = std::string(random() % (most + 1), ' ');
+    for (auto& character : made) {
+      character = static_cast<char>(first + static_cast<int>(random() % static_cast<unsigned>(last - first)));
+    }
+    return made;
+  };
+  auto key = [&] { return row_key{text(8, 0, 127), text(4, 32, 127), text(200, 0, 127)}; };
+  for (auto round = 0; round < 200; ++round) {
+    auto transaction = row_transaction{};
+    for (auto entry = random() % 20; entry > 0; --entry) {
+      transaction.conditions_.push_back({key(), static_cast<std::int64_t>(random()) << 32});
+      transaction.puts_.push_back({key(), text(300, 0, 127)});
+      transaction.removals_.push_back(key());
+    }
+    CHECK(transaction_body(transaction).size() <= max_encoded_size(transaction));
+  }
+}
+
 TEST_CASE("a response with malformed JSON or base64 is store_unknown, not an empty page") {
   for (const auto* body :
        {"<html>", R"({"ver":1,"rows":[{"private_key":"k","value":"###"}]})", R"({"rows":[]})"}) {
