Take a status that is none of the protocol for no response

Cause: the parser takes any three digits, and what no branch knew was relayed and counted as an answer. No place decided what a status of the protocol is.

Change: kind_of_status decides once. Anything but 100 to 599, and 101, which nobody asked for, is malformed; interim responses are limited to 16. The same for the blocking clients of `serve`.

A safe request goes on at another server, an unsafe one gets 502, and the fault counts against the server as garbage does. 3xx, 4xx and 5xx of an engine are relayed as before.

Why it works: all HTTP of the gateway is read by outgoing_connection::read_head, so that attempts, health checks, store and peers see the same fault.

--- a/birchlever/http/http_message.cpp
+++ b/birchlever/http/http_message.cpp
@@ -53,6 +53,17 @@
   return *seconds * ms_per_second;
 }
 
+auto kind_of_status(unsigned status) -> status_kind {
+  constexpr auto first_interim = 100U;
+  constexpr auto switching_protocols = 101U;
+  constexpr auto first_final = 200U;
+  constexpr auto first_beyond = 600U;
+  if (status < first_interim || status >= first_beyond || status == switching_protocols) {
+    return status_kind::invalid;
+  }
+  return status < first_final ? status_kind::interim : status_kind::final;
+}
+
 auto parse_count(std::string_view text) -> std::optional<std::int64_t> {
   auto number = std::int64_t{0};
   const auto* end = text.data() + text.size();
--- a/birchlever/http/http_message.h
+++ b/birchlever/http/http_message.h
@@ -32,6 +32,16 @@
 /// The seconds of a Keep-Alive field's timeout, in ms; nothing when it has none.
 [[nodiscard]] auto keep_alive_ms(const http::fields& fields) -> std::optional<milliseconds>;
 
+/// How a status code ends or continues a response, in a client that asks for no change of protocol.
+enum class status_kind {
+  interim,  ///< Another response to the same request follows.
+  final,
+  invalid  ///< No status of the protocol: what was received is not a response.
+};
+
+/// Returns the kind of a status code (RFC 9110, section 15).
+[[nodiscard]] auto kind_of_status(unsigned status) -> status_kind;
+
 /// A whole number of at least 0; nothing when the text is anything else.
 [[nodiscard]] auto parse_count(std::string_view text) -> std::optional<std::int64_t>;
 
--- a/birchlever/http/outgoing_connection.cpp
+++ b/birchlever/http/outgoing_connection.cpp
@@ -13,6 +13,7 @@
     milliseconds{4000};  // When the peer names none; servers' usual least is 5 s.
 constexpr auto no_limit = std::numeric_limits<std::uint64_t>::max();  // Readers bound what they keep.
 constexpr auto most_header_bytes = std::uint32_t{65536};
+constexpr auto most_interim = 16;  // Interim responses before one final response.
 // Of received bytes that are not parsed yet: a header, or a line between chunks, which may have no end.
 constexpr auto most_unparsed_bytes = std::size_t{2} * most_header_bytes;
 
@@ -38,6 +39,7 @@
     co_return exchange_fault::not_connected;
   }
   set_socket_options(made->socket_, peer_silence_limit);
+  made->peer_ = address.address().to_string() + ":" + std::to_string(address.port());
   co_return made;
 }
 
@@ -108,15 +110,21 @@
 auto outgoing_connection::read_head() -> task<exchanged<http_response>> {
   auto self = shared_from_this();
   auto code = boost::system::error_code{};
-  auto continued = true;
-  while (continued) {
+  auto kind = status_kind::interim;
+  for (auto responses = 0; kind == status_kind::interim; ++responses) {
     auto read = co_await http::async_read_header(socket_, buffer_, *parser_, resume_with(code));
     answer_begun_ = answer_begun_ || read > 0 || buffer_.size() > 0;
     if (code) {
       co_return fault_of(code);
     }
-    continued = http::to_status_class(parser_->get().result()) == http::status_class::informational;
-    if (continued) {
+    auto status = parser_->get().result_int();
+    kind = kind_of_status(status);
+    if (kind == status_kind::invalid || (kind == status_kind::interim && responses == most_interim)) {
+      log_event(log_level::info, "response_status_invalid",
+                {{"address", peer_}, {"status", std::int64_t{status}}, {"interim", std::int64_t{responses}}});
+      co_return exchange_fault::malformed;
+    }
+    if (kind == status_kind::interim) {
       renew_parser();
     }
   }
--- a/birchlever/http/outgoing_connection.h
+++ b/birchlever/http/outgoing_connection.h
@@ -48,7 +48,8 @@
   /// long body. The deadline holds for the whole exchange.
   auto send(std::shared_ptr<const http_request> request, milliseconds time_left) -> void;
 
-  /// Reads the answer's head.
+  /// Reads the answer's head, after any interim answers. A status that ends no answer in the protocol is
+  /// malformed.
   auto read_head() -> task<exchanged<http_response>>;
 
   /// Reads the next piece of the body.
@@ -94,6 +95,7 @@
   asio::steady_timer deadline_;
   boost::beast::flat_buffer buffer_;
   std::unique_ptr<http::response_parser<http::string_body>> parser_;
+  std::string peer_;  ///< Address and port, for logs.
   milliseconds keep_alive_;
   int exchanges_ = 0;
   int skipped_ = 0;  ///< Responses skipped so far.
--- a/birchlever/storage/http_connection_pool.cpp
+++ b/birchlever/storage/http_connection_pool.cpp
@@ -3,6 +3,7 @@
 #include <httplib.h>
 
 #include "birchlever/core/test_switches.h"
+#include "birchlever/http/http_message.h"
 
 namespace birchlever {
 namespace {
@@ -105,12 +106,14 @@
   auto client = std::move(value(borrowed));
   auto outcome = send(*client, method, path, body, {headers.begin(), headers.end()});
   auto lost = test_switches::instance().link(link_of(target)) == link_state::answers_lost;
-  if (outcome && !lost) {
+  auto answered =
+      outcome && !lost && kind_of_status(static_cast<unsigned>(outcome->status)) == status_kind::final;
+  if (answered) {
     auto response = buffered_response{outcome->status, std::move(outcome->body)};
     release(target, std::move(client));
     return response;
   }
-  if (!lost && is_connection_failure(outcome.error())) {
+  if (!outcome && !lost && is_connection_failure(outcome.error())) {
     return error{error_code::upstream_refused, "no connection to " + target.text()};
   }
   forget(target);
--- a/birchlever/upstream/upstream_exchange.cpp
+++ b/birchlever/upstream/upstream_exchange.cpp
@@ -3,6 +3,7 @@
 #include <httplib.h>
 
 #include "birchlever/core/test_switches.h"
+#include "birchlever/http/http_message.h"
 
 namespace birchlever {
 namespace {
@@ -46,6 +47,9 @@
     message.set_header("Content-Type", request.content_type_);
   }
   message.response_handler = [this](const httplib::Response& response) {
+    if (kind_of_status(static_cast<unsigned>(response.status)) != status_kind::final) {
+      return false;  // Ends the exchange as interrupted: the upstream may have run the request.
+    }
     on_status(response.status, response.get_header_value("Content-Type"));
     return true;
   };
--- a/unit_tests/gateway/gateway_fixture.cpp
+++ b/unit_tests/gateway/gateway_fixture.cpp
@@ -158,6 +158,11 @@
     case script::kind::garbage:
       co_await connection.write_piece("this is no answer");
       co_return false;
+    case script::kind::interim:
+      for (auto number = 0; number < script_to_run.events_; ++number) {
+        co_await connection.write(http_response{http::status::processing, 11});
+      }
+      break;
     case script::kind::cut_body:
       answer.content_length(100);
       co_await connection.write(std::move(answer));
@@ -229,6 +234,8 @@
     } else if (!scripts_.empty()) {
       script_to_run = scripts_.front();
       scripts_.pop_front();
+    } else if (scripts_of_.count(name) != 0) {
+      script_to_run = scripts_of_.at(name);
     }
     if (!harmful) {
       co_await pause_for(loop_, answer_delay_);
--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -40,6 +40,7 @@
     no_proof,
     wrong_id,
     no_id,
+    interim,     ///< `events_` interim responses, then the answer.
     end_process  ///< The upstream closes its port and all its connections.
   };
   /// When a second copy of the response is sent on the connection.
@@ -161,6 +162,7 @@
   milliseconds patience_ = 4000;  ///< ms after which a caller closes its connection.
   milliseconds ends_after_ = 0;   ///< ms for which an upstream runs such a request before it ends.
   std::deque<script> scripts_;    ///< For the next requests; when empty, a normal response or stream.
+  std::map<std::string, script> scripts_of_;  ///< By upstream, for all requests without one of `scripts_`.
   std::vector<received_request> seen_;
   serving_configuration configuration_;
   std::vector<std::shared_ptr<crash_register>> registers_;  ///< By daemon.
