Give the first reservation of a daemon a deadline

Callers: a program whose first turn was reserved by a daemon that had just started, and was killed before the turn ended, gets 503 without end once the rest of its budget is needed.

Cause: a reservation's deadline is on the store's clock, which a daemon hears with its first answer. The first write of a daemon went out without, so that its reservation never counted as overdue.

Change: the record is read first as long as the clock is not known; one read a start of a daemon.

Tests: "a lease is requested from the holder in the newest record after a conflict" let the daemon's first call of all be the write that conflicts. It runs a turn of another program there first now; its checks stand.

Why it works: each reservation has a deadline, so none outlasts its daemon for good.

--- a/birchlever/coordination/program_store_write.cpp
+++ b/birchlever/coordination/program_store_write.cpp
@@ -235,7 +235,8 @@
   auto is_current = false;
   auto conflicts = 0;
   while (true) {
-    if (program->version_ == version_not_read) {
+    // Without the store's clock a reservation would have no deadline, and would stay if this daemon is lost.
+    if (program->version_ == version_not_read || !store_clock_known_) {
       auto loaded = co_await load(program, false, settings_.call_limit_);
       if (!ok(loaded)) {
         co_return failure(loaded);
--- a/unit_tests/coordination/budget_share_test.cpp
+++ b/unit_tests/coordination/budget_share_test.cpp
@@ -31,10 +31,12 @@
     auto fleet = share_fleet{spent_memory, long_turn};
     fleet.turn(0, "t1", "", budget, 10);            // Leases a reservation to daemon 0.
     REQUIRE(ok(fleet.begin(1, "t2", "", budget)));  // Reserves what is left.
+    auto other = turn_request{"q", "t1", "", budget, turn_limit, "in"};
+    REQUIRE(ok(run_to_end(fleet.loop_, fleet.daemons_.at(2)->begin_turn(std::move(other), long_turn))));
     auto commits = fleet.rows_->commits();
     auto clock = steady_clock{};
     auto started_at = clock.now();
-    // Daemon 2 has not read the record, so its first write conflicts.
+    // Daemon 2 has heard the store's clock, but has not read the record, so its first write conflicts.
     CHECK(ok(fleet.begin(2, "t3", "", budget)) == spent_memory);
     CHECK(clock.now() - started_at < long_turn);
     if (spent_memory) {
--- a/unit_tests/coordination/lease_use_test.cpp
+++ b/unit_tests/coordination/lease_use_test.cpp
@@ -77,6 +77,35 @@
   }
 }
 
+/// Failure: the first reservation of a daemon has no deadline, and makes its program get 503 without end.
+TEST_CASE("a daemon's first reservation counts as spent once its deadline passed and it is lost",
+          "[lease_use]") {
+  for (auto spent_memory : {false, true}) {
+    CAPTURE(spent_memory);
+    auto fleet = lease_fleet{2, true, spent_memory};
+    fleet.settings_.settle_grace_ = 1;
+    fleet.kill(0);  // With the shorter grace.
+    constexpr auto deadline = milliseconds{300};
+    auto order = turn_request{"p", "t1", "", budget, limit, "in"};
+    REQUIRE(ok(run_to_end(fleet.loop_, fleet.daemon(0).store_->begin_turn(std::move(order), deadline))));
+    fleet.kill(0, false);
+    run_loop_for(fleet.loop_, deadline + 20);
+    auto served = 0;
+    auto refused = std::optional<error_code>{};
+    while (!refused) {
+      auto name = "n" + std::to_string(served);
+      auto granted = fleet.begin(1, name, "", budget);
+      refused = code_of(granted);
+      if (!refused) {
+        REQUIRE(ok(fleet.end(1, name, "", value(granted), budget)));
+        ++served;
+      }
+    }
+    CHECK(refused == error_code::budget_exhausted);
+    CHECK(served == 3);
+  }
+}
+
 /// Failure: a program is refused for a reservation that nobody used.
 TEST_CASE("an unused lease of a killed daemon is released at once", "[lease_use]") {
   for (auto spent_memory : {false, true}) {
