Retire a transferred lease that its recipient does not use

Callers: 503 without end at the daemon that had transferred a lease in a response that was lost, once the rest of the budget was needed.

Cause: an inquiry found the lease unused, but lease_book refused to retire what the daemon had transferred itself, so the lease was neither released nor lost.

"a lease whose transfer got no response is available to its first holder" failed before in the same way, with and without spent_memory.

Change: confirm_unused retires a transferred lease on its recipient's or its witness's word. Why it works: both promised that they will not use it.

--- a/birchlever/coordination/lease_book.cpp
+++ b/birchlever/coordination/lease_book.cpp
@@ -68,6 +68,14 @@
   retire(lease, keep_until, now);
 }
 
+auto lease_book::confirm_unused(const std::string& lease, milliseconds keep_until, milliseconds now) -> bool {
+  auto found = own_.find(lease);
+  if (found != own_.end() && found->second.use_ == lease_use::transferred) {
+    found->second.use_ = lease_use::unknown;
+  }
+  return retire(lease, keep_until, now);
+}
+
 auto lease_book::use_of(const std::string& lease) const -> lease_use {
   auto found = own_.find(lease);
   return found == own_.end() ? lease_use::unknown : found->second.use_;
--- a/birchlever/coordination/lease_book.h
+++ b/birchlever/coordination/lease_book.h
@@ -50,6 +50,10 @@
   /// Records that the lease is retired although its use had begun here: the turn did not start.
   auto abandon_use(const std::string& lease, milliseconds keep_until, milliseconds now) -> void;
 
+  /// Records that the lease is retired although this daemon had transferred it: its recipient, or its
+  /// witness, will not use it. Returns true if it is retired, false if this daemon uses it.
+  auto confirm_unused(const std::string& lease, milliseconds keep_until, milliseconds now) -> bool;
+
   [[nodiscard]] auto use_of(const std::string& lease) const -> lease_use;
 
   /// Returns the daemon that the lease was transferred to; empty if none.
--- a/birchlever/coordination/program_store_inquiry.cpp
+++ b/birchlever/coordination/program_store_inquiry.cpp
@@ -85,7 +85,7 @@
   auto after_expiry = is_expired(held);
   auto state = co_await inquire_lease(program, name, held);
   auto now = clock_.now();
-  if (state == lease_state::unused && leases_.retire(name, now + keep_for(held.expires_at_), now)) {
+  if (state == lease_state::unused && leases_.confirm_unused(name, now + keep_for(held.expires_at_), now)) {
     ++statistics_.leases_found_unused_;
     ++program->resolved_;
     co_return;
--- a/unit_tests/coordination/lease_use_test.cpp
+++ b/unit_tests/coordination/lease_use_test.cpp
@@ -292,6 +292,22 @@
   check_turns_left(fleet, 1, 2);
 }
 
+/// Failure: the daemon that transferred a lease keeps it counted, although the recipient does not use it, and
+/// its program gets 503 without end.
+TEST_CASE("a lease whose transfer got no response is available to its first holder", "[lease_use]") {
+  for (auto spent_memory : {false, true}) {
+    CAPTURE(spent_memory);
+    auto fleet = lease_fleet{3, true, spent_memory};
+    lease_at_first_daemon(fleet, 1);
+    fleet.turn(0, "t2", "t1", budget);
+    fleet.lost_peer_answers_ = 1;
+    fleet.turn(2, "t3", "t1", budget);
+    REQUIRE(fleet.lost_peer_answers_ == 0);
+    fleet.expire_leases();
+    check_turns_left(fleet, 0, 1);
+  }
+}
+
 /// Failure: a lease is lost with one daemon that was both its recipient and its witness.
 TEST_CASE("a lease that was transferred to its own witness is released when that is killed", "[lease_use]") {
   auto fleet = lease_fleet{3};
