Use a lease only for a turn of its own size

Callers: a program whose turns have different token limits is refused before its budget is spent, after a kill under a small turn.

Cause: a turn could start under a larger lease.

"a turn under way at a kill counts at its own token limit" failed before: 2 turns served in place of 3.

Change: a lease is used by turns of its size only. A settlement drops an unused lease of another size that the daemon holds, and leases the present one.

Measured: [lease_use] and [share] pass. Why it works: what the record counts for a turn is its own limit, whether it runs under a lease or not. Programs whose limits change from turn to turn pay a write more for each change.

--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -331,7 +331,9 @@
                                   const program_record& record) const -> std::optional<change_result>;
   static auto apply_settle(const entry& program, const change& pending, program_record& record)
       -> change_result;
-  auto lease_next_turn(const change& settled, batch_plan& planned) const -> void;
+  auto lease_next_turn(entry& program, const change& settled, batch_plan& planned) -> void;
+  /// Drops unused leases of this daemon that have another size than the program's turns have now.
+  auto drop_other_leases(entry& program, const change& settled, program_record& record) -> void;
   [[nodiscard]] auto store_now() const -> milliseconds { return clock_.now() + store_clock_offset_; }
   auto record_store_clock(milliseconds store_now, milliseconds requested_at) -> void;
   auto plan(entry& program, bool is_current) -> batch_plan;
--- a/birchlever/coordination/program_store_lease.cpp
+++ b/birchlever/coordination/program_store_lease.cpp
@@ -31,7 +31,8 @@
   auto now = clock_.now();
   auto& leased = program.leased_;
   std::erase_if(leased, [&](const leased_reservation& entry) { return entry.usable_until_ <= now; });
-  auto fits = [&](const leased_reservation& entry) { return entry.tokens_ >= order.max_tokens_; };
+  // Under a larger lease a turn that is lost with its daemon would count at more than its most.
+  auto fits = [&](const leased_reservation& entry) { return entry.tokens_ == order.max_tokens_; };
   auto found = std::find_if(leased.begin(), leased.end(), fits);
   if (found == leased.end()) {
     return std::nullopt;
--- a/birchlever/coordination/program_store_plan.cpp
+++ b/birchlever/coordination/program_store_plan.cpp
@@ -96,8 +96,23 @@
   return change_result::done_before;
 }
 
-auto program_store::lease_next_turn(const change& settled, batch_plan& planned) const -> void {
+auto program_store::drop_other_leases(entry& program, const change& settled, program_record& record) -> void {
+  auto now = clock_.now();
+  std::erase_if(program.leased_, [&](const leased_reservation& lease) {
+    auto dropped = lease.tokens_ != settled.max_tokens_ &&
+                   leases_.retire(lease.name_, now + keep_for(lease.expires_at_), now);
+    if (dropped) {
+      record.reserved_.erase(lease.name_);
+    }
+    return dropped;
+  });
+}
+
+auto program_store::lease_next_turn(entry& program, const change& settled, batch_plan& planned) -> void {
   auto& record = planned.record_;
+  if (store_clock_known_) {
+    drop_other_leases(program, settled, record);
+  }
   // Leaves budget for one turn through another daemon, so that a lease rarely makes that turn wait.
   auto fits = settled.budget_ && record.committed() + 2 * settled.max_tokens_ <= *settled.budget_;
   // Nobody may be left to tell whether a lease was used, and a budget may be exceeded by one turn only.
@@ -202,7 +217,7 @@
       add_turn_rows(program, *pending, std::move(rows), planned);
     }
     if (pending->kind_ == change::kind::settle) {
-      lease_next_turn(*pending, planned);
+      lease_next_turn(program, *pending, planned);
     }
   }
   planned.record_.updated_at_ = store_now();
--- a/birchlever/coordination/program_store_share.cpp
+++ b/birchlever/coordination/program_store_share.cpp
@@ -68,7 +68,7 @@
   auto found = std::vector<std::pair<std::string, reservation>>{};
   for (const auto& [name, held] : program.record_.reserved_) {
     auto holder = holder_of_lease(name);
-    auto usable = held.expires_at_ > 0 && !is_expired(held) && held.tokens_ >= tokens && !holder.empty();
+    auto usable = held.expires_at_ > 0 && !is_expired(held) && held.tokens_ == tokens && !holder.empty();
     if (usable && holder != settings_.daemon_ && leases_.use_of(name) == lease_use::unknown) {
       found.emplace_back(name, held);
     }
--- a/unit_tests/coordination/lease_use_test.cpp
+++ b/unit_tests/coordination/lease_use_test.cpp
@@ -77,6 +77,32 @@
   }
 }
 
+/// Failure: a small turn that is lost with its daemon counts at the token limit of the larger lease that it
+/// used.
+TEST_CASE("a turn under way at a kill counts at its own token limit", "[lease_use]") {
+  constexpr auto small_limit = limit / 2;
+  constexpr auto mixed_budget = 4 * limit + small_limit;
+  for (auto spent_memory : {false, true}) {
+    CAPTURE(spent_memory);
+    auto fleet = lease_fleet{3, true, spent_memory};
+    fleet.settings_.settle_grace_ = 1;
+    fleet.kill(0);  // With the shorter grace.
+    fleet.only_witness_ = 1;
+    fleet.turn(0, "t1", "", mixed_budget);
+    auto order = turn_request{"p", "t2", "t1", mixed_budget, small_limit, "in"};
+    constexpr auto deadline = milliseconds{200};
+    REQUIRE(ok(run_to_end(fleet.loop_, fleet.daemon(0).store_->begin_turn(std::move(order), deadline))));
+    fleet.kill(0, false);
+    run_loop_for(fleet.loop_, deadline);
+    fleet.expire_leases();
+    auto served = 0;
+    while (ok(fleet.begin(2, "n" + std::to_string(served), "t1", mixed_budget))) {
+      ++served;
+    }
+    CHECK(served == 3);
+  }
+}
+
 /// Failure: the first reservation of a daemon has no deadline, and makes its program get 503 without end.
 TEST_CASE("a daemon's first reservation counts as spent once its deadline passed and it is lost",
           "[lease_use]") {
