Stage only turns, and each of them once

Callers: none seen. With a store that takes less than one piece of a turn, a settlement without a record was staged, which ended the process (SIGSEGV), and a staged turn that still does not fit would be staged again without end. The platform's limits leave room for 15 pieces, so neither was reached.

Cause: the plan asked whether any next change fits, also one without rows of a turn, which staging cannot make smaller. Found when the change was read again.

Evidence: "a turn that cannot be stored in any number of transactions fails" crashed with the plan asking so.

Change: only a turn that is not staged yet is staged. The size of a staging transaction counts its envelope, too.

--- a/birchlever/coordination/program_store_plan.cpp
+++ b/birchlever/coordination/program_store_plan.cpp
@@ -185,8 +185,10 @@
     if (pending->staged_) {
       rows.resize(1);
     }
-    if (!fits(planned, rows)) {
-      planned.needs_staging_ = planned.changes_.empty() ? pending : nullptr;
+    auto alone = planned.changes_.empty();
+    auto cannot_shrink = rows.empty() || (alone && pending->staged_);
+    if (!cannot_shrink && !fits(planned, rows)) {
+      planned.needs_staging_ = alone ? pending : nullptr;
       break;
     }
     auto expired = pending->starts_turn() && pending->times_out_at_ <= now && pending->expired_;
--- a/birchlever/coordination/program_store_write.cpp
+++ b/birchlever/coordination/program_store_write.cpp
@@ -172,7 +172,7 @@
   while (rows.size() - pending->staged_rows_ > 1) {
     auto transaction = row_transaction{};
     transaction.priority_ = pending->rank();
-    auto bytes = std::size_t{0};
+    auto bytes = max_encoded_size(transaction);
     for (auto next = rows.size() - 1 - pending->staged_rows_; next > 0; --next) {
       bytes += max_encoded_size(rows[next]);
       auto full = bytes > limits.bytes_ || transaction.puts_.size() >= limits.entries_;
--- a/unit_tests/coordination/large_turn_test.cpp
+++ b/unit_tests/coordination/large_turn_test.cpp
@@ -127,6 +127,19 @@
   }
 }
 
+/// Failure: a turn of which not even the first piece is within the limits is planned again and again.
+TEST_CASE("a turn that cannot be stored in any number of transactions fails", "[large_turn]") {
+  auto fixture = store_fixture{};
+  fixture.rows_->set_limits({100, 20'000}, {100, 20'000});
+  auto input = std::string(400'000, 'x');
+  auto granted = fixture.begin(*fixture.store_, "t1", "", input);
+  REQUIRE(ok(granted));
+  auto ended = fixture.end(*fixture.store_, "t1", "", value(granted), input);
+  REQUIRE_FALSE(ok(ended));
+  CHECK(failure(ended).code_ == error_code::store_rejected);
+  CHECK(ok(fixture.begin(*fixture.store_, "t2", "", "in")));
+}
+
 /// Failure: a change that the store rejects is sent again and again, and holds up all changes beside it.
 TEST_CASE("a change that the store rejects fails at once and alone", "[large_turn]") {
   auto fixture = store_fixture{};
