--- a/birchlever/coordination/program_store.h
+++ b/birchlever/coordination/program_store.h
@@ -51,7 +51,7 @@
   std::int64_t leases_found_unused_ = 0;   ///< Leases of other daemons that were found to be unused.
   std::int64_t leases_unresolved_ = 0;     ///< Inquiries about leases that may be in use.
   std::int64_t leases_unaccounted_ = 0;    ///< Leases of which nobody knew any more whether they were used.
-  std::int64_t overdrafts_ = 0;            ///< Reservations beyond a budget, see docs/design/leases.md.
+  std::int64_t overdrafts_ = 0;            ///< Reservations beyond a budget, by an unaccounted lease.
 };
 
 /// A request to start a turn.
