--- a/birchlever/coordination/program_store_lease.cpp
+++ b/birchlever/coordination/program_store_lease.cpp
@@ -2,7 +2,8 @@
 /// leases of other daemons.
 ///
 /// A reservation is removed only when it is certain that no turn uses it: its holder says so, or its witness,
-/// which then refuses each later use. Any other expired lease counts as spent.
+/// which then refuses each later use. An expired lease that was used counts as spent. One of which nobody
+/// knows whether it was used stays reserved, and one turn may exceed the budget by it.
 #include <algorithm>
 #include <cassert>
 
