soak: a store of pages, engines that read whole histories

Two faults of the stand-ins, both traced:

- The store of the soak answered a read with one page of any size; the page says 500 rows or 1 MB.
Above 8 MB the gateway takes the answer for malformed ("history of the turn is not readable: store call failed: malformed"). memory_row_store pages by bytes now.
- Its engines read bodies of 4 MiB at most and closed the connection of a longer prompt ("closed_unasked", the port alive).

No check changes. large_turn_test reads a history of 12 MB page by page.

--- a/birchlever/storage/memory_row_store.cpp
+++ b/birchlever/storage/memory_row_store.cpp
@@ -4,6 +4,8 @@
 namespace {
 
 constexpr auto retry_later_ms = milliseconds{500};
+constexpr auto max_page_bytes =
+    std::size_t{1'000'000};  // Of the encoded rows of a page; one row always fits.
 
 auto row_id_of(const row_key& key) -> std::tuple<std::string, std::string, std::string> {
   return {key.table_, key.partition_, key.key_};
@@ -103,6 +105,7 @@
   auto page = row_page{};
   page.version_ = version_;
   page.store_time_ = clock_.now();
+  auto page_bytes = std::size_t{0};
   for (auto next = rows_.lower_bound({range.table_, range.partition_, range.from_}); next != rows_.end();
        ++next) {
     const auto& key = next->second.key_;
@@ -111,7 +114,10 @@
     if (!in_range) {
       break;
     }
-    if (static_cast<int>(page.rows_.size()) >= range.limit_) {
+    page_bytes += max_encoded_size(next->second);
+    auto full = static_cast<int>(page.rows_.size()) >= range.limit_ ||
+                (page_bytes > max_page_bytes && !page.rows_.empty());
+    if (full) {
       page.more_ = true;
       break;
     }
--- a/soak/upstream_stand_in.cpp
+++ b/soak/upstream_stand_in.cpp
@@ -9,6 +9,7 @@
 
 namespace names = platform::names;
 
+constexpr auto max_prompt_bytes = std::size_t{256} << 20U;  // Histories of many turns with large inputs.
 constexpr auto longest_harmful_run_ms = 120;
 constexpr auto late_end_ms = milliseconds{2500};
 constexpr auto hold_look_ms = milliseconds{100};
@@ -72,6 +73,7 @@
 
 auto upstream_stand_in::serve(std::shared_ptr<server_connection> connection) -> task<> {
   auto limits = request_limits{};
+  limits.max_body_bytes_ = max_prompt_bytes;
   auto keep = true;
   connections_.insert(connection);
   while (keep && !dead_) {
--- a/unit_tests/coordination/large_turn_test.cpp
+++ b/unit_tests/coordination/large_turn_test.cpp
@@ -63,6 +63,26 @@
   }
 }
 
+/// Failure: a history that exceeds a page of the store is cut, or is not readable.
+TEST_CASE("a history of several large turns is read page by page", "[large_turn]") {
+  auto fixture = store_fixture{};
+  auto expected = std::string{};
+  auto previous = std::string{};
+  for (const auto* turn : {"t1", "t2", "t3"}) {
+    auto input = std::string(4'000'000, turn[1]);
+    auto granted = fixture.begin(*fixture.store_, turn, previous, input);
+    REQUIRE(ok(granted));
+    REQUIRE(ok(fixture.end(*fixture.store_, turn, previous, value(granted), input)));
+    expected += input + "out-" + turn;
+    previous = turn;
+  }
+  auto reads = fixture.rows_->reads();
+  auto next = fixture.begin(*fixture.make("other"), "t4", previous, "next");
+  REQUIRE(ok(next));
+  CHECK(value(next).prompt_ == expected + "next");
+  CHECK(fixture.rows_->reads() > reads + 12);  // 12 MB, of 1 MB a page.
+}
+
 /// Failure: a reader takes a part of a turn for the turn, or fails for all turns of its program.
 TEST_CASE("a turn of which only a part is stored is not visible to readers", "[large_turn]") {
   for (auto calls = 1; calls <= 8; ++calls) {
