--- a/unit_tests/platform/store_client_test.cpp
+++ b/unit_tests/platform/store_client_test.cpp
@@ -158,6 +158,15 @@
   }
 }
 
+/// Failure: a settlement loses its turn since a relaying peer did not get the call in time.
+TEST_CASE("a call that did not arrive in time was not applied, and may be repeated") {
+  auto store = fake_store{};
+  store.steps_ = {{408, "{}"}, {408, "{}"}};
+  CHECK(failure(store.commit(300)).code_ == error_code::store_unavailable);
+  CHECK(failure(store.run(store.client_->read({"t", "p", "", ""}, 300))).code_ ==
+        error_code::store_unavailable);
+}
+
 /// Failure: a transaction is larger than was planned, and the store rejects it.
 TEST_CASE("an encoded transaction does not exceed its computed size") {
   auto random = std::minstd_rand{1};
