Log a lease that is dropped for its size

Operators: a settlement dropped an unused lease of another size than the program's turns, and no line told it, so a turn's extra store write had no visible cause.

Change: `lease_dropped` has the request, the lease and both sizes.

--- a/birchlever/coordination/program_store_plan.cpp
+++ b/birchlever/coordination/program_store_plan.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 
 #include "birchlever/coordination/program_store_state.h"
+#include "birchlever/telemetry/log.h"
 
 namespace birchlever {
 namespace {
@@ -103,6 +104,12 @@
                    leases_.retire(lease.name_, now + keep_for(lease.expires_at_), now);
     if (dropped) {
       record.reserved_.erase(lease.name_);
+      log_event(log_level::info, "lease_dropped",
+                {{"request", settled.turn_},
+                 {"program", program.name_},
+                 {"reservation", lease.name_},
+                 {"tokens", lease.tokens_},
+                 {"max_tokens", settled.max_tokens_}});
     }
     return dropped;
   });
