Keep a program in memory while anything uses it

Cause: a read of another program's history did not count as a use of its cache entry. Another turn evicted the entry meanwhile; the rows went into the dropped entry, and the index of turns named a program that the cache lacked. Each later turn of that chain threw.

Both cases of history_cache_test failed before: the turn was never answered.

Change: no counter of users. An entry is evicted only while the cache holds the only pointer to it; the index is changed together with the entry that it names.

Why it works: every coroutine that reads or writes a program holds its pointer, so nothing has to declare the use, and the index cannot outlive the entry.

--- a/birchlever/coordination/program_store.cpp
+++ b/birchlever/coordination/program_store.cpp
@@ -75,7 +75,7 @@
   while (cached_bytes_ > settings_.cache_bytes_) {
     auto oldest = entries_.end();
     for (auto next = entries_.begin(); next != entries_.end(); ++next) {
-      auto idle = next->second->users_ == 0 && next->second->queue_.empty() && !next->second->writing_;
+      auto idle = next->second.use_count() == 1 && next->second->queue_.empty();
       if (idle && (oldest == entries_.end() || next->second->last_used_ < oldest->second->last_used_)) {
         oldest = next;
       }
@@ -86,7 +86,10 @@
     cached_bytes_ -= entry_overhead;
     for (const auto& [turn, record] : oldest->second->turns_) {
       cached_bytes_ -= bytes_of(*record);
-      turn_programs_.erase(turn);
+      auto indexed = turn_programs_.find(turn);
+      if (indexed != turn_programs_.end() && indexed->second == oldest->first) {
+        turn_programs_.erase(indexed);
+      }
     }
     entries_.erase(oldest);
   }
@@ -114,7 +117,6 @@
     co_return error{error_code::store_unavailable, "write backlog of the store exceeds the turn's wait limit",
                     ran_state::not_run, std::max(backlog, min_backlog_retry)};
   }
-  ++program->users_;
   auto past = co_await collect_with_retry(order.program_, order.previous_, wait_until, due, caller_due);
   auto reserved = ok(past) ? result<std::string>{std::string{}} : result<std::string>{failure(past)};
   if (ok(past)) {
@@ -122,9 +124,9 @@
     reserved = co_await acquire_reservation(program, order, limits);
     release_retired(program);
   }
-  --program->users_;
-  evict();
   if (!ok(reserved)) {
+    program.reset();
+    evict();
     co_return failure(reserved);
   }
   auto grant = turn_grant{};
@@ -145,6 +147,8 @@
       grant.inherited_history_ = grant.prompt_.substr(0, grant.prompt_.size() - order.input_.size());
     }
   }
+  program.reset();
+  evict();
   co_return grant;
 }
 
--- a/birchlever/coordination/program_store_draw.cpp
+++ b/birchlever/coordination/program_store_draw.cpp
@@ -33,9 +33,8 @@
   }
   auto self = shared_from_this();
   auto program = entry_of(order.program_);
-  ++program->users_;
   auto drawn = co_await draw_for(program, order, std::min(time_left, settings_.start_timeout_));
-  --program->users_;
+  program.reset();
   evict();
   co_return drawn;
 }
--- a/birchlever/coordination/program_store_inquiry.cpp
+++ b/birchlever/coordination/program_store_inquiry.cpp
@@ -111,11 +111,9 @@
       asked.emplace_back(name, held);
     }
   }
-  ++program->users_;
   for (const auto& [name, held] : asked) {
     co_await inquire(program, name, held);
   }
-  --program->users_;
   const auto& reserved = program->record_.reserved_;
   std::erase_if(program->inquired_, [&](const auto& entry) { return reserved.count(entry.first) == 0; });
 }
@@ -132,6 +130,7 @@
   auto inquire = [](std::shared_ptr<program_store> store, entry_pointer about) -> task<> {
     co_await store->inquire_leases(about, true);
     about->inquiring_ = false;
+    about.reset();
     store->evict();
   };
   start(*loop_, "inquire_leases", inquire(shared_from_this(), program));
@@ -147,9 +146,8 @@
   }
   auto retire = [](std::shared_ptr<program_store> store, entry_pointer about, std::string lease,
                    reservation held) -> task<> {
-    ++about->users_;
     co_await store->inquire(about, lease, held);
-    --about->users_;
+    about.reset();
     store->evict();
   };
   start(*loop_, "retire_lease", retire(shared_from_this(), program, next->first, next->second));
--- a/birchlever/coordination/program_store_read.cpp
+++ b/birchlever/coordination/program_store_read.cpp
@@ -40,8 +40,8 @@
 
 auto program_store::cache_turn(entry& program, const std::string& turn, record_pointer record) -> void {
   auto bytes = bytes_of(*record);
+  turn_programs_[turn] = program.name_;
   if (program.turns_.emplace(turn, std::move(record)).second) {
-    turn_programs_[turn] = program.name_;
     cached_bytes_ += bytes;
   }
 }
@@ -93,7 +93,11 @@
     }
   }
   for (const auto& [turn, bytes] : pieces) {
-    if (program.turns_.count(turn) != 0 || stored_turns.count(turn) == 0) {
+    if (program.turns_.count(turn) != 0) {
+      turn_programs_.try_emplace(turn, program.name_);  // The program it was found in may be evicted.
+      continue;
+    }
+    if (stored_turns.count(turn) == 0) {
       continue;
     }
     auto decoded = decode_turn(bytes);
--- a/birchlever/coordination/program_store_share.cpp
+++ b/birchlever/coordination/program_store_share.cpp
@@ -220,9 +220,7 @@
     co_return;
   }
   program->confirming_ = true;
-  ++program->users_;
   auto loaded = co_await load(program, false, std::min(time_left, settings_.call_limit_));
-  --program->users_;
   program->confirming_ = false;
   auto now = clock_.now();
   auto spent = ok(loaded) ? tokens_spent_by_turns(program->record_) : 0;
@@ -242,6 +240,7 @@
              {"spent", spent},
              {"budget", *order.budget_}});
   program->changed_.notify();
+  program.reset();
   evict();
 }
 
--- a/birchlever/coordination/program_store_state.h
+++ b/birchlever/coordination/program_store_state.h
@@ -107,7 +107,7 @@
       0;  ///< Number made after the lease had expired: any turn under it has ended or is lost.
 };
 
-/// Cached state of a program.
+/// Cached state of a program. It is evicted only while nobody but the cache refers to it.
 struct program_store::entry {
   explicit entry(event_loop& loop) : changed_{loop} {}
 
@@ -131,7 +131,6 @@
   bool writing_ = false;
   bool confirming_ = false;  ///< The record is being read to confirm that the budget is spent.
   loop_signal changed_;      ///< This daemon committed a change of the program, or read its record.
-  int users_ = 0;
   milliseconds last_used_ = 0;
 };
 
--- a/birchlever/coordination/program_store_write.cpp
+++ b/birchlever/coordination/program_store_write.cpp
@@ -64,6 +64,7 @@
     delay = std::min(2 * delay, max_retry_delay);
   }
   program->writing_ = false;
+  program.reset();
   evict();
 }
 
