Refuse a program for overdue turns by its current record only

Callers: a program gets 402 although its budget holds another turn, after a turn of it ended later than its deadline and the grace.

Cause: a turn that is overdue counts as lost, at its most. Unlike spent tokens this can be corrected, by its settlement, but a refusal that rested on it was made from a record of up to budget_max_age_.

Change: such a refusal needs the record as it is now: one read more.

Why it works: what a refusal rests on beyond spent tokens is read after the request came.

--- a/birchlever/coordination/program_store_plan.cpp
+++ b/birchlever/coordination/program_store_plan.cpp
@@ -201,9 +201,12 @@
     auto expired = pending->starts_turn() && pending->times_out_at_ <= now && pending->expired_;
     auto change_outcome = expired ? change_result::expired : apply(program, *pending, planned.record_);
     // Spent tokens only increase, so a refusal based on them alone does not need the newest record.
-    auto definitive = is_current ||
-                      (program.record_at_ && now - *program.record_at_ <= settings_.budget_max_age_) ||
-                      planned.record_.spent_ + pending->tokens_ > pending->budget_.value_or(0);
+    auto all_spent = planned.record_.spent_ + pending->tokens_ > pending->budget_.value_or(0);
+    // A turn that counts as lost may have been settled with fewer tokens since the record was read.
+    auto rests_on_lost = change_outcome == change_result::over_budget && !all_spent &&
+                         lost_tokens(program, planned.record_) > 0;
+    auto recent = program.record_at_ && now - *program.record_at_ <= settings_.budget_max_age_;
+    auto definitive = is_current || all_spent || (recent && !rests_on_lost);
     if ((change_outcome == change_result::over_budget || change_outcome == change_result::budget_leased) &&
         !definitive) {
       planned.needs_reload_ = true;
