Read the list of daemons as soon as an unlisted one is heard

Cause: the added gateway reads the list at its start and grants as the first grantor of its share of the accounts. The others read the list every 30 s and ask the former grantor until then, so two daemons grant the whole allotment.

"a daemon that was added is listed by its peers as soon as they hear it" in peer_exchange_test fails without the change: no such read in 1.5 s.

Change: a regular message of a daemon that is not in the list makes the list be read 100 ms later, at most once a second, and at most three times for one daemon between two regular reads. Log line `unlisted_peer_heard`.

Why it works: a daemon sends its first message as soon as it has read the list, and registers in the same read, so its peers agree with it on the grantors within some 0.3 s.

Partial: a message reaches 16 peers, so in larger fleets part of the daemons still learn of it by the regular read only.

--- a/birchlever/controllers/peer_exchange.cpp
+++ b/birchlever/controllers/peer_exchange.cpp
@@ -17,6 +17,7 @@
 constexpr auto first_list_interval =
     milliseconds{700};  // Daemons started at the same time register meanwhile.
 constexpr auto retry_interval = milliseconds{500};
+constexpr auto max_unlisted_reads = 3;  // Of the list, due to one VM; it may be unable to register.
 constexpr auto list_timeout = milliseconds{10000};  // For all pages of the list.
 
 }  // namespace
@@ -29,6 +30,7 @@
       describe_{std::move(describe)},
       socket_{loop},
       random_{static_cast<std::uint32_t>(hash_of(settings_.vm_))},
+      unlisted_seen_{loop},
       views_{settings_.vm_, settings_.max_state_age_, std::make_shared<steady_clock>()} {}
 
 auto peer_exchange::create(event_loop& loop, std::shared_ptr<row_store_interface> rows,
@@ -191,6 +193,11 @@
     if (on_peer_seen_) {
       on_peer_seen_(vm);
     }
+    auto unlisted = list_known_ && vm != settings_.vm_ && listed_.count(vm) == 0;
+    if (unlisted && unlisted_reads_[vm] < max_unlisted_reads) {
+      unlisted_peer_ = vm;
+      unlisted_seen_.notify();
+    }
     return;
   }
   for (const auto& report : state.health_reports_) {
@@ -221,8 +228,26 @@
     }
     auto next =
         std::exchange(read_before, read_before || succeeded) ? settings_.list_interval_ : first_list_interval;
-    co_await pause_for(*loop_, succeeded ? next : retry_interval);
+    co_await wait_for_list(succeeded ? next : retry_interval);
+  }
+}
+
+auto peer_exchange::wait_for_list(milliseconds interval) -> task<> {
+  auto read_at = clock_.now();
+  auto due = read_at + interval;
+  while (unlisted_peer_.empty() && clock_.now() < due) {
+    co_await unlisted_seen_.wait_for(due - clock_.now());
+  }
+  if (unlisted_peer_.empty()) {
+    unlisted_reads_.clear();
+    co_return;
   }
+  ++unlisted_reads_[unlisted_peer_];
+  auto earliest = std::max(clock_.now() + settings_.unlisted_delay_, read_at + settings_.min_list_interval_);
+  auto read_next = std::min(earliest, due);
+  co_await pause_for(*loop_, std::max<milliseconds>(read_next - clock_.now(), 0));
+  log_event(log_level::info, "unlisted_peer_heard",
+            {{"peer", std::exchange(unlisted_peer_, {})}, {"list_age_ms", clock_.now() - read_at}});
 }
 
 auto peer_exchange::read_list() -> task<bool> {
@@ -234,12 +259,14 @@
   receivers_.clear();
   known_.clear();
   list_known_ = true;
+  listed_.clear();
   auto self_listed = false;
   auto listed = std::map<std::string, asio::ip::udp::endpoint>{};
   for (const auto& row : value(page).rows_) {
     auto parsed = parse_address(row.value_);
     auto is_self = row.key_.key_ == settings_.vm_;
     self_listed = self_listed || (is_self && row.value_ == settings_.address_);
+    listed_.insert(row.key_.key_);
     if (!is_self && ok(parsed)) {
       auto endpoint = asio::ip::udp::endpoint{value(parsed).address(), value(parsed).port()};
       add_receiver(endpoint);
--- a/birchlever/controllers/peer_exchange.h
+++ b/birchlever/controllers/peer_exchange.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "birchlever/controllers/peer_views.h"
+#include "birchlever/http/loop_signal.h"
 #include "birchlever/http/task.h"
 #include "birchlever/storage/row_store_interface.h"
 
@@ -36,7 +37,10 @@
                             ///< large fleets.
   milliseconds max_state_age_ = 1500;   ///< Older states are ignored.
   milliseconds list_interval_ = 30000;  ///< Interval between two reads of the list of daemons.
-  milliseconds call_limit_ = 1500;      ///< Timeout of one store call.
+  milliseconds unlisted_delay_ = 100;  ///< Time from the first message of a daemon that is not in the list to
+                                       ///< the next read of the list; the daemon registers meanwhile.
+  milliseconds min_list_interval_ = 1000;  ///< Minimum interval between two such reads.
+  milliseconds call_limit_ = 1500;         ///< Timeout of one store call.
   milliseconds remove_after_ = 600000;  ///< A listed peer that was not seen for this long is removed from the
                                         ///< list. A live daemon that finds itself missing registers again.
 };
@@ -112,6 +116,9 @@
   auto introduce(const asio::ip::udp::endpoint& peer) -> void;
   auto add_receiver(const asio::ip::udp::endpoint& peer) -> void;
   auto follow_list() -> task<>;
+  /// Waits until the list is to be read again: after `interval` ms, or soon after a message of a daemon that
+  /// is not in the list.
+  auto wait_for_list(milliseconds interval) -> task<>;
   auto announce() -> task<bool>;
   auto read_list() -> task<bool>;
   auto remove_unresponsive(std::vector<stored_row> rows) -> task<>;
@@ -137,6 +144,11 @@
   bool reporting_ = false;
   milliseconds reports_sent_at_ = 0;
   bool list_known_ = false;
+  std::set<std::string> listed_;  ///< VMs in the list when it was last read.
+  std::string unlisted_peer_;  ///< A VM that sent a message and is not in the list; empty if there is none.
+  std::map<std::string, int> unlisted_reads_;  ///< Reads of the list due to such a VM, since the last one at
+                                               ///< the regular interval.
+  loop_signal unlisted_seen_;
   health_report_function on_health_report_;
   send_record_function on_send_record_;
   introduce_function introduce_;
--- a/unit_tests/controllers/peer_exchange_test.cpp
+++ b/unit_tests/controllers/peer_exchange_test.cpp
@@ -187,6 +187,43 @@
   REQUIRE(introductions >= 2);
 }
 
+/// Failure: a daemon that was added acts as the grantor of an account, while others learn of it up to an
+/// interval of the list later and ask the former grantor meanwhile.
+TEST_CASE("a daemon that was added is listed by its peers as soon as they hear it") {
+  auto loop = event_loop{1};
+  auto rows = std::make_shared<memory_row_store>(loop);
+  auto settings = peer_exchange_settings{};
+  settings.vm_ = "vm-1";
+  settings.address_ = free_udp_address(loop);
+  auto made = peer_exchange::create(loop, rows, settings, [] {
+    auto state = peer_state{};
+    state.vm_ = "vm-1";
+    return state;
+  });
+  REQUIRE(ok(made));
+  auto reads = 0;
+  auto listed = std::set<std::string>{};
+  value(made)->on_list([&](const std::map<std::string, asio::ip::udp::endpoint>& peers) {
+    ++reads;
+    for (const auto& [vm, address] : peers) {
+      listed.insert(vm);
+    }
+  });
+  loop.run_for(std::chrono::milliseconds{1000});  // Both reads of its start are made.
+  REQUIRE(listed.empty());
+  auto reads_before = reads;
+  auto added = join(loop, rows, "vm-2", {});
+  loop.run_for(std::chrono::milliseconds{settings.min_list_interval_ + 500});
+  CHECK(listed.count("vm-2") == 1);
+  CHECK(reads - reads_before <= 3);
+  // One that cannot register does not make others read the list again and again.
+  rows->remove({settings.table_, "", "vm-2"});
+  rows->faults().lose_calls_ = 1000;
+  reads_before = reads;
+  loop.run_for(std::chrono::milliseconds{2 * settings.min_list_interval_});
+  CHECK(reads - reads_before <= 3);
+}
+
 // Guards against requests that a daemon handles before its peers have told it what they know.
 TEST_CASE("a daemon that starts is heard as soon as it knows its peers") {
   auto loop = event_loop{1};
