lease_random_test: count a turn from the kill that met its start

Trace (a trial with log lines, 2 of 90 copies of the test): the witness recorded the use of a lease for a turn of 98 tokens, 2 ms later its daemon was killed, and 240 ms later the program was refused with these 98 tokens as `lost`. That is the price that docs/design/leases.md names ("a daemon between the record of a use and the start of its turn"). The test counted the turn as lost only when the call on the killed daemon returned, up to 500 ms after its begin.

Change: a turn whose daemon was killed while it was being started counts from the kill on. No check changes, nor the count at the end of a run.

--- a/unit_tests/coordination/lease_random_test.cpp
+++ b/unit_tests/coordination/lease_random_test.cpp
@@ -1,5 +1,6 @@
 /// Guards budgets under random turns, sub-agents, kills, pauses, cuts and lost answers on several daemons.
 #include <catch2/catch.hpp>
+#include <map>
 
 #include "unit_tests/coordination/lease_fleet.h"
 
@@ -106,8 +107,10 @@
     auto store = fleet_.daemon(vm).store_;
     auto limit = chance(3) ? totals_.limit_ / 2 : totals_.limit_;
     auto order = turn_request{"p", name, "t1", totals_.budget_, limit, "in"};
+    starting_[name] = {vm, incarnation, limit};
     auto granted = co_await store->begin_turn(std::move(order), turn_time);
-    auto killed = [&] { return fleet_.daemon(vm).name_ != incarnation || !fleet_.daemon(vm).alive_; };
+    starting_.erase(name);
+    auto killed = [&] { return was_killed(vm, incarnation); };
     if (killed()) {
       totals_.abandoned_ += limit;  // It may have been granted.
       co_return;
@@ -141,9 +144,24 @@
     ++totals_.served_;
   }
 
+  [[nodiscard]] auto was_killed(int vm, const std::string& incarnation) -> bool {
+    return fleet_.daemon(vm).name_ != incarnation || !fleet_.daemon(vm).alive_;
+  }
+
+  /// Returns the token limits of turns that were about to start at a kill and whose call has not returned
+  /// yet. The use of their leases may be recorded.
+  [[nodiscard]] auto killed_starts() -> std::int64_t {
+    auto total = std::int64_t{0};
+    for (const auto& [name, turn] : starting_) {
+      total += was_killed(turn.vm_, turn.incarnation_) ? turn.limit_ : 0;
+    }
+    return total;
+  }
+
   /// Returns true if the budget holds one more turn, with turns that did not end whole at their most.
-  [[nodiscard]] auto holds_one_more(std::int64_t limit) const -> bool {
-    return totals_.handed_ + totals_.running_ + totals_.abandoned_ + totals_.unsettled_ + limit <=
+  [[nodiscard]] auto holds_one_more(std::int64_t limit) -> bool {
+    return totals_.handed_ + totals_.running_ + totals_.abandoned_ + killed_starts() + totals_.unsettled_ +
+               limit <=
            totals_.budget_;
   }
 
@@ -256,6 +274,13 @@
   trouble kind_;
   lease_fleet fleet_;
   run_totals totals_;
+  /// A turn whose call to start it has not returned.
+  struct starting_turn {
+    int vm_ = 0;
+    std::string incarnation_;
+    std::int64_t limit_ = 0;
+  };
+  std::map<std::string, starting_turn> starting_;  ///< By name.
   int active_ = 0;
   bool stopping_ = false;
 };
