Ask how a connection ended before a response without a length is whole

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The caller got that part as a whole answer; a 413 likewise, and a part of a stream as a whole turn, which was stored.

Cause: a socket reports the failure of its connection once, to the call that comes next. outgoing_connection writes the request beside reading the response. If the writer got the error, the reader got 0 bytes, which is what a proper end looks like, and nothing asked the writer.

Evidence: two plain sockets (a trial): write first gives ECONNRESET, then the part, then 0 bytes; the state in TCP_INFO is CLOSE (7), after FIN CLOSE_WAIT (8). FIN and then a reset: EPIPE and CLOSE.

Change: at the end of a body that only the connection's end delimits, the connection is asked. CLOSE_WAIT: whole. Otherwise the reader waits for the writer, which ends at once since the connection is down, and the response is whole if the writer met no error, or EPIPE, which says that FIN came first. Any other error, or none known: broken, with the log line response_reset.

Why it works: the decision does not depend on which of the two coroutines runs first, nor on the pace of the peer. A response that ends properly during the upload does not wait for the upload. A broken body takes the path of a body that is shorter than its length: 502 for an unsafe request, another server for a safe one, a cut stream, nothing stored.

`serve` held before, too: its library writes the whole request before it reads; unit_tests/upstream/ broken_response_test keeps that.

--- a/birchlever/http/outgoing_connection.cpp
+++ b/birchlever/http/outgoing_connection.cpp
@@ -26,7 +26,12 @@
 }
 
 outgoing_connection::outgoing_connection(event_loop& loop, milliseconds keep_alive)
-    : loop_{&loop}, socket_{loop}, deadline_{loop}, buffer_{most_unparsed_bytes}, keep_alive_{keep_alive} {}
+    : loop_{&loop},
+      socket_{loop},
+      deadline_{loop},
+      buffer_{most_unparsed_bytes},
+      keep_alive_{keep_alive},
+      write_ended_{loop} {}
 
 auto outgoing_connection::open(event_loop& loop, const asio::ip::tcp::endpoint& address, milliseconds limit)
     -> task<exchanged<std::shared_ptr<outgoing_connection>>> {
@@ -89,7 +94,7 @@
 
 auto outgoing_connection::send(std::shared_ptr<const http_request> request, milliseconds time_left) -> void {
   ++exchanges_;
-  written_ = false;
+  writing_ = true;
   whole_ = false;
   answer_begun_ = false;
   head_request_ = request->method() == http::verb::head;
@@ -103,8 +108,30 @@
   auto self = shared_from_this();
   auto code = boost::system::error_code{};
   co_await http::async_write(socket_, *request, resume_with(code));
-  written_ = !code;
-  write_failed_ = static_cast<bool>(code);  // The reader sees the same end and says why.
+  writing_ = false;
+  write_error_ = code;
+  write_ended_.notify();
+}
+
+// A socket reports a failure of its connection once, to whichever call comes next; after that, reads end as
+// if the peer had ended the connection. If the writer got the error, only it can tell.
+auto outgoing_connection::find_fault_of_end() -> task<std::optional<exchange_fault>> {
+  if (is_ended_by_peer(socket_)) {
+    co_return std::nullopt;
+  }
+  // The connection is down, so the writer ends without delay.
+  if (writing_) {
+    co_await write_ended_.wait_for(peer_silence_limit);
+  }
+  // On Linux the error is EPIPE if the peer ended its side properly before the connection failed.
+  auto ended_before = !write_error_ || write_error_ == asio::error::broken_pipe;
+  if (!writing_ && !aborted_ && ended_before) {
+    co_return std::nullopt;
+  }
+  if (!aborted_) {
+    log_event(log_level::info, "response_reset", {{"address", peer_}, {"detail", write_error_.message()}});
+  }
+  co_return fault_of(asio::error::connection_reset);
 }
 
 auto outgoing_connection::read_head() -> task<exchanged<http_response>> {
@@ -151,6 +178,13 @@
     piece.bytes_ = std::exchange(parser_->get().body(), {});
   }
   if (parser_->is_done()) {
+    auto fault = std::optional<exchange_fault>{};
+    if (parser_->need_eof()) {
+      fault = co_await find_fault_of_end();
+    }
+    if (fault) {
+      co_return *fault;
+    }
     whole_ = true;
     piece.last_ = true;
     deadline_.cancel();
@@ -199,7 +233,7 @@
 }
 
 auto outgoing_connection::reusable() const -> bool {
-  return whole_ && written_ && !aborted_ && !write_failed_ && parser_->get().keep_alive() &&
+  return whole_ && !writing_ && !aborted_ && !write_error_ && parser_->get().keep_alive() &&
          !parser_->get().need_eof() && buffer_.size() == 0;
 }
 
--- a/birchlever/http/outgoing_connection.h
+++ b/birchlever/http/outgoing_connection.h
@@ -9,6 +9,7 @@
 
 #include "birchlever/core/result.h"
 #include "birchlever/http/http_message.h"
+#include "birchlever/http/loop_signal.h"
 #include "birchlever/http/task.h"
 
 namespace birchlever {
@@ -52,7 +53,8 @@
   /// malformed.
   auto read_head() -> task<exchanged<http_response>>;
 
-  /// Reads the next piece of the body.
+  /// Reads the next piece of the body. A body without a length is whole only if the peer ended the connection
+  /// properly; if it was reset, it is broken.
   auto read_piece() -> task<exchanged<body_piece>>;
 
   /// Reads what is left of the body, up to `most` bytes (malformed beyond that).
@@ -86,6 +88,9 @@
   outgoing_connection(event_loop& loop, milliseconds standard_keep_alive);
 
   auto write_request(std::shared_ptr<const http_request> request) -> task<>;
+
+  /// Returns what broke a connection whose end was read, or nothing if the peer ended it properly.
+  auto find_fault_of_end() -> task<std::optional<exchange_fault>>;
   auto fault_of(const boost::system::error_code& code) const -> exchange_fault;
   auto arm(milliseconds time_left) -> void;
   auto renew_parser() -> void;
@@ -99,8 +104,9 @@
   milliseconds keep_alive_;
   int exchanges_ = 0;
   int skipped_ = 0;  ///< Responses skipped so far.
-  bool written_ = false;
-  bool write_failed_ = false;
+  bool writing_ = false;
+  boost::system::error_code write_error_;
+  loop_signal write_ended_;
   bool whole_ = false;
   bool timed_out_ = false;
   bool aborted_ = false;
--- a/birchlever/http/socket_options.cpp
+++ b/birchlever/http/socket_options.cpp
@@ -28,4 +28,11 @@
   return seen >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+auto is_ended_by_peer(boost::asio::ip::tcp::socket& socket) -> bool {
+  auto info = tcp_info{};
+  auto size = static_cast<socklen_t>(sizeof info);
+  auto outcome = getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+  return outcome == 0 && info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 }  // namespace birchlever
