serve: take a response with a malformed field name for no response

What callers saw: a server of `serve` that sent `Content-Length : 2`, or any name with a blank, a control byte or another character that no token has, and then more than two bytes, had all of these bytes relayed as its body.

Cause: the library's client takes any bytes before the colon as a name. A field of another name is not the length, so the body went up to the end of the connection.

The gateway's own reader rejects these names.

Change: storage/response_check asks that each name is a token (RFC 9110, 5.6.2), at the head of a streamed exchange and at the end of a call.

Why it works: each name that the library hands over passes it.

--- a/birchlever/http/http_message.cpp
+++ b/birchlever/http/http_message.cpp
@@ -103,6 +103,12 @@
   return !coded || (head.version() >= version_1_1 && is_supported_coding(joined));
 }
 
+auto is_token(std::string_view text) -> bool {
+  constexpr auto token_characters =
+      std::string_view{"!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"};
+  return !text.empty() && text.find_first_not_of(token_characters) == std::string_view::npos;
+}
+
 auto parse_count(std::string_view text) -> std::optional<std::int64_t> {
   auto number = std::int64_t{0};
   const auto* end = text.data() + text.size();
--- a/birchlever/http/http_message.h
+++ b/birchlever/http/http_message.h
@@ -53,6 +53,9 @@
 /// all.
 [[nodiscard]] auto has_readable_body(const http::response_header<>& head) -> bool;
 
+/// True if a text is a token, as the name of a field must be (RFC 9110, section 5.6.2).
+[[nodiscard]] auto is_token(std::string_view text) -> bool;
+
 /// A whole number of at least 0; nothing when the text is anything else.
 [[nodiscard]] auto parse_count(std::string_view text) -> std::optional<std::int64_t>;
 
--- a/birchlever/storage/response_check.h
+++ b/birchlever/storage/response_check.h
@@ -7,8 +7,8 @@
 
 namespace birchlever {
 
-/// True if the head of a response has a final status and a body that the client can read. Otherwise the peer
-/// may have processed the request, and nothing else is known.
+/// True if a response has a final status, well-formed names of fields and a body that the client can read.
+/// Otherwise the peer may have processed the request, and nothing else is known.
 [[nodiscard]] auto is_valid_response(const httplib::Response& response) -> bool;
 
 }  // namespace birchlever
--- a/unit_tests/upstream/broken_response_test.cpp
+++ b/unit_tests/upstream/broken_response_test.cpp
@@ -64,6 +64,18 @@
       raw_ending::closed, "{}");
 }
 
+/// Failure: `serve` takes bytes behind the body for a part of it, since the field of its length is malformed.
+TEST_CASE("a response with a malformed field name is interrupted", "[broken_response]") {
+  for (auto byte : {' ', '\t', '\r', '\0', '\x01', '\x7f', '\x80', '\xff', '/', '(', '"'}) {
+    for (const auto& name : {"X"s + byte + "Y", "Content-Length"s + byte, byte + "Content-Length"s,
+                             "Content"s + byte + "Length", "Transfer-Encoding"s + byte}) {
+      CAPTURE(name);
+      check_is_no_response(success_head + name + ": 2\r\n\r\nok, and more", raw_ending::closed, "{}");
+    }
+  }
+  check_is_no_response(success_head + ": 2\r\n\r\nok, and more", raw_ending::closed, "{}");
+}
+
 /// Failure: a well-formed response is taken for an interrupted one.
 TEST_CASE("responses with a length, in chunks or up to their end are whole", "[broken_response]") {
   for (const auto& rest :
