Take a response with a folded line in its head for no response

What callers saw: a line that begins with a blank, such as " Content-Length: 3" behind another field, was passed on as a part of the value before it.

Cause: the parser joins folded lines, and nothing looked for them in responses; requests with one are rejected.

Change: read_head parses what it receives piece by piece, and folded_line_scan looks at the bytes first. A folded line ends the attempt as malformed, with the log line response_line_folded. RFC 9112, 5.2, lets a proxy answer 502 or replace the fold; 502 is what requests get, and no wrong value reaches a caller.

Why it works: the bytes are seen before the parser joins them, across reads as well, and only up to the end of the head.

--- a/birchlever/http/outgoing_connection.cpp
+++ b/birchlever/http/outgoing_connection.cpp
@@ -1,8 +1,10 @@
 #include "birchlever/http/outgoing_connection.h"
 
 #include <array>
+#include <boost/beast/core/read_size.hpp>
 #include <limits>
 
+#include "birchlever/http/folded_line_scan.h"
 #include "birchlever/http/socket_options.h"
 
 namespace birchlever {
@@ -16,7 +18,8 @@
 constexpr auto most_interim = 16;  // Interim responses before one final response.
 // Of received bytes that are not parsed yet: a header, or a line between chunks, which may have no end.
 constexpr auto most_unparsed_bytes = std::size_t{2} * most_header_bytes;
-constexpr auto most_logged_bytes = std::size_t{64};  // Of a field's value.
+constexpr auto most_read_bytes = std::size_t{65536};  // At once, of a header.
+constexpr auto most_logged_bytes = std::size_t{64};   // Of a field's value.
 
 }  // namespace
 
@@ -135,15 +138,44 @@
   co_return fault_of(asio::error::connection_reset);
 }
 
+auto outgoing_connection::parse_head() -> task<std::optional<exchange_fault>> {
+  auto code = boost::system::error_code{};
+  auto scan = folded_line_scan{};
+  auto scanned = std::size_t{0};  // Of the bytes in the buffer.
+  parser_->eager(false);
+  while (true) {
+    auto received = buffer_.cdata();
+    answer_begun_ = answer_begun_ || received.size() > 0;
+    scan.feed(std::string_view{static_cast<const char*>(received.data()), received.size()}.substr(scanned));
+    if (scan.found()) {
+      log_event(log_level::info, "response_line_folded", {{"address", peer_}});
+      co_return exchange_fault::malformed;
+    }
+    auto used = parser_->put(received, code);
+    buffer_.consume(used);
+    scanned = received.size() - used;
+    if (code && code != http::error::need_more) {
+      co_return fault_of(code);
+    }
+    if (parser_->is_header_done()) {
+      co_return std::nullopt;
+    }
+    auto room = buffer_.prepare(boost::beast::read_size(buffer_, most_read_bytes));
+    auto read = co_await socket_.async_read_some(room, resume_with(code));
+    if (code) {
+      co_return fault_of(code);
+    }
+    buffer_.commit(read);
+  }
+}
+
 auto outgoing_connection::read_head() -> task<exchanged<http_response>> {
   auto self = shared_from_this();
-  auto code = boost::system::error_code{};
   auto kind = status_kind::interim;
   for (auto responses = 0; kind == status_kind::interim; ++responses) {
-    auto read = co_await http::async_read_header(socket_, buffer_, *parser_, resume_with(code));
-    answer_begun_ = answer_begun_ || read > 0 || buffer_.size() > 0;
-    if (code) {
-      co_return fault_of(code);
+    auto fault = co_await parse_head();
+    if (fault) {
+      co_return *fault;
     }
     auto status = parser_->get().result_int();
     kind = kind_of_status(status);
--- a/birchlever/http/outgoing_connection.h
+++ b/birchlever/http/outgoing_connection.h
@@ -87,6 +87,9 @@
  private:
   outgoing_connection(event_loop& loop, milliseconds standard_keep_alive);
 
+  /// Receives and parses the head of one response, interim or final.
+  auto parse_head() -> task<std::optional<exchange_fault>>;
+
   auto write_request(std::shared_ptr<const http_request> request) -> task<>;
 
   /// Returns what broke a connection whose end was read, or nothing if the peer ended it properly.
--- a/unit_tests/gateway/malformed_response_test.cpp
+++ b/unit_tests/gateway/malformed_response_test.cpp
@@ -34,6 +34,15 @@
   }
 }
 
+/// Failure: a line that begins with a blank is passed on as a part of the value before it.
+TEST_CASE("a response whose head has a folded line is no answer", "[malformed_response]") {
+  for (const auto* line :
+       {"X-A: b\r\n X-B: c", "X-A: b\r\n\tX-B: c", "X-A: b\r\n ", " Content-Length: 3", "X-A:\r\n b"}) {
+    CAPTURE(line);
+    check_is_no_answer(with_field(line), 20);
+  }
+}
+
 /// Failure: a response in which control bytes or two lengths leave its meaning open is passed on.
 TEST_CASE("a response whose head has a malformed value or two lengths is no answer", "[malformed_response]") {
   for (auto byte : {'\0', '\x01', '\x7f', '\r'}) {
