soak: upstreams that respond before they have read a request, and reset

Half of the calls that are not kept have bodies of up to 4 MB. The ledger checks that no response that was reset is whole at a caller, errors included; unit_tests/soak guards that check.

--- a/soak/fault_schedule.cpp
+++ b/soak/fault_schedule.cpp
@@ -40,6 +40,7 @@
       fleet_{&fleet},
       ledger_{&ledger},
       random_{settings.seed_ * 31 + 7},
+      response_random_{settings.seed_ * 37 + 11},
       process_faults_{loop, settings, fleet} {}
 
 auto fault_schedule::calm_since(milliseconds since) const -> bool {
@@ -182,6 +183,9 @@
   if (settings_.process_faults_) {
     start(*loop_, "harm_processes", harm_processes(until));
   }
+  if (settings_.early_responses_) {
+    start(*loop_, "harm_responses", harm_responses(until));
+  }
   while (clock_.now() < until) {
     auto kind = draw_kind();
     std::cout << "fault " << name_of(kind) << "\n";
@@ -200,6 +204,23 @@
   }
 }
 
+auto fault_schedule::harm_responses(milliseconds until) -> task<> {
+  constexpr auto early_share = 0.3;
+  constexpr auto change_gap_ms = milliseconds{500};
+  ++active_;
+  while (clock_.now() < until) {
+    for (const auto& upstream : fleet_->upstreams()) {
+      upstream->set_early_share(response_random_() % 2 == 0 ? early_share : 0);
+    }
+    co_await pause_for(*loop_, change_gap_ms);
+  }
+  for (const auto& upstream : fleet_->upstreams()) {
+    upstream->set_early_share(0);
+  }
+  --active_;
+  last_fault_at_ = clock_.now();
+}
+
 auto fault_schedule::run_process_fault() -> task<> {
   ++active_;
   co_await process_faults_.run_one();
--- a/soak/fault_schedule.h
+++ b/soak/fault_schedule.h
@@ -51,6 +51,7 @@
   auto draw_gap() -> milliseconds;
   auto run_fault(fault_kind kind) -> task<>;
   auto harm_processes(milliseconds until) -> task<>;
+  auto harm_responses(milliseconds until) -> task<>;
   auto run_process_fault() -> task<>;
   auto harm_links(milliseconds duration) -> task<>;
   auto kill_some(std::vector<int> numbers) -> task<>;
@@ -72,6 +73,7 @@
   soak_fleet* fleet_;
   soak_ledger* ledger_;
   std::mt19937_64 random_;
+  std::mt19937_64 response_random_;  ///< Apart, so that the other draws of a seed stay as they are.
   process_faults process_faults_;
   steady_clock clock_;
   int active_ = 0;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -24,6 +24,7 @@
 DEFINE_bool(harmful_forms, false, "they do so in all forms, some at once, from impatient callers");
 DEFINE_bool(process_faults, false, "signals, settings files, ports and unfinished bodies too");
 DEFINE_bool(large_inputs, false, "some turns have inputs of up to the limit of the configuration");
+DEFINE_bool(early_responses, false, "upstreams respond before they have read long requests, and reset");
 DEFINE_int32(services, 3, "stand-ins of plain services");
 DEFINE_string(known_red, "", "a promise that a known fault breaks: reported, but no failure of the run");
 DEFINE_int32(rounds, 1, "of faults, each followed by planned work in calm");
@@ -56,6 +57,7 @@
   settings.harmful_ = FLAGS_harmful || FLAGS_harmful_forms;
   settings.harmful_forms_ = FLAGS_harmful_forms;
   settings.large_inputs_ = FLAGS_large_inputs;
+  settings.early_responses_ = FLAGS_early_responses;
   settings.process_faults_ = FLAGS_process_faults;
   settings.services_ = FLAGS_services;
   settings.faults_ = fault_set_of(FLAGS_faults).value_or(fault_set::usual);
--- a/soak/soak_caller.cpp
+++ b/soak/soak_caller.cpp
@@ -22,6 +22,8 @@
 constexpr auto spare_gap_ms = milliseconds{60};  // Between two requests with spare keys.
 constexpr auto hot_gap_ms = milliseconds{12};    // Four times what the hot account may send.
 constexpr auto most_body = std::size_t{1U << 20U};
+constexpr auto largest_padding = std::size_t{4'190'000};  // The configuration allows 4 MiB.
+constexpr auto most_doublings = 6U;
 
 auto promises_not_run(int status) -> bool {
   return status == 401 || status == 402 || status == 404 || status == 408 || status == 421 || status == 429 ||
@@ -112,6 +114,12 @@
   co_return co_await ask(gateway, std::move(request));
 }
 
+auto soak_callers::judge_error(const heard_answer& heard, const std::string& id) -> void {
+  if (heard.whole_ && heard.status_ != 200) {
+    ledger_->got_error(id, heard.body_);
+  }
+}
+
 auto soak_callers::judge_turn(const heard_answer& heard, const std::string& id, const kept_turn& line,
                               spending& money) -> void {
   auto events = 0;
@@ -121,6 +129,7 @@
     money.delivered_ += events * upstream_stand_in::tokens_per_event;
     ledger_->got(id, heard.body_, heard.whole_, heard.proven_);
   }
+  judge_error(heard, id);
   auto refused = promises_not_run(heard.status_);
   if (refused) {
     ledger_->refused(id);
@@ -149,12 +158,17 @@
 
 auto soak_callers::padding_of_turn() -> std::size_t {
   constexpr auto one_in = 16U;
-  constexpr auto most_doublings = 6U;
-  constexpr auto largest = std::size_t{4'190'000};  // The configuration allows 4 MiB.
   if (!settings_.large_inputs_ || random_() % one_in != 0) {
     return 0;
   }
-  return largest >> (random_() % most_doublings);
+  return largest_padding >> (random_() % most_doublings);
+}
+
+auto soak_callers::body_of(std::string text) -> std::string {
+  if (settings_.early_responses_ && random_() % 2 == 0) {
+    text.resize(text.size() + (largest_padding >> (random_() % most_doublings)), 'x');
+  }
+  return text;
 }
 
 auto soak_callers::run_turn(kept_turn& line, spending& money, milliseconds give_up_at) -> task<turn_result> {
@@ -200,7 +214,7 @@
         http_request{repeatable ? http::verb::get : http::verb::post, repeatable ? "/safe/x" : "/once/x", 11};
     request.set(names::request_id, id);
     request.set(names::program, program);
-    request.body() = repeatable ? "" : "do it";
+    request.body() = body_of(repeatable ? "" : "do it");
     set_key(request, owner);
     ledger_->sent(id, request.body(), repeatable, owner);
     auto gateway = fleet_->pick_gateway(random_());
@@ -208,6 +222,7 @@
     if (heard.status_ == 200) {
       ledger_->got(id, heard.body_, heard.whole_, heard.proven_);
     }
+    judge_error(heard, id);
     auto refused = promises_not_run(heard.status_);
     if (refused) {
       ledger_->refused(id);
@@ -306,7 +321,7 @@
   request.set(names::session, "s");
   request.set(names::budget, std::to_string(money.budget_));
   request.set(names::token_usage, "100," + std::to_string(most_tokens));
-  request.body() = "whole prompt of " + program;
+  request.body() = body_of("whole prompt of " + program);
   set_key(request, owner);
   ledger_->sent(id, request.body(), false, owner);
   auto gateway = fleet_->pick_gateway(random_());
@@ -317,6 +332,7 @@
     money.delivered_ += events * upstream_stand_in::tokens_per_event;
     ledger_->got(id, heard.body_, heard.whole_, heard.proven_);
   }
+  judge_error(heard, id);
   if (promises_not_run(heard.status_)) {
     ledger_->refused(id);
   }
--- a/soak/soak_caller.h
+++ b/soak/soak_caller.h
@@ -80,9 +80,12 @@
   auto send_tool(sender owner) -> task<>;
   /// Returns the bytes by which a turn's input is longer than usual.
   auto padding_of_turn() -> std::size_t;
+  /// Returns the body of a request that is not kept, which is long in some runs.
+  auto body_of(std::string text) -> std::string;
   auto run_turn(kept_turn& line, spending& money, milliseconds give_up_at) -> task<turn_result>;
   auto judge_turn(const heard_answer& heard, const std::string& id, const kept_turn& line, spending& money)
       -> void;
+  auto judge_error(const heard_answer& heard, const std::string& id) -> void;
   auto run_tool(sender owner, std::string program) -> task<>;
 
   event_loop* loop_;
--- a/soak/soak_ledger.cpp
+++ b/soak/soak_ledger.cpp
@@ -64,8 +64,8 @@
   }
 }
 
-auto soak_ledger::ran(const std::string& request, const std::string& body, const std::string& upstream,
-                      const std::string& account) -> void {
+auto soak_ledger::ran_unread(const std::string& request, const std::string& upstream,
+                             const std::string& account) -> void {
   auto count = ++runs_[request];
   auto known = sent_.find(request);
   if (known == sent_.end()) {
@@ -78,14 +78,20 @@
     broken(promise::at_most_once,
            request + " runs for the " + std::to_string(count) + ". time at " + upstream);
   }
-  if (body != known->second.prompt_) {
+  if (refused_.count(request) != 0) {
+    broken(promise::refusal_is_true, request + " runs after its refusal at " + upstream);
+  }
+}
+
+auto soak_ledger::ran(const std::string& request, const std::string& body, const std::string& upstream,
+                      const std::string& account) -> void {
+  ran_unread(request, upstream, account);
+  auto known = sent_.find(request);
+  if (known != sent_.end() && body != known->second.prompt_) {
     broken(promise::chain_is_exact, request + " has " + std::to_string(body.size()) + " bytes at " +
                                         upstream + " instead of " +
                                         std::to_string(known->second.prompt_.size()));
   }
-  if (refused_.count(request) != 0) {
-    broken(promise::refusal_is_true, request + " runs after its refusal at " + upstream);
-  }
 }
 
 auto soak_ledger::answered(const std::string& request, const std::string& bytes, bool whole) -> void {
@@ -107,6 +113,15 @@
   }
 }
 
+auto soak_ledger::got_error(const std::string& request, const std::string& bytes) -> void {
+  const auto& made = answers_[request];
+  auto cut = std::any_of(made.begin(), made.end(),
+                         [&](const made_answer& one) { return !one.whole_ && one.bytes_ == bytes; });
+  if (cut) {
+    broken(promise::answer_is_whole, request + " got a part of an error response as whole");
+  }
+}
+
 auto soak_ledger::refused(const std::string& request) -> void {
   refused_.insert(request);
   if (runs_.count(request) != 0) {
--- a/soak/soak_ledger.h
+++ b/soak/soak_ledger.h
@@ -54,6 +54,10 @@
   auto ran(const std::string& request, const std::string& body, const std::string& upstream,
            const std::string& account = {}) -> void;
 
+  /// Likewise for an upstream that responds before it has read the body.
+  auto ran_unread(const std::string& request, const std::string& upstream, const std::string& account)
+      -> void;
+
   /// The store acknowledged that a key was taken away; `bound` ms later nothing that is sent with it may run.
   auto revoked(const std::string& key, milliseconds bound) -> void;
 
@@ -69,6 +73,9 @@
   /// A caller got a success; `whole` when it came to its end.
   auto got(const std::string& request, const std::string& bytes, bool whole, bool proven) -> void;
 
+  /// A caller got an error response that came to its end.
+  auto got_error(const std::string& request, const std::string& bytes) -> void;
+
   /// A caller was told that the request did not run.
   auto refused(const std::string& request) -> void;
 
--- a/soak/soak_settings.h
+++ b/soak/soak_settings.h
@@ -43,6 +43,8 @@
   bool harmful_ = false;           ///< Some requests end the upstreams that run them.
   bool harmful_forms_ = false;     ///< They do so in all forms, several at once, from impatient callers.
   bool large_inputs_ = false;      ///< Some turns have inputs of up to the limit of the configuration.
+  bool early_responses_ = false;   ///< Upstreams respond to some requests, which are long, before they have
+                                   ///< read them, and reset some of these responses.
   int callers_ = 12;               ///< Programs under way at once.
   milliseconds duration_ = 12000;  ///< Of faults and load; healing and the last checks come after it.
   milliseconds heal_ = 4000;       ///< From the last fault's end until the last checks begin.
--- a/soak/upstream_stand_in.cpp
+++ b/soak/upstream_stand_in.cpp
@@ -2,6 +2,7 @@
 
 #include <iostream>
 
+#include "birchlever/http/bind_failure.h"
 #include "platform/names.h"
 
 namespace birchlever::soak {
@@ -12,6 +13,7 @@
 constexpr auto max_prompt_bytes = std::size_t{256} << 20U;  // Histories of many turns with large inputs.
 constexpr auto longest_harmful_run_ms = 120;
 constexpr auto late_end_ms = milliseconds{2500};
+constexpr auto accept_pause = milliseconds{50};  // When descriptors run out.
 constexpr auto hold_look_ms = milliseconds{100};
 constexpr auto hold_limit_ms = milliseconds{20000};
 constexpr auto first_event_ms = milliseconds{10};  // A short prompt on an idle engine.
@@ -39,23 +41,63 @@
     : loop_{&loop},
       identity_{std::move(identity)},
       ledger_{&ledger},
+      acceptor_{std::make_shared<asio::ip::tcp::acceptor>(loop)},
+      early_responder_{loop, ledger, identity_.id_, identity_.engine_},
       random_{seed},
+      early_random_{seed * 13 + 5},
       running_id_{identity_.id_} {}
 
 auto upstream_stand_in::create(event_loop& loop, upstream_identity identity, soak_ledger& ledger,
                                std::uint64_t seed) -> result<std::unique_ptr<upstream_stand_in>> {
   auto made =
       std::unique_ptr<upstream_stand_in>{new upstream_stand_in{loop, std::move(identity), ledger, seed}};
-  auto* self = made.get();
-  auto listening = http_listener::create(
-      loop, self->identity_.address_, [self](auto connection) { return self->serve(std::move(connection)); });
+  auto listening = made->listen();
   if (!ok(listening)) {
     return failure(listening);
   }
-  made->listener_ = value(listening);
+  start(loop, "accept_all", made->accept_all());
   return made;
 }
 
+auto upstream_stand_in::listen() -> status {
+  auto address = parse_address(identity_.address_);
+  if (!ok(address)) {
+    return failure(address);
+  }
+  auto code = boost::system::error_code{};
+  acceptor_->open(value(address).protocol(), code);
+  acceptor_->set_option(asio::socket_base::reuse_address{true}, code);
+  acceptor_->bind(value(address), code);
+  if (!code) {
+    acceptor_->listen(asio::socket_base::max_listen_connections, code);
+  }
+  return code ? status{bind_failure(identity_.address_, code)} : success;
+}
+
+auto upstream_stand_in::accept_all() -> task<> {
+  auto acceptor = acceptor_;
+  while (acceptor->is_open()) {
+    auto socket = std::make_shared<asio::ip::tcp::socket>(*loop_);
+    auto code = boost::system::error_code{};
+    co_await acceptor->async_accept(*socket, resume_with(code));
+    if (!acceptor->is_open()) {
+      co_return;
+    }
+    if (code) {
+      co_await pause_for(*loop_, accept_pause);
+    } else if (draw_early()) {
+      start(*loop_, "respond_early", early_responder_.serve(socket, early_responder::draw(early_random_)));
+    } else {
+      start(*loop_, "serve", serve(server_connection::create(*loop_, std::move(*socket))));
+    }
+  }
+}
+
+auto upstream_stand_in::draw_early() -> bool {
+  auto may_be_early = early_share_ > 0 && !dead_ && !silent_ && running_id_ == identity_.id_;
+  return may_be_early && std::uniform_real_distribution<double>{0, 1}(early_random_) < early_share_;
+}
+
 auto upstream_stand_in::set_fault(upstream_fault fault, double share) -> void {
   fault_ = fault;
   fault_share_ = share;
@@ -63,7 +105,12 @@
 
 auto upstream_stand_in::die() -> void {
   dead_ = true;
-  listener_->stop();
+  close_port();
+}
+
+auto upstream_stand_in::close_port() -> void {
+  auto ignored = boost::system::error_code{};  // It may be closed already.
+  acceptor_->close(ignored);
 }
 
 auto upstream_stand_in::draw_fault() -> upstream_fault {
@@ -86,6 +133,7 @@
       break;
     }
     keep = co_await handle(*request, *connection);
+    keep = keep && early_share_ == 0;
   }
   connections_.erase(connection);
   connection->close();
@@ -173,7 +221,7 @@
   silent_ = form == harmful_form::silent;
   running_id_ = form == harmful_form::reused ? "process-after-" + id : id;
   if (form == harmful_form::closes || form == harmful_form::late) {
-    listener_->stop();
+    close_port();
   }
   if (!silent_) {
     for (const auto& connection : std::exchange(connections_, {})) {
--- a/soak/upstream_stand_in.h
+++ b/soak/upstream_stand_in.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "birchlever/http/http_listener.h"
+#include "soak/early_responder.h"
 #include "soak/soak_ledger.h"
 #include "soak/soak_settings.h"
 
@@ -42,9 +43,17 @@
   static auto create(event_loop& loop, upstream_identity identity, soak_ledger& ledger, std::uint64_t seed)
       -> result<std::unique_ptr<upstream_stand_in>>;
 
+  ~upstream_stand_in() { close_port(); }
+  upstream_stand_in(const upstream_stand_in&) = delete;
+  auto operator=(const upstream_stand_in&) -> upstream_stand_in& = delete;
+
   /// A share of the requests, 0 to 1, meets the fault from now on.
   auto set_fault(upstream_fault fault, double share) -> void;
 
+  /// A share of new connections, 0 to 1, get an early response from now on. The others are not kept open
+  /// meanwhile, so that there are new ones.
+  auto set_early_share(double share) -> void { early_share_ = share; }
+
   /// From this moment of the soak's clock on it is leaving, as the store has acknowledged.
   auto leave(milliseconds now) -> void { left_at_ = now; }
 
@@ -63,11 +72,15 @@
  private:
   upstream_stand_in(event_loop& loop, upstream_identity identity, soak_ledger& ledger, std::uint64_t seed);
 
+  auto listen() -> status;
+  auto accept_all() -> task<>;
+  auto close_port() -> void;
   auto serve(std::shared_ptr<server_connection> connection) -> task<>;
   auto handle(const http_request& request, server_connection& connection) -> task<bool>;
   auto stream(const std::string& id, int events, bool breaks, http_response head,
               server_connection& connection) -> task<bool>;
   auto draw_fault() -> upstream_fault;
+  auto draw_early() -> bool;
   auto end_under(std::string work, harmful_form form) -> task<>;
   auto answer_health(server_connection& connection) -> task<bool>;
   /// Holds a connection open without answering.
@@ -76,11 +89,14 @@
   event_loop* loop_;
   upstream_identity identity_;
   soak_ledger* ledger_;
-  std::shared_ptr<http_listener> listener_;
+  std::shared_ptr<asio::ip::tcp::acceptor> acceptor_;  ///< Shared with the coroutine that accepts.
+  early_responder early_responder_;
   std::mt19937_64 random_;
+  std::mt19937_64 early_random_;  ///< Apart, so that the other draws of a seed stay as they are.
   steady_clock clock_;
   upstream_fault fault_ = upstream_fault::none;
   double fault_share_ = 0;
+  double early_share_ = 0;
   std::optional<milliseconds> left_at_;
   milliseconds reached_at_ = 0;
   bool dead_ = false;
--- a/unit_tests/soak/soak_ledger_test.cpp
+++ b/unit_tests/soak/soak_ledger_test.cpp
@@ -111,4 +111,20 @@
   CHECK(only_fault(ledger) == name_of(promise::allotment_holds));
 }
 
+TEST_CASE("the soak's ledger sees a part of a response that a caller takes for whole") {
+  auto success = soak_ledger{};
+  success.sent("r", "never read", false);
+  success.ran_unread("r", "tool-1", "");
+  success.answered("r", "part", false);
+  success.got("r", "part", true, true);
+  CHECK(only_fault(success) == name_of(promise::answer_is_whole));
+  auto failure = soak_ledger{};
+  failure.answered("r", "part", false);
+  failure.answered("r", "whole", true);
+  failure.got_error("r", "whole");
+  CHECK(failure.faults().empty());
+  failure.got_error("r", "part");
+  CHECK(only_fault(failure) == name_of(promise::answer_is_whole));
+}
+
 }  // namespace birchlever::soak
