--- a/unit_tests/http/early_response_test.cpp
+++ b/unit_tests/http/early_response_test.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <thread>
 
+#include "birchlever/http/http_call.h"
 #include "birchlever/http/outgoing_connection.h"
 #include "unit_tests/http/loop_runner.h"
 #include "unit_tests/http/raw_peer.h"
@@ -172,4 +173,31 @@
   CHECK(fault_in(*outcome) == exchange_fault::broken);
 }
 
+/// Failure: a call of the store or of another gateway takes a part of a response for the whole of it.
+TEST_CASE("a whole call whose response is reset during a long upload is broken", "[early_response]") {
+  auto loop = event_loop{1};
+  auto peer = raw_peer{};
+  auto pool = connection_pool::create(loop, {});
+  auto request = std::make_shared<http_request>(http::verb::post, "/", 11);
+  request->set(http::field::host, "server");
+  request->body() = std::string(upload_bytes, 'x');
+  request->prepare_payload();
+  auto outcome = std::optional<exchanged<whole_answer>>{};
+  auto run = [](task<exchanged<whole_answer>> call, auto& into) -> task<> {
+    into = co_await std::move(call);
+  };
+  start(loop, "call_http",
+        run(call_http(*pool, peer.address(), std::move(request), exchange_limit, most_body), outcome));
+  run_loop_for(loop, settle_ms);
+  peer.accept();
+  peer.read_head();
+  peer.write(std::string{"HTTP/1.1 200 OK\r\n\r\n"} + part);
+  end_response(peer, response_end::reset);
+  REQUIRE(run_loop_until(loop, [&] { return outcome.has_value(); }));
+  auto* fault = std::get_if<exchange_fault>(&*outcome);
+  REQUIRE(fault != nullptr);
+  CHECK(*fault == exchange_fault::broken);
+  CHECK_FALSE(pool->has_idle(peer.address(), exchange_limit));
+}
+
 }  // namespace birchlever
