--- a/birchlever/http/outgoing_connection.h
+++ b/birchlever/http/outgoing_connection.h
@@ -49,8 +49,8 @@
   /// long body. The deadline holds for the whole exchange.
   auto send(std::shared_ptr<const http_request> request, milliseconds time_left) -> void;
 
-  /// Reads the answer's head, after any interim answers. A status that ends no answer in the protocol is
-  /// malformed.
+  /// Reads the answer's head, after any interim answers. A status that ends no answer in the protocol, a
+  /// folded line, and a transfer coding other than chunked are malformed.
   auto read_head() -> task<exchanged<http_response>>;
 
   /// Reads the next piece of the body. A body without a length is whole only if the peer ended the connection
