Count failed exchanges with upstreams by fault; tests of resumable streams and bodiless responses

A broken or malformed response had log lines, and a counter only if a stream had begun. upstream_exchanges_failed_total{fault} counts each attempt that ended by a fault of its exchange; a test guards it. Two more tests guard what holds already: a resumable stream that is reset during a long upload goes on elsewhere, and a 304 may name any transfer coding. [early_response] and [transfer_coding] pass.

--- a/birchlever/gateway/upstream_attempt.cpp
+++ b/birchlever/gateway/upstream_attempt.cpp
@@ -68,6 +68,7 @@
 
 auto upstream_attempt::classify(exchange_fault fault) -> attempt_outcome {
   fault_ = fault;
+  context_->metrics_->count("upstream_exchanges_failed_total{fault=\"" + std::string{name_of(fault)} + "\"}");
   switch (fault) {
     case exchange_fault::not_connected:
       return attempt_outcome::not_reached;
--- a/unit_tests/gateway/early_response_test.cpp
+++ b/unit_tests/gateway/early_response_test.cpp
@@ -53,6 +53,25 @@
   }
 }
 
+/// Failure: a stream that could go on at another upstream ends for its caller with the part before a reset.
+TEST_CASE("a resumable stream that is reset during a long upload goes on elsewhere", "[early_response]") {
+  auto fixture = raw_fixture{early_response(ending::reset, 0), {"engine-1"}};
+  auto body = std::string(long_upload, 'x');
+  for (auto number = 0; fixture.raw_engine_.requests() == 0 && number < 10; ++number) {
+    auto served = fixture.send("/resume/a", headers_of("r" + std::to_string(number)), body);
+    CHECK(is_whole_success(served));
+    CHECK(served.body_.find("id: 3\n") != std::string::npos);
+  }
+  CHECK(fixture.raw_engine_.requests() > 0);
+}
+
+/// Failure: nobody can tell from the metrics that an upstream breaks its responses.
+TEST_CASE("a response that is reset is counted", "[early_response]") {
+  auto fixture = raw_fixture{early_response(ending::reset, 0)};
+  fixture.send("/unsafe/a", headers_of("r1"), std::string(long_upload, 'x'));
+  CHECK(fixture.context_->metrics_->counter("upstream_exchanges_failed_total{fault=\"broken\"}") == 1);
+}
+
 /// Failure: a program goes on from a turn of which it got only a part.
 TEST_CASE("a turn whose response is reset is not stored", "[early_response]") {
   auto cut = gateway_fixture{};
--- a/unit_tests/gateway/transfer_coding_test.cpp
+++ b/unit_tests/gateway/transfer_coding_test.cpp
@@ -34,4 +34,12 @@
   }
 }
 
+/// Failure: a response without a body is rejected for a coding that its body does not have.
+TEST_CASE("a response that has no body may name any coding", "[transfer_coding]") {
+  auto response = raw_response{std::string{"HTTP/1.1 304 Not Modified\r\n"} + authentic_fields +
+                               "Transfer-Encoding: gzip, chunked\r\n\r\n"};
+  auto fixture = raw_fixture{response};
+  CHECK(fixture.send("/unsafe/a", headers_of("r1"), "body").status_ == 304);
+}
+
 }  // namespace birchlever::test
--- a/unit_tests/soak/soak_ledger_test.cpp
+++ b/unit_tests/soak/soak_ledger_test.cpp
@@ -111,6 +111,7 @@
   CHECK(only_fault(ledger) == name_of(promise::allotment_holds));
 }
 
+/// Failure: the soak passes although a caller took a part of a response for the whole of it.
 TEST_CASE("the soak's ledger sees a part of a response that a caller takes for whole") {
   auto success = soak_ledger{};
   success.sent("r", "never read", false);
